Lay out the packages, the protocol and the program state

Cause: an empty repository; the subsystems need shared types before they can be built side by side. Weighed: npm workspaces against package.json imports; the second needs no link step and resolves to sources under the 'source' condition and to dist otherwise.

--- /dev/null
+++ b/connection/wire/src/index.ts
@@ -0,0 +1,7 @@
+export * from './generated/chicorynotch/v1/call.js'
+export * from './generated/chicorynotch/v1/entry.js'
+export * from './generated/chicorynotch/v1/process.js'
+export * from './generated/chicorynotch/v1/record.js'
+export * from './generated/chicorynotch/v1/sidecar.js'
+export { ConnectionError } from './port.js'
+export type { EntryPort, ProcessPort, SidecarPort } from './port.js'
--- /dev/null
+++ b/process/commitlog/src/index.ts
@@ -0,0 +1,2 @@
+export { SealedError } from './port.js'
+export type { CommitLog } from './port.js'
--- /dev/null
+++ b/process/partition/src/index.ts
@@ -0,0 +1,1 @@
+export type { AdoptedPartition, PartitionHost, PartitionOwner, PartitionRoutes } from './port.js'
--- /dev/null
+++ b/process/upstreams/src/index.ts
@@ -0,0 +1,1 @@
+export type { UpstreamDirectory, UpstreamView } from './port.js'
--- /dev/null
+++ b/request/call/src/index.ts
@@ -0,0 +1,5 @@
+export { Verdict, parseVerdict } from './verdict.js'
+export { CallError, ErrorCode, toCallError } from './error.js'
+export type { CallErrorOptions, RefusalFields } from './error.js'
+export { childIdOf, isProgramId, newAttemptId, newRootId, partitionOf, rootIdOf, rootOf } from './name.js'
+export type { CallName } from './name.js'
--- /dev/null
+++ b/request/program/src/index.ts
@@ -0,0 +1,2 @@
+export { ProgramStatus, ProgramTable, ProgramTree, bytesOf, messagesOf, verdictOf } from './tree.js'
+export type { Position } from './tree.js'
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import { defineConfig } from 'vitest/config'
+
+export default defineConfig({
+  resolve: { conditions: ['source'] },
+  ssr: { resolve: { conditions: ['source'], externalConditions: ['source'] } },
+  test: {
+    include: ['**/test/**/*.test.ts'],
+    exclude: ['node_modules/**', 'dist/**'],
+    testTimeout: 20_000
+  }
+})
