--- /dev/null
+++ b/connection/front/src/index.ts
@@ -0,0 +1,6 @@
+export { Exchange } from './exchange.js'
+export type { Headers } from './exchange.js'
+export { FrontServer, splitAddress } from './server.js'
+export type { FrontLimits, FrontOptions } from './server.js'
+export { serveStatus } from './status.js'
+export type { StatusPages } from './status.js'
--- /dev/null
+++ b/connection/front/src/status.ts
@@ -0,0 +1,19 @@
+import { fastify } from 'fastify'
+import { splitAddress } from './server.js'
+
+/// Serves short texts under fixed paths: readiness, metrics.
+export type StatusPages = Readonly<Record<string, () => { readonly status: number, readonly text: string }>>
+
+/// Starts a server of status pages and returns how to close it.
+export async function serveStatus (address: string, pages: StatusPages): Promise<() => Promise<void>> {
+  const server = fastify({ logger: false, forceCloseConnections: true })
+  for (const [path, page] of Object.entries(pages)) {
+    server.get(path, (_, reply) => {
+      const { status, text } = page()
+      reply.code(status).type('text/plain; charset=utf-8').send(text)
+    })
+  }
+  const [host, port] = splitAddress(address)
+  await server.listen({ host, port })
+  return async () => { await server.close() }
+}
--- /dev/null
+++ b/connection/header/src/native.ts
@@ -0,0 +1,20 @@
+import { HeaderCodec } from './codec.js'
+
+/// The product's own dialect, listed in docs/API.md.
+export const nativeHeaders = new HeaderCodec({
+  callId: 'chicorynotch-call-id',
+  patienceMs: 'chicorynotch-patience-ms',
+  usage: 'chicorynotch-usage',
+  prefix: 'chicorynotch-prefix',
+  programId: 'chicorynotch-program-id',
+  sessionId: 'chicorynotch-session-id',
+  programRemainingMs: 'chicorynotch-program-remaining-ms',
+  tokenBudget: 'chicorynotch-token-budget',
+  previousTurnId: 'chicorynotch-previous-turn-id',
+  lastEventId: 'last-event-id',
+  signature: 'chicorynotch-signature',
+  notRun: 'chicorynotch-not-run',
+  load: 'chicorynotch-load',
+  expectedInstance: 'chicorynotch-expected-instance',
+  reserved: []
+})
--- /dev/null
+++ b/connection/store/src/follow.ts
@@ -0,0 +1,68 @@
+import { Events, messageOf } from '#process/log'
+import type { EventLog } from '#process/log'
+import { HistoryGoneError } from './store.js'
+import type { ObjectStore, StoreChange, StoreListing } from './store.js'
+
+/// Receives what a kind of objects looks like, and each change of it.
+export interface Follower {
+  /// All objects. `wasInterrupted` says that the store was away before.
+  onListing (listing: StoreListing, wasInterrupted: boolean): void
+  onChanges (changes: readonly StoreChange[]): void
+}
+
+export interface FollowOptions {
+  readonly kind: string
+  /// How long one call waits at the store.
+  readonly waitMs: number
+  /// A pause before the next call, which then brings several changes at once.
+  readonly pauseMs: number
+}
+
+const firstRetryMs = 150
+const maxRetryMs = 600
+
+/// Follows a kind of objects: lists it, then waits for changes. After a
+/// failure it lists again, so that nothing rests on a watch that was cut.
+export function follow (store: ObjectStore, options: FollowOptions, follower: Follower, log: EventLog): () => void {
+  const stop = new AbortController()
+  run(store, options, follower, log, stop.signal).catch((error: unknown) => {
+    log.event(Events.unexpectedError, { where: `following ${options.kind}`, error: messageOf(error) })
+  })
+  return () => stop.abort()
+}
+
+async function run (store: ObjectStore, options: FollowOptions, follower: Follower, log: EventLog, signal: AbortSignal): Promise<void> {
+  let wasInterrupted = false
+  let retryMs = firstRetryMs
+  while (!signal.aborted) {
+    try {
+      const listing = await store.list(options.kind)
+      if (wasInterrupted) log.event(Events.watchRestarted, { kind: options.kind, revision: listing.revision })
+      follower.onListing(listing, wasInterrupted)
+      wasInterrupted = false
+      retryMs = firstRetryMs
+      await watch(store, options, follower, listing.revision, signal)
+    } catch (error) {
+      if (signal.aborted) return
+      if (!(error instanceof HistoryGoneError)) wasInterrupted = true
+      log.event(Events.watchRestarted, { kind: options.kind, error: messageOf(error) })
+      await pause(retryMs * (0.75 + Math.random() / 2))
+      retryMs = Math.min(retryMs * 2, maxRetryMs)
+    }
+  }
+}
+
+async function watch (store: ObjectStore, options: FollowOptions, follower: Follower, from: number, signal: AbortSignal): Promise<void> {
+  let revision = from
+  while (!signal.aborted) {
+    const { changes, revision: next } = await store.changes(options.kind, revision, options.waitMs, signal)
+    revision = Math.max(revision, next)
+    if (changes.length === 0) continue
+    follower.onChanges(changes)
+    await pause(options.pauseMs)
+  }
+}
+
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/connection/store/src/index.ts
+++ b/connection/store/src/index.ts
@@ -1,2 +1,4 @@
-export { StoreConflictError, StoreUnavailableError } from './store.js'
-export type { ListOptions, ObjectStore, StoreChange, StoredObject } from './store.js'
+export { follow } from './follow.js'
+export type { FollowOptions, Follower } from './follow.js'
+export { HistoryGoneError, ObjectKind, StoreConflictError, StoreUnavailableError } from './store.js'
+export type { ObjectStore, StoreChange, StoreChanges, StoreListing, StoredObject } from './store.js'
--- a/connection/store/src/store.ts
+++ b/connection/store/src/store.ts
@@ -1,43 +1,55 @@
-/// An object of the platform's store. `version` is the object's own and rises
-/// with each write.
+/// An object of the platform's store, in the product's terms.
 export interface StoredObject {
-  readonly key: string
-  readonly value: Buffer
-  readonly version: number
+  readonly name: string
+  /// Of its last change; rises with every change in the store.
+  readonly revision: number
+  readonly spec: unknown
+  readonly status: unknown
 }
 
-/// A change that a watch reports; `object` is null for a deleted key.
+/// A change that a watch reports; `object` is null for a deleted name.
 export interface StoreChange {
-  readonly key: string
+  readonly name: string
   readonly object: StoredObject | null
 }
 
+/// All objects of a kind, as of a revision of the store.
+export interface StoreListing {
+  readonly objects: readonly StoredObject[]
+  readonly revision: number
+}
+
+/// The changes after a revision; empty where the wait ran out.
+export interface StoreChanges {
+  readonly changes: readonly StoreChange[]
+  readonly revision: number
+}
+
 /// The platform's object API as the product uses it. Every method may throw
-/// `StoreUnavailableError`; conditional writes throw `StoreConflictError` when
-/// the condition did not hold.
+/// `StoreUnavailableError`.
 export interface ObjectStore {
-  get (key: string): Promise<StoredObject | null>
-  /// Creates a key that must be absent, and returns its version.
-  create (key: string, value: Uint8Array): Promise<number>
-  /// Replaces a key that must be at `version`, and returns the new version.
-  update (key: string, value: Uint8Array, version: number): Promise<number>
-  /// Deletes a key. A key that is absent is not an error.
-  delete (key: string): Promise<void>
-  /// Lists keys under a prefix in ascending order, values included.
-  list (prefix: string, options?: ListOptions): Promise<StoredObject[]>
-  /// Follows a prefix: first all its objects, then each change. Ends with
-  /// `StoreUnavailableError` when the connection is lost; start it again then.
-  watch (prefix: string, signal: AbortSignal): AsyncIterable<readonly StoreChange[]>
-}
-
-export interface ListOptions {
-  /// Only keys after this one, 0 objects skipped by default.
-  readonly after?: string
-  readonly limit?: number
+  list (kind: string): Promise<StoreListing>
+  /// Waits for changes after `revision`. Throws `HistoryGoneError` where the
+  /// store no longer has them.
+  changes (kind: string, revision: number, waitMs: number, signal: AbortSignal): Promise<StoreChanges>
+  get (kind: string, name: string): Promise<StoredObject | null>
+  /// Throws `StoreConflictError` where the name is taken.
+  create (kind: string, name: string, spec: unknown): Promise<StoredObject>
+  /// Throws `StoreConflictError` where the object is not at `revision`.
+  update (kind: string, name: string, spec: unknown, revision: number): Promise<StoredObject>
+  updateStatus (kind: string, name: string, status: unknown): Promise<void>
 }
 
+/// The kinds of objects that the product reads or writes.
+export const ObjectKind = {
+  configuration: 'configuration',
+  instances: 'instances',
+  retirements: 'retirements',
+  storageViews: 'storage-views'
+} as const
+
 /// The store did not answer, or answered that it can't. `mayHaveRun` says
-/// whether a write may have taken effect all the same.
+/// whether a write may take effect all the same, also later.
 export class StoreUnavailableError extends Error {
   override readonly name = 'StoreUnavailableError'
 
@@ -50,7 +62,12 @@
 export class StoreConflictError extends Error {
   override readonly name = 'StoreConflictError'
 
-  constructor (readonly key: string) {
-    super(`the stored object ${key} is not at the expected version`)
+  constructor (kind: string, name: string) {
+    super(`the object ${kind}/${name} is not at the expected revision`)
   }
 }
+
+/// The history after a revision is gone; list again.
+export class HistoryGoneError extends Error {
+  override readonly name = 'HistoryGoneError'
+}
--- /dev/null
+++ b/connection/upstream/src/client.ts
@@ -0,0 +1,116 @@
+import { Pool } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { AnswerHead } from '#connection/header'
+
+/// A request as it goes to an instance.
+export interface UpstreamRequest {
+  readonly method: string
+  readonly path: string
+  /// Names and values alternating.
+  readonly headers: readonly string[]
+  readonly body: Buffer
+}
+
+/// Receives one answer. After `onError` or `onEnd` nothing more comes.
+export interface AnswerSink {
+  onHead (head: AnswerHead): void
+  onData (chunk: Buffer): void
+  onEnd (): void
+  onError (error: UpstreamError): void
+}
+
+/// A request under way. Aborting closes its connection at once.
+export interface Sending {
+  abort (): void
+  /// Whether any of the request may have left this process.
+  readonly isSent: boolean
+}
+
+/// An instance could not be reached, or its answer broke off.
+export class UpstreamError extends Error {
+  override readonly name = 'UpstreamError'
+
+  constructor (message: string, readonly mayHaveRun: boolean, options?: ErrorOptions) {
+    super(message, options)
+  }
+}
+
+const connectTimeoutMs = 400
+const idleTimeoutMs = 4000
+// An instance's own idle timeout is met this much sooner, so that a request never crosses its close.
+const idleMarginMs = 1000
+
+/// The connections to one instance, one request at a time on each.
+export class InstanceClient {
+  private readonly pool: Pool
+
+  constructor (address: string, maxConnections: number) {
+    this.pool = new Pool(`http://${address}`, {
+      connections: maxConnections,
+      pipelining: 1,
+      connect: { timeout: connectTimeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: idleTimeoutMs,
+      keepAliveTimeoutThreshold: idleMarginMs
+    })
+  }
+
+  send (request: UpstreamRequest, sink: AnswerSink): Sending {
+    const exchange = new Exchange(sink)
+    this.pool.dispatch({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers as string[],
+      body: request.body.length > 0 ? request.body : null
+    }, exchange)
+    return exchange
+  }
+
+  close (): void {
+    this.pool.close().catch(() => {
+      // Closing twice rejects, and the pool is closed either way.
+    })
+  }
+}
+
+class Exchange implements Dispatcher.DispatchHandler, Sending {
+  isSent = false
+  private controller: Dispatcher.DispatchController | null = null
+  private isAborted = false
+  private isDone = false
+
+  constructor (private readonly sink: AnswerSink) {}
+
+  abort (): void {
+    this.isAborted = true
+    this.isDone = true
+    this.controller?.abort(new UpstreamError('aborted', true))
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.controller = controller
+    if (this.isAborted) controller.abort(new UpstreamError('aborted', false))
+    else this.isSent = true
+  }
+
+  onResponseStart (_: Dispatcher.DispatchController, status: number, headers: AnswerHead['headers']): void {
+    if (status >= 200 && !this.isDone) this.sink.onHead({ status, headers })
+  }
+
+  onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.isDone) this.sink.onData(chunk)
+  }
+
+  onResponseEnd (): void {
+    if (this.isDone) return
+    this.isDone = true
+    this.sink.onEnd()
+  }
+
+  onResponseError (_: Dispatcher.DispatchController, error: Error): void {
+    if (this.isDone) return
+    this.isDone = true
+    this.sink.onError(new UpstreamError(error.message, this.isSent, { cause: error }))
+  }
+}
--- /dev/null
+++ b/connection/upstream/src/index.ts
@@ -0,0 +1,2 @@
+export { InstanceClient, UpstreamError } from './client.js'
+export type { AnswerSink, Sending, UpstreamRequest } from './client.js'
--- a/process/commitlog/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export { SealedError } from './port.js'
-export type { CommitLog } from './port.js'
--- /dev/null
+++ b/process/daemon/src/daemon.ts
@@ -0,0 +1,119 @@
+import { readFileSync } from 'node:fs'
+import { serveStatus } from '#connection/front'
+import { LedgerConnection, LedgerServer } from '#connection/rpc'
+import { Entry } from '#process/entry'
+import type { EntryPlatform } from '#process/entry'
+import { Disk, Ledger } from '#process/ledger'
+import { Events, ProcessLog, messageOf } from '#process/log'
+import { Metrics } from '#process/metrics'
+import { Role, parseSettings } from '#process/settings'
+import type { Settings } from '#process/settings'
+import { Membership } from '#process/storage'
+
+/// What a daemon needs of the platform that it runs on.
+export interface DaemonPlatform {
+  readonly connect: (settings: Settings, log: ProcessLog) => EntryPlatform
+}
+
+interface Running {
+  stop (): Promise<void>
+}
+
+interface Parts {
+  readonly settings: Settings
+  readonly platform: EntryPlatform
+  readonly log: ProcessLog
+  readonly metrics: Metrics
+}
+
+const compactEveryMs = 5000
+
+const startByRole: Readonly<Record<Role, (parts: Parts) => Promise<Running>>> = {
+  entry: startEntry,
+  storage: startStorage,
+  sidecar: async () => { throw new Error('the sidecar role is not built yet') }
+}
+
+/// Runs one daemon until it is told to stop. Exits with 0 after a planned stop.
+export async function runDaemon (settingsFile: string, platform: DaemonPlatform): Promise<void> {
+  const settings = parseSettings(settingsFile, readFileSync(settingsFile, 'utf8'))
+  const log = new ProcessLog(settings.node.name, settings.node.role)
+  const metrics = new Metrics()
+  process.on('uncaughtException', error => {
+    log.event(Events.unexpectedError, { where: 'process', error: messageOf(error), stack: error.stack })
+  })
+  process.on('unhandledRejection', error => {
+    log.event(Events.unexpectedError, { where: 'promise', error: messageOf(error) })
+  })
+  const running = await startByRole[settings.node.role]({ settings, platform: platform.connect(settings, log), log, metrics })
+  await serveStatus(`${settings.node.ip}:${settings.listen.metrics_port}`, {
+    '/metrics': () => ({ status: 200, text: metrics.toText() })
+  })
+  log.event(Events.processStarted, { role: settings.node.role, zone: settings.node.zone, pid: process.pid, startMs: Math.round(performance.now()) })
+  process.on('SIGHUP', () => reload(settingsFile, log))
+  process.once('SIGTERM', () => {
+    log.event(Events.processStopping, { signal: 'SIGTERM', graceMs: settings.timing.stop_grace_ms })
+    running.stop().then(() => {
+      log.event(Events.processStopped, {})
+      log.flush()
+      process.exit(0)
+    }, (error: unknown) => {
+      log.event(Events.unexpectedError, { where: 'stop', error: messageOf(error) })
+      log.flush()
+      process.exit(1)
+    })
+  })
+}
+
+async function startEntry ({ settings, platform, log, metrics }: Parts): Promise<Running> {
+  const entry = new Entry({
+    zone: settings.node.zone,
+    callersAddress: settings.listen.callers!,
+    readinessAddress: settings.listen.readiness!,
+    readinessPath: settings.listen.readiness_path ?? '/ready',
+    toleratedLosses: settings.node.tolerated_losses,
+    stopGraceMs: settings.timing.stop_grace_ms
+  }, platform, log, metrics)
+  await entry.start()
+  return entry
+}
+
+async function startStorage ({ settings, platform, log, metrics }: Parts): Promise<Running> {
+  const { node, listen } = settings
+  const { disk, contents } = await Disk.open(settings.storage!.data_dir, log)
+  const ledger = new Ledger(disk, contents)
+  const server = new LedgerServer(ledger)
+  const address = `${node.ip}:${listen.peer_port}`
+  await server.listen(address)
+  const membership = new Membership({
+    name: node.name,
+    address,
+    zone: node.zone,
+    toleratedLosses: node.tolerated_losses,
+    isFirstStart: node.first_start && contents.wasEmpty,
+    connect: peerAddress => new LedgerConnection(peerAddress)
+  }, platform.store, ledger, log)
+  membership.start()
+  const compaction = setInterval(() => {
+    ledger.compact(Date.now()).catch((error: unknown) => log.event(Events.diskFailed, { error: messageOf(error) }))
+  }, compactEveryMs)
+  metrics.gauge('records', () => ledger.records.count)
+  return {
+    stop: async () => {
+      clearInterval(compaction)
+      membership.stop()
+      server.close()
+      await disk.close()
+    }
+  }
+}
+
+/// Settings take effect at the next start; a changed file is only checked.
+function reload (settingsFile: string, log: ProcessLog): void {
+  try {
+    parseSettings(settingsFile, readFileSync(settingsFile, 'utf8'))
+    log.event(Events.settingsReloaded, { file: settingsFile })
+  } catch (error) {
+    log.event(Events.settingsRejected, { file: settingsFile, error: messageOf(error) })
+  }
+}
--- /dev/null
+++ b/process/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export { runDaemon } from './daemon.js'
+export type { DaemonPlatform } from './daemon.js'
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -3,13 +3,54 @@
   readonly number: number
   readonly name: string
   readonly level: 'debug' | 'info' | 'warn' | 'error'
+  /// Lines a second that are written of this kind; the rest is counted.
+  readonly linesPerS: number
 }
 
 /// The catalogue of events. Numbers: 1xx a process, 2xx configuration,
-/// 3xx membership and partitions, 4xx the commit log and the store,
-/// 5xx programs and calls at an entry, 6xx calls at a sidecar, 7xx operators.
+/// 3xx membership and storage, 4xx the platform's store, 5xx calls at an
+/// entry, 6xx instances and their load.
 export const Events = {
-  processStarted: { number: 100, name: 'process-started', level: 'info' },
-  processStopping: { number: 101, name: 'process-stopping', level: 'info' },
-  processStopped: { number: 102, name: 'process-stopped', level: 'info' }
+  processStarted: { number: 100, name: 'process-started', level: 'info', linesPerS: 5 },
+  processStopping: { number: 101, name: 'process-stopping', level: 'info', linesPerS: 5 },
+  processStopped: { number: 102, name: 'process-stopped', level: 'info', linesPerS: 5 },
+  settingsReloaded: { number: 103, name: 'settings-reloaded', level: 'info', linesPerS: 5 },
+  linesDropped: { number: 104, name: 'lines-dropped', level: 'warn', linesPerS: 50 },
+  unexpectedError: { number: 105, name: 'unexpected-error', level: 'error', linesPerS: 10 },
+  settingsRejected: { number: 106, name: 'settings-rejected', level: 'error', linesPerS: 5 },
+  configurationApplied: { number: 200, name: 'configuration-applied', level: 'info', linesPerS: 10 },
+  configurationRejected: { number: 201, name: 'configuration-rejected', level: 'error', linesPerS: 5 },
+  viewAdopted: { number: 300, name: 'view-adopted', level: 'info', linesPerS: 10 },
+  viewChanged: { number: 301, name: 'view-changed', level: 'info', linesPerS: 10 },
+  viewRejected: { number: 302, name: 'view-rejected', level: 'error', linesPerS: 5 },
+  diskOpened: { number: 310, name: 'disk-opened', level: 'info', linesPerS: 5 },
+  diskTailDropped: { number: 311, name: 'disk-tail-dropped', level: 'warn', linesPerS: 5 },
+  diskFailed: { number: 312, name: 'disk-failed', level: 'error', linesPerS: 5 },
+  segmentDropped: { number: 313, name: 'segment-dropped', level: 'info', linesPerS: 5 },
+  copyCompleted: { number: 320, name: 'copy-completed', level: 'info', linesPerS: 5 },
+  copyFailed: { number: 321, name: 'copy-failed', level: 'warn', linesPerS: 2 },
+  memberLost: { number: 330, name: 'member-lost', level: 'warn', linesPerS: 5 },
+  memberRegained: { number: 331, name: 'member-regained', level: 'info', linesPerS: 5 },
+  quorumMissed: { number: 332, name: 'quorum-missed', level: 'warn', linesPerS: 10 },
+  retirement: { number: 340, name: 'retirement', level: 'info', linesPerS: 5 },
+  storeLost: { number: 400, name: 'store-lost', level: 'warn', linesPerS: 2 },
+  storeRegained: { number: 401, name: 'store-regained', level: 'info', linesPerS: 2 },
+  watchRestarted: { number: 402, name: 'watch-restarted', level: 'info', linesPerS: 2 },
+  storeWriteFailed: { number: 403, name: 'store-write-failed', level: 'warn', linesPerS: 2 },
+  callDispatched: { number: 500, name: 'call-dispatched', level: 'info', linesPerS: 100 },
+  callFinished: { number: 501, name: 'call-finished', level: 'info', linesPerS: 100 },
+  callRefused: { number: 502, name: 'call-refused', level: 'warn', linesPerS: 50 },
+  callRetried: { number: 503, name: 'call-retried', level: 'warn', linesPerS: 50 },
+  callAbandoned: { number: 504, name: 'call-abandoned', level: 'info', linesPerS: 50 },
+  streamResumed: { number: 505, name: 'stream-resumed', level: 'info', linesPerS: 50 },
+  answerBroken: { number: 506, name: 'answer-broken', level: 'warn', linesPerS: 50 },
+  settleAbandoned: { number: 507, name: 'settle-abandoned', level: 'warn', linesPerS: 10 },
+  callWaiting: { number: 508, name: 'call-waiting', level: 'info', linesPerS: 20 },
+  requestMalformed: { number: 509, name: 'request-malformed', level: 'warn', linesPerS: 10 },
+  instanceAdded: { number: 600, name: 'instance-added', level: 'info', linesPerS: 20 },
+  instanceChanged: { number: 601, name: 'instance-changed', level: 'info', linesPerS: 20 },
+  instanceRemoved: { number: 602, name: 'instance-removed', level: 'info', linesPerS: 20 },
+  instanceHeld: { number: 603, name: 'instance-held', level: 'info', linesPerS: 20 },
+  instanceSuspected: { number: 604, name: 'instance-suspected', level: 'warn', linesPerS: 20 },
+  instanceIgnored: { number: 605, name: 'instance-ignored', level: 'warn', linesPerS: 5 }
 } as const satisfies Record<string, EventKind>
--- a/process/log/src/log.ts
+++ b/process/log/src/log.ts
@@ -1,28 +1,86 @@
-import type { Timestamp } from '#connection/wire'
+import { pino } from 'pino'
+import { Events } from './catalogue.js'
 import type { EventKind } from './catalogue.js'
 
 /// What an event is about, besides its kind.
 export interface EventFields {
-  readonly programId?: string
-  readonly sequence?: number
-  readonly configVersion?: number
-  readonly error?: unknown
+  readonly callId?: string
+  readonly programId?: string | undefined
   readonly [detail: string]: unknown
 }
 
-/// Where numbered events go: the process's log and the ring that time lines
-/// are drawn from.
+/// Where numbered events go.
 export interface EventLog {
   event (kind: EventKind, fields?: EventFields): void
-  /// The hybrid logical time to send with a message.
-  now (): Timestamp
-  /// Moves the clock past the time that came with a message.
-  observe (time: Timestamp | undefined): void
 }
 
 /// An event log that keeps nothing, for tests.
-export const silentLog: EventLog = {
-  event: () => {},
-  now: () => ({ wallMs: 0, logical: 0 }),
-  observe: () => {}
+export const silentLog: EventLog = { event: () => {} }
+
+interface Budget {
+  lines: number
+  dropped: number
+}
+
+const windowMs = 1000
+const bufferBytes = 256 * 1024
+
+/// Writes events as JSON lines to standard output. Each kind has a number of
+/// lines a second; what goes beyond it is counted and told once the second is
+/// over. Output that isn't read is dropped past a bounded buffer.
+export class ProcessLog implements EventLog {
+  private readonly budgets = new Map<EventKind, Budget>()
+  private readonly output: ReturnType<typeof pino.destination>
+  private readonly logger: ReturnType<typeof pino>
+  private windowEndMs = 0
+
+  constructor (node: string, role: string) {
+    this.output = pino.destination({ fd: 1, sync: false, minLength: 0, maxLength: bufferBytes })
+    this.logger = pino({ base: { node, role } }, this.output)
+  }
+
+  event (kind: EventKind, fields: EventFields = {}): void {
+    const nowMs = performance.now()
+    if (nowMs >= this.windowEndMs) this.startWindow(nowMs)
+    const budget = this.budgetOf(kind)
+    if (budget.lines >= kind.linesPerS) {
+      budget.dropped++
+      return
+    }
+    budget.lines++
+    this.write(kind, fields)
+  }
+
+  /// Writes what is still buffered.
+  flush (): void {
+    try {
+      this.output.flushSync()
+    } catch {
+      // Standard output that was closed takes no more lines, and there is nowhere else to say so.
+    }
+  }
+
+  private startWindow (nowMs: number): void {
+    this.windowEndMs = nowMs + windowMs
+    for (const [kind, budget] of this.budgets) {
+      if (budget.dropped > 0) this.write(Events.linesDropped, { dropped: budget.dropped, of: kind.name })
+      budget.lines = 0
+      budget.dropped = 0
+    }
+  }
+
+  private budgetOf (kind: EventKind): Budget {
+    let budget = this.budgets.get(kind)
+    if (budget === undefined) this.budgets.set(kind, budget = { lines: 0, dropped: 0 })
+    return budget
+  }
+
+  private write (kind: EventKind, fields: EventFields): void {
+    this.logger[kind.level]({ event: kind.number, ...fields }, kind.name)
+  }
+}
+
+/// The message of anything thrown, for a log line.
+export function messageOf (error: unknown): string {
+  return error instanceof Error ? `${error.name}: ${error.message}` : String(error)
 }
--- /dev/null
+++ b/process/metrics/src/index.ts
@@ -0,0 +1,1 @@
+export { Metrics } from './metrics.js'
--- a/process/partition/src/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export type { AdoptedPartition, PartitionHost, PartitionOwner, PartitionRoutes } from './port.js'
--- /dev/null
+++ b/process/placement/src/placement.ts
@@ -0,0 +1,151 @@
+import { Refusal, RefusedError, Verdict } from '#request/call'
+import { Events } from '#process/log'
+import type { EventLog } from '#process/log'
+import { estimateRunning } from '#process/instances'
+import type { Instance, InstanceRegistry } from '#process/instances'
+import { chooseInstance } from './choice.js'
+import type { PlacementNeed } from './choice.js'
+
+/// A place at an instance, until it is released.
+export interface Place {
+  readonly instance: Instance
+  release (): void
+}
+
+interface Waiter {
+  readonly need: PlacementNeed
+  readonly since: number
+  resolve (place: Place): void
+  reject (error: RefusedError): void
+}
+
+const recheckMs = 15
+const noInstanceRetryMs = 300
+const overloadRetryMs = 150
+/// A call that has waited longer than this share of its time is refused.
+const maxWaitShare = 0.6
+/// Calls that may wait at once; more are refused at once.
+const maxWaiting = 400
+/// Ageing: a waiting call counts as one rank more urgent after this time.
+const rankAgeMs = 400
+/// Calls of an instance beyond its slots, so that it never idles between two.
+const slackCalls = 1
+
+/// Gives calls their places at instances: at once where one is free, else in
+/// the order of their urgency.
+export class Placement {
+  private readonly waiters: Waiter[] = []
+  private timer: ReturnType<typeof setInterval> | null = null
+
+  constructor (private readonly registry: InstanceRegistry, private readonly zone: string, private readonly log: EventLog) {}
+
+  get waiting (): number {
+    return this.waiters.length
+  }
+
+  /// Rejects with `RefusedError` where no instance may take the call in time.
+  acquire (need: PlacementNeed, signal: AbortSignal): Promise<Place> {
+    const nowMs = performance.now()
+    const isBehind = this.waiters.some(waiter => waiter.need.service === need.service && rank(waiter, nowMs) <= need.priority)
+    const found = isBehind ? null : this.tryPlace(need, nowMs)
+    if (found !== null) return Promise.resolve(found)
+    if (!this.hasCandidate(need)) return Promise.reject(refusedWithoutInstance(need.service))
+    if (this.waiters.length >= maxWaiting) return Promise.reject(refusedForLoad(need.service))
+    return this.wait(need, nowMs, signal)
+  }
+
+  /// Lets waiting calls go where places have become free.
+  recheck (): void {
+    const nowMs = performance.now()
+    this.waiters.sort((a, b) => rank(a, nowMs) - rank(b, nowMs) || slackOf(a.need) - slackOf(b.need))
+    for (const waiter of [...this.waiters]) this.settle(waiter, nowMs)
+    if (this.waiters.length === 0 && this.timer !== null) {
+      clearInterval(this.timer)
+      this.timer = null
+    }
+  }
+
+  private wait (need: PlacementNeed, nowMs: number, signal: AbortSignal): Promise<Place> {
+    this.log.event(Events.callWaiting, { callId: need.call.id, service: need.service, waiting: this.waiters.length })
+    return new Promise((resolve, reject) => {
+      const waiter = { need, since: nowMs, resolve, reject }
+      this.waiters.push(waiter)
+      signal.addEventListener('abort', () => {
+        if (this.forget(waiter)) reject(new RefusedError(Refusal.timedOut, Verdict.notRun, 'the caller left while the call waited'))
+      }, { once: true })
+      this.timer ??= setInterval(() => this.recheck(), recheckMs)
+    })
+  }
+
+  private settle (waiter: Waiter, nowMs: number): void {
+    const { need } = waiter
+    const place = this.tryPlace(need, nowMs)
+    const allowedMs = (need.deadlineMs - waiter.since) * maxWaitShare
+    if (place !== null) {
+      this.forget(waiter)
+      waiter.resolve(place)
+    } else if (!this.hasCandidate(need)) {
+      this.forget(waiter)
+      waiter.reject(refusedWithoutInstance(need.service))
+    } else if (nowMs - waiter.since > allowedMs) {
+      this.forget(waiter)
+      waiter.reject(refusedForLoad(need.service))
+    }
+  }
+
+  private forget (waiter: Waiter): boolean {
+    const at = this.waiters.indexOf(waiter)
+    if (at >= 0) this.waiters.splice(at, 1)
+    return at >= 0
+  }
+
+  private tryPlace (need: PlacementNeed, nowMs: number): Place | null {
+    const usable = this.candidates(need)
+    const trusted = usable.filter(instance => instance.suspectUntilMs <= nowMs)
+    const open = (trusted.length > 0 ? trusted : usable).filter(instance => hasRoom(instance, nowMs))
+    const instance = chooseInstance(open, need, this.zone, nowMs)
+    return instance === null ? null : this.take(instance)
+  }
+
+  private candidates (need: PlacementNeed): Instance[] {
+    return [...this.registry.ofService(need.service)].filter(instance => !need.excluded.has(instance.description.id))
+  }
+
+  private hasCandidate (need: PlacementNeed): boolean {
+    return this.candidates(need).length > 0
+  }
+
+  private take (instance: Instance): Place {
+    instance.running++
+    let isHeld = true
+    return {
+      instance,
+      release: () => {
+        if (!isHeld) return
+        isHeld = false
+        instance.running--
+        if (this.waiters.length > 0) queueMicrotask(() => this.recheck())
+      }
+    }
+  }
+}
+
+function hasRoom (instance: Instance, nowMs: number): boolean {
+  return estimateRunning(instance, nowMs) < instance.description.slots + slackCalls
+}
+
+function rank (waiter: Waiter, nowMs: number): number {
+  return waiter.need.priority - Math.floor((nowMs - waiter.since) / rankAgeMs)
+}
+
+function slackOf (need: PlacementNeed): number {
+  return need.call.program === null ? need.deadlineMs : need.call.receivedAtMs + need.call.program.remainingMs
+}
+
+function refusedWithoutInstance (service: string): RefusedError {
+  return new RefusedError(Refusal.noInstance, Verdict.notRun, `no instance of ${service} is known that could run it`, noInstanceRetryMs)
+}
+
+function refusedForLoad (service: string): RefusedError {
+  return new RefusedError(Refusal.overloaded, Verdict.notRun, `the instances of ${service} are full`, overloadRetryMs)
+}
--- /dev/null
+++ b/process/quorum/src/index.ts
@@ -0,0 +1,2 @@
+export { LedgerQuorum, QuorumError } from './quorum.js'
+export type { QuorumOptions } from './quorum.js'
--- /dev/null
+++ b/process/quorum/src/quorum.ts
@@ -0,0 +1,211 @@
+import type { AccountEntry, AppendReply, LedgerPeer, LedgerRecord, Member, Standing, View } from '#connection/rpc'
+import { mergeEntry } from '#process/ledger'
+import { Events, messageOf } from '#process/log'
+import type { EventLog } from '#process/log'
+import { emptyView, quorumRule } from '#process/membership'
+import type { QuorumRule } from '#process/membership'
+
+/// The storage instances could not be asked, or too few of them answered.
+export class QuorumError extends Error {
+  override readonly name = 'QuorumError'
+}
+
+export interface QuorumOptions {
+  readonly zone: string
+  readonly toleratedLosses: number
+  readonly connect: (address: string) => LedgerPeer
+  /// Called where an answer shows that the view may be out of date.
+  readonly onStale: () => void
+}
+
+const callTimeoutMs = 350
+const retryPauseMs = 40
+/// After this long without the nearest member's answer the others are asked too.
+const hedgeAfterMs = 40
+
+interface PeerState {
+  member: Member
+  readonly peer: LedgerPeer
+  lastFailureMs: number
+}
+
+/// The storage instances as one: a record counts, and is absent, by quorum.
+export class LedgerQuorum {
+  private view: View = emptyView
+  private rule: QuorumRule = quorumRule(emptyView, 0)
+  private peers: PeerState[] = []
+
+  constructor (private readonly options: QuorumOptions, private readonly log: EventLog) {}
+
+  get viewVersion (): number {
+    return this.view.version
+  }
+
+  adopt (view: View, source: string): void {
+    if (view.version <= this.view.version) return
+    this.view = view
+    this.rule = quorumRule(view, this.options.toleratedLosses)
+    const before = this.peers
+    this.peers = view.members.map(member => {
+      const known = before.find(state => state.member.diskId === member.diskId && state.member.address === member.address)
+      if (known !== undefined) return Object.assign(known, { member })
+      return { member, peer: this.options.connect(member.address), lastFailureMs: -Infinity }
+    })
+    for (const old of before) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
+    this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
+  }
+
+  /// Appends records; resolves once they can't be lost.
+  async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void> {
+    await this.collect(records, '', timeoutMs, replies => this.countOf(replies, this.rule.writers) >= this.rule.appends)
+  }
+
+  /// Appends a reservation and resolves to the program's whole account.
+  async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]> {
+    const replies = await this.collect([reservation], reservation.programId, timeoutMs, replies => {
+      return this.countOf(replies, this.rule.writers) >= this.rule.appends &&
+        this.countOf(replies, this.rule.knowers) >= this.rule.accounts
+    })
+    const account = new Map<string, AccountEntry>()
+    for (const reply of replies.values()) {
+      for (const entry of reply.account) account.set(entry.id, mergeEntry(account.get(entry.id), entry))
+    }
+    return [...account.values()]
+  }
+
+  /// A turn's whole chain, oldest first; null where it certainly isn't kept.
+  async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
+    const ordered = this.byDistance()
+    if (ordered.length === 0) throw new QuorumError('no storage instance is known')
+    const absent = new Set<string>()
+    const deadlineMs = performance.now() + timeoutMs
+    let chain: LedgerRecord[] | null = null
+    const ask = async (state: PeerState): Promise<void> => {
+      const reply = await this.ask(state, (peer, callMs) => peer.findChain({ viewVersion: this.view.version, turnId }, callMs), deadlineMs)
+      if (reply === null || chain !== null) return
+      if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
+      else if (reply.chain.length === 0) absent.add(reply.standing!.diskId)
+    }
+    const isDone = (): boolean => chain !== null || this.countIn(absent, this.rule.knowers) >= this.rule.absences
+    const nearest = ask(ordered[0]!)
+    await Promise.race([nearest, pause(hedgeAfterMs)])
+    if (!isDone()) await this.askAll(state => state === ordered[0] ? nearest : ask(state), isDone, deadlineMs)
+    if (chain !== null) return chain
+    if (this.countIn(absent, this.rule.knowers) >= this.rule.absences) return null
+    this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent: absent.size, viewVersion: this.view.version })
+    throw new QuorumError(`${absent.size} of ${this.rule.absences} storage instances answered`)
+  }
+
+  close (): void {
+    for (const { peer } of this.peers) peer.close()
+  }
+
+  /// Sends an append to all members, again to those that fail, until enough
+  /// have answered. Those that are slow go on in the background.
+  private async collect (
+    records: readonly LedgerRecord[],
+    accountOf: string,
+    timeoutMs: number,
+    isEnough: (replies: ReadonlyMap<string, AppendReply>) => boolean
+  ): Promise<ReadonlyMap<string, AppendReply>> {
+    const deadlineMs = performance.now() + timeoutMs
+    const replies = new Map<string, AppendReply>()
+    const request = { viewVersion: this.view.version, records: [...records], accountOf }
+    const send = async (state: PeerState): Promise<void> => {
+      const reply = await this.ask(state, (peer, callMs) => peer.append(request, callMs), deadlineMs)
+      if (reply !== null) replies.set(reply.standing!.diskId, reply)
+    }
+    await this.askAll(send, () => isEnough(replies), deadlineMs)
+    if (isEnough(replies)) return replies
+    this.log.event(Events.quorumMissed, { of: 'append', ids: records.map(record => record.id), answered: replies.size, viewVersion: this.view.version })
+    throw new QuorumError(`${replies.size} storage instances answered in time`)
+  }
+
+  /// Asks every member, also one that an answer's newer view brings. Resolves
+  /// when enough have answered, all have ended, or the time is up.
+  private askAll (ask: (state: PeerState) => Promise<void>, isDone: () => boolean, deadlineMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const asked = new Set<PeerState>()
+      const timer = setTimeout(resolve, Math.max(0, deadlineMs - performance.now()))
+      let open = 0
+      const askNew = (): void => {
+        for (const state of this.peers) {
+          if (asked.has(state)) continue
+          asked.add(state)
+          open++
+          ask(state).then(settle, settle)
+        }
+      }
+      const settle = (): void => {
+        open--
+        if (!isDone()) askNew()
+        if (!isDone() && open > 0) return
+        clearTimeout(timer)
+        resolve()
+      }
+      askNew()
+      if (open === 0) settle()
+    })
+  }
+
+  /// Asks one member until it answers or the time is up; null in that case.
+  private async ask<Reply extends { standing?: Standing | undefined }> (
+    state: PeerState,
+    call: (peer: LedgerPeer, timeoutMs: number) => Promise<Reply>,
+    deadlineMs: number
+  ): Promise<Reply | null> {
+    while (true) {
+      const leftMs = deadlineMs - performance.now()
+      if (leftMs <= 1) return null
+      try {
+        const reply = await call(state.peer, Math.min(leftMs, callTimeoutMs))
+        this.heed(state, reply.standing!)
+        return reply
+      } catch (error) {
+        this.noteFailure(state, error)
+      }
+      await pause(retryPauseMs)
+    }
+  }
+
+  /// Takes over a newer view that an answer brings, and asks for one where the disk isn't the expected one.
+  private heed (state: PeerState, standing: Standing): void {
+    if (state.lastFailureMs > -Infinity) {
+      state.lastFailureMs = -Infinity
+      this.log.event(Events.memberRegained, { member: state.member.name })
+    }
+    if (standing.newerView !== undefined) this.adopt(standing.newerView, state.member.name)
+    if (standing.diskId !== state.member.diskId) this.options.onStale()
+  }
+
+  private noteFailure (state: PeerState, error: unknown): void {
+    if (state.lastFailureMs === -Infinity) {
+      this.log.event(Events.memberLost, { member: state.member.name, error: messageOf(error) })
+    }
+    state.lastFailureMs = performance.now()
+    this.options.onStale()
+  }
+
+  private byDistance (): PeerState[] {
+    const rank = (state: PeerState): number => {
+      const isFailing = state.lastFailureMs > -Infinity
+      const isNew = !this.rule.knowers.has(state.member.diskId)
+      return (isFailing ? 4 : 0) + (isNew ? 2 : 0) + (state.member.zone === this.options.zone ? 0 : 1)
+    }
+    return [...this.peers].sort((a, b) => rank(a) - rank(b))
+  }
+
+  private countOf (replies: ReadonlyMap<string, unknown>, counting: ReadonlySet<string>): number {
+    return this.countIn(new Set(replies.keys()), counting)
+  }
+
+  private countIn (diskIds: ReadonlySet<string>, counting: ReadonlySet<string>): number {
+    let count = 0
+    for (const diskId of diskIds) if (counting.has(diskId)) count++
+    return count
+  }
+}
+
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/process/quorum/test/quorum.test.ts
@@ -0,0 +1,89 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { LedgerConnection, LedgerServer } from '#connection/rpc'
+import type { LedgerRecord, View } from '#connection/rpc'
+import { Disk, Ledger, RecordKind } from '#process/ledger'
+import { silentLog } from '#process/log'
+import { LedgerQuorum } from '#process/quorum'
+
+const folders: string[] = []
+const servers: LedgerServer[] = []
+let view: View
+let quorum: LedgerQuorum
+
+beforeEach(async () => {
+  const members: View['members'] = []
+  for (const name of ['a', 'b', 'c']) {
+    const folder = await mkdtemp(join(tmpdir(), 'ledger-'))
+    folders.push(folder)
+    const { disk, contents } = await Disk.open(folder, silentLog)
+    const server = new LedgerServer(new Ledger(disk, contents))
+    servers.push(server)
+    const address = `127.0.0.1:${await server.listen('127.0.0.1:0')}`
+    members.push({ name, diskId: disk.diskId, address, zone: name, state: 'serving', replacement: false, syncedView: 0 })
+  }
+  view = { version: 3, members, leaveVersion: 0 }
+  quorum = new LedgerQuorum({ zone: 'a', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStale: () => {} }, silentLog)
+  quorum.adopt(view, 'test')
+})
+
+afterEach(async () => {
+  quorum.close()
+  for (const server of servers.splice(0)) server.close()
+  for (const folder of folders.splice(0)) await rm(folder, { recursive: true })
+})
+
+function record (kind: number, id: string, fields: Partial<LedgerRecord> = {}): LedgerRecord {
+  return { kind, id, programId: 'p', tokens: 10, previousId: '', input: Buffer.from('in'), output: Buffer.from('out'), recordedAtMs: Date.now(), retentionMs: 60_000, instanceId: '', ...fields }
+}
+
+test('a reservation is answered with the account by all that count', async () => {
+  const account = await quorum.reserve(record(RecordKind.reservation, 'r1'), 900)
+  expect(account).toEqual([{ id: 'r1', reserved: 10, spent: 0, settled: false }])
+})
+
+test('a kept turn is found, an unknown one certainly is not there', async () => {
+  await quorum.append([record(RecordKind.turn, 't1')], 900)
+  expect((await quorum.findChain('t1', 900))?.map(turn => turn.id)).toEqual(['t1'])
+  expect(await quorum.findChain('t2', 900)).toBeNull()
+})
+
+test('with one storage instance gone all goes on', async () => {
+  servers[0]!.close()
+  await quorum.append([record(RecordKind.turn, 't1')], 900)
+  expect((await quorum.findChain('t1', 900))?.map(turn => turn.id)).toEqual(['t1'])
+  expect(await quorum.findChain('t2', 900)).toBeNull()
+})
+
+test('with two gone nothing counts, and nothing is said to be absent', async () => {
+  await quorum.append([record(RecordKind.turn, 't1')], 900)
+  servers[0]!.close()
+  servers[1]!.close()
+  await expect(quorum.append([record(RecordKind.turn, 't2')], 300)).rejects.toThrow('storage instances')
+  await expect(quorum.findChain('t3', 300)).rejects.toThrow('storage instances')
+})
+
+test('an entry whose view lacks members learns of them from the first answer', async () => {
+  for (const server of servers.splice(0)) server.close()
+  const members: View['members'] = []
+  const ledgers: Ledger[] = []
+  for (const name of ['a', 'b', 'c']) {
+    const folder = await mkdtemp(join(tmpdir(), 'ledger-'))
+    folders.push(folder)
+    const { disk, contents } = await Disk.open(folder, silentLog)
+    const ledger = new Ledger(disk, contents)
+    ledgers.push(ledger)
+    const server = new LedgerServer(ledger)
+    servers.push(server)
+    const address = `127.0.0.1:${await server.listen('127.0.0.1:0')}`
+    members.push({ name, diskId: disk.diskId, address, zone: name, state: 'serving', replacement: false, syncedView: 0 })
+  }
+  for (const ledger of ledgers) ledger.adopt({ version: 9, members, leaveVersion: 0 })
+  const stale = new LedgerQuorum({ zone: 'a', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStale: () => {} }, silentLog)
+  stale.adopt({ version: 8, members: members.slice(0, 1), leaveVersion: 0 }, 'test')
+  await stale.append([record(RecordKind.turn, 't1')], 900)
+  expect(ledgers.filter(ledger => ledger.records.count === 1).length).toBeGreaterThan(1)
+  stale.close()
+})
--- /dev/null
+++ b/process/storage/src/index.ts
@@ -0,0 +1,2 @@
+export { Membership } from './membership.js'
+export type { MembershipOptions } from './membership.js'
--- a/process/upstreams/src/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export type { UpstreamDirectory, UpstreamView } from './port.js'
--- /dev/null
+++ b/request/call/src/outcome.ts
@@ -0,0 +1,58 @@
+import { Verdict } from './verdict.js'
+
+/// Why a call ended without an upstream's answer.
+export const Refusal = {
+  invalid: 'invalid',
+  bodyTooLarge: 'body-too-large',
+  noRoute: 'no-route',
+  noConfiguration: 'no-configuration',
+  unknownTurn: 'unknown-turn',
+  budgetSpent: 'budget-spent',
+  ledgerUnavailable: 'ledger-unavailable',
+  noInstance: 'no-instance',
+  overloaded: 'overloaded',
+  upstreamFailed: 'upstream-failed',
+  timedOut: 'timed-out',
+  notKept: 'not-kept',
+  internal: 'internal'
+} as const
+
+export type Refusal = typeof Refusal[keyof typeof Refusal]
+
+/// How a call ends that no upstream answered.
+export class RefusedError extends Error {
+  override readonly name = 'RefusedError'
+
+  constructor (
+    readonly refusal: Refusal,
+    readonly verdict: Verdict,
+    message: string,
+    /// When trying again may help; 0 where that isn't known.
+    readonly retryAfterMs = 0
+  ) {
+    super(message)
+  }
+
+  /// Statuses that promise "not run" are used only with that verdict.
+  get status (): number {
+    return this.verdict === Verdict.notRun ? notRunStatus[this.refusal] : mayHaveRunStatus[this.refusal] ?? 502
+  }
+}
+
+const notRunStatus: Readonly<Record<Refusal, number>> = {
+  invalid: 400,
+  'body-too-large': 413,
+  'no-route': 404,
+  'no-configuration': 503,
+  'unknown-turn': 404,
+  'budget-spent': 402,
+  'ledger-unavailable': 503,
+  'no-instance': 503,
+  overloaded: 503,
+  'upstream-failed': 503,
+  'timed-out': 503,
+  'not-kept': 503,
+  internal: 503
+}
+
+const mayHaveRunStatus: Partial<Record<Refusal, number>> = { 'timed-out': 504 }
--- a/request/call/src/verdict.ts
+++ b/request/call/src/verdict.ts
@@ -6,11 +6,3 @@
 } as const
 
 export type Verdict = typeof Verdict[keyof typeof Verdict]
-
-const verdicts: ReadonlySet<string> = new Set(Object.values(Verdict))
-
-/// Reads a verdict from the wire. Anything unknown reads as `may-have-run`,
-/// the only verdict that promises nothing.
-export function parseVerdict (text: string): Verdict {
-  return verdicts.has(text) ? text as Verdict : Verdict.mayHaveRun
-}
--- /dev/null
+++ b/request/forward/src/stream.ts
@@ -0,0 +1,235 @@
+import type { AnswerHead } from '#connection/header'
+import type { LedgerRecord } from '#connection/rpc'
+import { Refusal, RefusedError, Verdict } from '#request/call'
+import { EventStreamParser, TurnAccount, promptOf, readHistory, turnRecord } from '#request/turn'
+import { Events, messageOf } from '#process/log'
+import { noteCached } from '#process/instances'
+import type { Place } from '#process/placement'
+import { attempt } from './attempt.js'
+import type { AttemptResult, StreamListener } from './attempt.js'
+import { AbortReason } from './context.js'
+import type { CallerAnswer, ForwardContext, RoutedCall } from './context.js'
+
+const maxUnsentTries = 4
+const fullRetryMs = 100
+const maxKeepMs = 1500
+/// A resumable stream goes on elsewhere after this much silence.
+const silenceMs = 900
+const lineFeed = Buffer.from('\n')
+
+/// Serves a call whose answer is a stream of events. Rejects with `RefusedError`
+/// while nothing has gone to the caller; breaks the answer off after that.
+export async function serveStream (routed: RoutedCall, caller: CallerAnswer, context: ForwardContext): Promise<void> {
+  const { call, route, service } = routed
+  const tokensPerEvent = service?.engine?.tokensPerEvent ?? 1
+  const mostTokens = roundUp(call.usage?.maxOutputTokens ?? 0, tokensPerEvent)
+  const [history, account] = await openTurn(routed, mostTokens, context)
+  const turn = new Turn(routed, caller, context, history, tokensPerEvent)
+  try {
+    const isStream = await turn.run()
+    if (isStream && route.keepsHistory) await turn.keep(account)
+    turn.end()
+  } finally {
+    account?.settle(turn.tokens)
+  }
+}
+
+/// Looks up the turns before and reserves the budget at the same time.
+async function openTurn (routed: RoutedCall, mostTokens: number, context: ForwardContext): Promise<[readonly LedgerRecord[], TurnAccount | null]> {
+  const { call, route } = routed
+  const startedAtMs = performance.now()
+  const [history, account] = await Promise.allSettled([
+    route.keepsHistory ? readHistory(call, context.ledger, context.cache) : [],
+    TurnAccount.open(call, route, mostTokens, context.ledger, context.log)
+  ])
+  context.metrics.observeMs('storage', performance.now() - startedAtMs)
+  if (history.status === 'rejected') {
+    if (account.status === 'fulfilled') account.value?.settle(0)
+    throw history.reason
+  }
+  if (account.status === 'rejected') throw account.reason
+  return [history.value, account.value]
+}
+
+/// One turn on its way through one or more instances.
+class Turn implements StreamListener {
+  private readonly output: Buffer[] = []
+  private readonly prompt: Buffer
+  private readonly excluded = new Set<string>()
+  private parser = new EventStreamParser()
+  private lastEventId: number
+  private events = 0
+  private sent = 0
+  private unsent = 0
+  private mayHaveRun = false
+  private instanceId = ''
+
+  constructor (
+    private readonly routed: RoutedCall,
+    private readonly caller: CallerAnswer,
+    private readonly context: ForwardContext,
+    private readonly history: readonly LedgerRecord[],
+    private readonly tokensPerEvent: number
+  ) {
+    this.prompt = promptOf(history, routed.body)
+    this.lastEventId = routed.call.lastEventId
+  }
+
+  /// Tokens that were handed to the caller.
+  get tokens (): number {
+    return this.events * this.tokensPerEvent
+  }
+
+  /// Resolves to true once a stream has come to its end, to false once another answer was passed on.
+  async run (): Promise<boolean> {
+    const { routed, caller, context } = this
+    while (true) {
+      const place = await this.findPlace()
+      const { id } = place.instance.description
+      this.instanceId = id
+      const result = await this.sendOnce(place)
+      place.release()
+      this.excluded.add(id)
+      if (result.kind === 'stream-ended') {
+        noteCached(place.instance, routed.call.prefix.map(part => part.id))
+        return true
+      }
+      if (result.kind === 'answer') {
+        if (caller.isOpen) throw this.broken('an answer that is no stream came instead of the rest')
+        caller.answer(result.head, result.body)
+        return false
+      }
+      this.note(result)
+      if (!this.mayGoOn(result)) throw this.refusal(result)
+      context.metrics.count('retries_total')
+      context.log.event(this.events > 0 ? Events.streamResumed : Events.callRetried, {
+        callId: routed.call.id, instanceId: id, result: result.kind, reason: result.kind === 'not-run' ? result.status : result.reason, lastEventId: this.lastEventId, sent: this.sent
+      })
+    }
+  }
+
+  /// Keeps the turn. The caller's answer isn't ended before that.
+  async keep (account: TurnAccount | null): Promise<void> {
+    const { routed, context, caller } = this
+    if (!caller.isOpen) return
+    const output = Buffer.concat(this.output)
+    const record = turnRecord(routed.call, routed.route, routed.body, output, this.tokens, this.instanceId)
+    const timeoutMs = Math.min(maxKeepMs, routed.deadlineMs - performance.now())
+    const startedAtMs = performance.now()
+    try {
+      await context.ledger.append([record], timeoutMs)
+    } catch (error) {
+      throw new RefusedError(Refusal.notKept, Verdict.ran, messageOf(error))
+    }
+    context.metrics.observeMs('keep', performance.now() - startedAtMs)
+    context.cache.add(record)
+    account?.settledByTurn()
+  }
+
+  end (): void {
+    if (this.caller.isOpen) this.caller.end()
+  }
+
+  onHead (head: AnswerHead): void {
+    this.parser = new EventStreamParser()
+    if (!this.caller.isOpen) this.caller.open(head)
+  }
+
+  onData (chunk: Buffer): void {
+    for (const event of this.parser.push(chunk)) {
+      if (event.id >= 0) {
+        if (this.lastEventId >= 0 && event.id !== this.lastEventId + 1) {
+          throw new Error(`event ${event.id} follows ${this.lastEventId}`)
+        }
+        this.lastEventId = event.id
+      }
+      if (event.data !== null) {
+        this.events++
+        if (this.routed.route.keepsHistory) this.output.push(Buffer.from(event.data), lineFeed)
+      }
+      this.caller.write(event.bytes)
+    }
+  }
+
+  isWhole (): boolean {
+    return !this.parser.hasPartial
+  }
+
+  private async findPlace (): Promise<Place> {
+    const { routed, context } = this
+    const previous = this.history[this.history.length - 1]
+    try {
+      return await context.placement.acquire({
+        call: routed.call,
+        service: routed.serviceName,
+        engine: routed.service?.engine ?? null,
+        priority: routed.route.priority,
+        bodyBytes: this.prompt.length,
+        excluded: this.excluded,
+        previousInstanceId: previous === undefined || previous.instanceId === '' ? null : previous.instanceId,
+        deadlineMs: routed.deadlineMs
+      }, routed.signal)
+    } catch (error) {
+      if (this.mayHaveRun) throw this.broken(messageOf(error))
+      throw error
+    }
+  }
+
+  private async sendOnce (place: Place): Promise<AttemptResult> {
+    const { routed, context } = this
+    const { call, route } = routed
+    const { instance } = place
+    const nowMs = performance.now()
+    context.log.event(Events.callDispatched, {
+      callId: call.id, programId: call.program?.id, route: route.name, configVersion: routed.configVersion, instanceId: instance.description.id, running: instance.running, othersRunning: Math.round(instance.othersRunning), loadAgeMs: Math.round(nowMs - instance.loadReadAtMs), history: this.history.length, promptBytes: this.prompt.length, afterEvent: this.lastEventId
+    })
+    const result = await attempt({
+      call,
+      instance,
+      codec: context.codec,
+      body: this.prompt,
+      remainingMs: routed.deadlineMs - nowMs,
+      lastEventId: this.lastEventId,
+      listener: this,
+      signal: routed.signal,
+      silenceMs: route.resumable ? silenceMs : 0
+    })
+    context.metrics.observeMs('instance', performance.now() - nowMs)
+    return result
+  }
+
+  private note (result: AttemptResult): void {
+    if (result.kind === 'unsent') this.unsent++
+    else this.sent++
+    if (result.kind === 'broken') this.mayHaveRun = true
+  }
+
+  private mayGoOn (result: AttemptResult): boolean {
+    const { route, signal } = this.routed
+    if (signal.aborted) return false
+    if (result.kind === 'unsent') return this.unsent < maxUnsentTries
+    if (this.sent >= route.maxInstances) return false
+    return result.kind === 'not-run' ? this.events === 0 || route.resumable : route.resumable
+  }
+
+  private refusal (result: AttemptResult): RefusedError {
+    const { signal } = this.routed
+    if (signal.aborted && signal.reason === AbortReason.deadline) {
+      return new RefusedError(Refusal.timedOut, this.verdict, 'the stream did not end within the time allowed')
+    }
+    const reason = result.kind === 'broken' || result.kind === 'unsent' ? result.reason : result.kind
+    return new RefusedError(Refusal.upstreamFailed, this.verdict, reason, fullRetryMs)
+  }
+
+  private broken (reason: string): RefusedError {
+    return new RefusedError(Refusal.upstreamFailed, this.verdict, reason)
+  }
+
+  private get verdict (): Verdict {
+    return this.mayHaveRun || this.events > 0 ? Verdict.mayHaveRun : Verdict.notRun
+  }
+}
+
+function roundUp (tokens: number, step: number): number {
+  return Math.ceil(tokens / step) * step
+}
--- /dev/null
+++ b/request/turn/src/ledger.ts
@@ -0,0 +1,29 @@
+import type { AccountEntry, LedgerRecord } from '#connection/rpc'
+
+/// What turns need of the storage instances; `LedgerQuorum` offers it.
+export interface TurnLedger {
+  append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void>
+  reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]>
+  findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null>
+}
+
+// The record kinds of process/ledger, by what a turn does.
+export const TurnRecordKind = { reservation: 1, settlement: 2, turn: 3 } as const
+
+/// A record without what only some kinds have.
+export function blankRecord (kind: number, id: string, programId: string, retentionMs: number): LedgerRecord {
+  return {
+    kind,
+    id,
+    programId,
+    tokens: 0,
+    previousId: '',
+    input: empty,
+    output: empty,
+    recordedAtMs: Date.now(),
+    retentionMs,
+    instanceId: ''
+  }
+}
+
+const empty = Buffer.alloc(0)
--- a/version/configuration/src/index.ts
+++ b/version/configuration/src/index.ts
@@ -1,3 +1,3 @@
-export { Configuration } from './schema.js'
-export type { Agent, Model, Operation, Service, Team, Upstream } from './schema.js'
-export type { ConfigurationView } from './view.js'
+export { RouteKind } from './configuration.js'
+export type { CallerLimits, Configuration, Engine, Route, RouteTarget, Service } from './configuration.js'
+export { RouteTable, pickTarget, unitHash } from './routetable.js'
