--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -73,7 +73,13 @@
   private readonly dropped: ReadonlySet<string>
 
   constructor (private readonly names: HeaderNames) {
-    this.dropped = new Set([...hopByHop, ...names.reserved, names.expectedInstance, names.patienceMs, names.lastEventId])
+    this.dropped = new Set([
+      ...hopByHop,
+      ...names.reserved,
+      names.expectedInstance,
+      names.patienceMs,
+      names.lastEventId
+    ])
   }
 
   /// Throws `InvalidCallError` where a field that the product needs is missing or malformed.
--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -1,7 +1,7 @@
-import { Metadata, credentials } from '@grpc/grpc-js'
-import type { CallOptions, ClientUnaryCall, ServiceError } from '@grpc/grpc-js'
+import { credentials } from '@grpc/grpc-js'
+import type { ClientDuplexStream } from '@grpc/grpc-js'
 import { LedgerClient } from './generated/ledger.js'
-import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest } from './generated/ledger.js'
+import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, Replies, Reply, Request, Requests } from './generated/ledger.js'
 
 /// What can be asked of a storage instance. A test's fake stands in for it.
 export interface LedgerPeer {
@@ -20,7 +20,6 @@
 const channelOptions = {
   'grpc.keepalive_time_ms': 1500,
   'grpc.keepalive_timeout_ms': 700,
-  'grpc.keepalive_permit_without_calls': 0,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.min_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 400,
@@ -28,72 +27,133 @@
   'grpc.enable_http_proxy': 0,
   'grpc.use_local_subchannel_pool': 1
 }
-// A connection that has let this many calls in a row run out of time is taken for a silent one.
+// A connection that has let this many requests in a row run out of time is taken for a silent one.
 const timeoutsBeforeReconnect = 2
 
-/// A storage instance over gRPC. A connection that went silent is replaced.
+type Session = ClientDuplexStream<Requests, Replies>
+
+interface Pending {
+  readonly timer: ReturnType<typeof setTimeout>
+  resolve (reply: Reply): void
+  reject (error: PeerError): void
+}
+
+/// A storage instance over one gRPC stream. Requests of one turn of the loop
+/// share a message. A connection that went silent is replaced.
 export class LedgerConnection implements LedgerPeer {
-  private client: LedgerClient
+  private client: LedgerClient | null = null
+  private session: Session | null = null
+  private readonly pending = new Map<number, Pending>()
+  private outgoing: Request[] = []
+  private lastNumber = 0
   private timeouts = 0
+  private isClosed = false
 
-  constructor (private readonly address: string) {
-    this.client = this.connect()
-  }
+  constructor (private readonly address: string) {}
 
-  append (request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
-    return this.call(this.client.append, request, timeoutMs)
+  async append (request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
+    return (await this.ask({ append: request }, timeoutMs)).append!
   }
 
-  findChain (request: FindChainRequest, timeoutMs: number): Promise<FindChainReply> {
-    return this.call(this.client.findChain, request, timeoutMs)
+  async findChain (request: FindChainRequest, timeoutMs: number): Promise<FindChainReply> {
+    return (await this.ask({ findChain: request }, timeoutMs)).findChain!
   }
 
-  digest (request: DigestRequest, timeoutMs: number): Promise<DigestReply> {
-    return this.call(this.client.digest, request, timeoutMs)
+  async digest (request: DigestRequest, timeoutMs: number): Promise<DigestReply> {
+    return (await this.ask({ digest: request }, timeoutMs)).digest!
   }
 
-  fetch (request: FetchRequest, timeoutMs: number): Promise<FetchReply> {
-    return this.call(this.client.fetch, request, timeoutMs)
+  async fetch (request: FetchRequest, timeoutMs: number): Promise<FetchReply> {
+    return (await this.ask({ fetch: request }, timeoutMs)).fetch!
   }
 
   close (): void {
-    this.client.close()
+    this.isClosed = true
+    this.drop('closed')
   }
 
-  private connect (): LedgerClient {
-    return new LedgerClient(this.address, credentials.createInsecure(), channelOptions)
+  private ask (question: Partial<Request>, timeoutMs: number): Promise<Reply> {
+    if (this.isClosed) return Promise.reject(new PeerError(`${this.address}: closed`))
+    return new Promise((resolve, reject) => {
+      const number = this.lastNumber = (this.lastNumber + 1) % 0x7fffffff
+      const timer = setTimeout(() => this.expire(number), timeoutMs)
+      this.pending.set(number, { timer, resolve, reject })
+      if (this.outgoing.length === 0) queueMicrotask(() => this.flush())
+      this.outgoing.push({ ...blankRequest, ...question, number })
+    })
   }
 
-  private call<Request, Reply> (method: UnaryMethod<Request, Reply>, request: Request, timeoutMs: number): Promise<Reply> {
-    const { client } = this
-    return new Promise((resolve, reject) => {
-      const startedAtMs = performance.now()
-      const options = { deadline: Date.now() + timeoutMs }
-      method.call(client, request, new Metadata(), options, (error, reply) => {
-        if (error === null) {
-          this.timeouts = 0
-          resolve(reply)
-          return
-        }
-        // A deadline of this call alone, not one that passed while the process stood still.
-        if (performance.now() - startedAtMs >= timeoutMs) this.noteTimeout(client)
-        reject(new PeerError(`${this.address}: ${error.details}`, { cause: error }))
-      })
+  private flush (): void {
+    const requests = this.outgoing
+    this.outgoing = []
+    if (requests.length === 0) return
+    this.session ??= this.connect()
+    this.session.write({ requests })
+  }
+
+  private connect (): Session {
+    this.client ??= new LedgerClient(this.address, credentials.createInsecure(), channelOptions)
+    const session = this.client.session()
+    session.on('data', (replies: Replies) => {
+      for (const reply of replies.replies) this.settle(reply)
     })
+    session.on('error', (error: Error) => this.lose(session, error.message))
+    session.on('end', () => this.lose(session, 'the stream ended'))
+    return session
   }
 
-  private noteTimeout (client: LedgerClient): void {
-    if (client !== this.client || ++this.timeouts < timeoutsBeforeReconnect) return
+  private settle (reply: Reply): void {
     this.timeouts = 0
-    this.client = this.connect()
-    client.close()
+    const pending = this.take(reply.number)
+    if (pending === undefined) return
+    if (reply.error === '') pending.resolve(reply)
+    else pending.reject(new PeerError(`${this.address}: ${reply.error}`))
+  }
+
+  private take (number: number): Pending | undefined {
+    const pending = this.pending.get(number)
+    this.pending.delete(number)
+    clearTimeout(pending?.timer)
+    return pending
+  }
+
+  private expire (number: number): void {
+    const pending = this.take(number)
+    if (pending === undefined) return
+    pending.reject(new PeerError(`${this.address}: no answer in time`))
+    if (++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
+  }
+
+  /// The session is gone; what it carried has no answer.
+  private lose (session: Session, reason: string): void {
+    if (session !== this.session) return
+    this.session = null
+    this.rejectAll(reason)
+  }
+
+  /// Gives up the connection; the next request opens another one.
+  private drop (reason: string): void {
+    const { client, session } = this
+    this.timeouts = 0
+    this.client = null
+    this.session = null
+    session?.cancel()
+    client?.close()
+    this.rejectAll(reason)
+  }
+
+  private rejectAll (reason: string): void {
+    for (const number of [...this.pending.keys()]) {
+      this.take(number)?.reject(new PeerError(`${this.address}: ${reason}`))
+    }
+    this.outgoing = []
   }
 }
 
-type UnaryMethod<Request, Reply> = (
-  this: LedgerClient,
-  request: Request,
-  metadata: Metadata,
-  options: Partial<CallOptions>,
-  callback: (error: ServiceError | null, reply: Reply) => void
-) => ClientUnaryCall
+const blankRequest: Request = {
+  number: 0,
+  append: undefined,
+  findChain: undefined,
+  digest: undefined,
+  fetch: undefined
+}
--- a/connection/rpc/src/server.ts
+++ b/connection/rpc/src/server.ts
@@ -1,7 +1,7 @@
-import { Server, ServerCredentials, status } from '@grpc/grpc-js'
-import type { ServerUnaryCall, sendUnaryData } from '@grpc/grpc-js'
+import { Server, ServerCredentials } from '@grpc/grpc-js'
+import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { LedgerService } from './generated/ledger.js'
-import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest } from './generated/ledger.js'
+import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, Replies, Reply, Request, Requests } from './generated/ledger.js'
 
 /// What a storage instance answers.
 export interface LedgerHandler {
@@ -11,17 +11,14 @@
   fetch (request: FetchRequest): Promise<FetchReply>
 }
 
+type Session = ServerDuplexStream<Requests, Replies>
+
 /// Serves the ledger to entries and peers.
 export class LedgerServer {
   private readonly server = new Server({ 'grpc.max_receive_message_length': 16 * 1024 * 1024 })
 
-  constructor (handler: LedgerHandler) {
-    this.server.addService(LedgerService, {
-      append: unary((request: AppendRequest) => handler.append(request)),
-      findChain: unary((request: FindChainRequest) => handler.findChain(request)),
-      digest: unary((request: DigestRequest) => handler.digest(request)),
-      fetch: unary((request: FetchRequest) => handler.fetch(request))
-    })
+  constructor (private readonly handler: LedgerHandler) {
+    this.server.addService(LedgerService, { session: (session: Session) => this.serve(session) })
   }
 
   /// Returns the port, which the system picks where `address` has port 0.
@@ -37,12 +34,56 @@
   close (): void {
     this.server.forceShutdown()
   }
-}
 
-function unary<Request, Reply> (handle: (request: Request) => Promise<Reply>) {
-  return (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>): void => {
-    handle(call.request).then(reply => callback(null, reply), (error: unknown) => {
-      callback({ code: status.UNAVAILABLE, details: error instanceof Error ? error.message : String(error) })
+  private serve (session: Session): void {
+    const replies = new ReplyBatch(session)
+    session.on('data', ({ requests }: Requests) => {
+      for (const request of requests) {
+        this.answer(request)
+          .catch((error: unknown) => ({ error: error instanceof Error ? error.message : String(error) }))
+          .then(reply => replies.add({ ...blankReply, ...reply, number: request.number }))
+      }
     })
+    session.on('end', () => session.end())
+    // A caller that is gone gets no more answers; what it asked for is done all the same.
+    session.on('error', () => replies.stop())
+    session.on('cancelled', () => replies.stop())
+  }
+
+  private async answer (request: Request): Promise<Partial<Reply>> {
+    const { handler } = this
+    if (request.append !== undefined) return { append: await handler.append(request.append) }
+    if (request.findChain !== undefined) return { findChain: await handler.findChain(request.findChain) }
+    if (request.digest !== undefined) return { digest: await handler.digest(request.digest) }
+    if (request.fetch !== undefined) return { fetch: await handler.fetch(request.fetch) }
+    return { error: 'an empty request' }
+  }
+}
+
+/// Gathers the answers of one turn of the loop in one message.
+class ReplyBatch {
+  private replies: Reply[] = []
+  private isStopped = false
+
+  constructor (private readonly session: Session) {}
+
+  add (reply: Reply): void {
+    if (this.isStopped) return
+    if (this.replies.length === 0) setImmediate(() => this.flush())
+    this.replies.push(reply)
+  }
+
+  stop (): void {
+    this.isStopped = true
   }
+
+  private flush (): void {
+    const { replies } = this
+    this.replies = []
+    if (!this.isStopped) this.session.write({ replies })
+  }
+}
+
+const blankReply: Reply = {
+  number: 0, append: undefined, findChain: undefined, digest: undefined, fetch: undefined, error: ''
 }
--- a/connection/store/src/follow.ts
+++ b/connection/store/src/follow.ts
@@ -31,7 +31,13 @@
   return () => stop.abort()
 }
 
-async function run (store: ObjectStore, options: FollowOptions, follower: Follower, log: EventLog, signal: AbortSignal): Promise<void> {
+async function run (
+  store: ObjectStore,
+  options: FollowOptions,
+  follower: Follower,
+  log: EventLog,
+  signal: AbortSignal
+): Promise<void> {
   let wasInterrupted = false
   let retryMs = firstRetryMs
   while (!signal.aborted) {
@@ -52,7 +58,13 @@
   }
 }
 
-async function watch (store: ObjectStore, options: FollowOptions, follower: Follower, from: number, signal: AbortSignal): Promise<void> {
+async function watch (
+  store: ObjectStore,
+  options: FollowOptions,
+  follower: Follower,
+  from: number,
+  signal: AbortSignal
+): Promise<void> {
   let revision = from
   while (!signal.aborted) {
     const { changes, revision: next } = await store.changes(options.kind, revision, options.waitMs, signal)
--- /dev/null
+++ b/demo/src/main.ts
@@ -0,0 +1,52 @@
+import { StandinSystem } from '#standin/system'
+import { runProgram } from './program.js'
+import type { ProgramSeen } from './program.js'
+
+const programs = Number(process.env.DEMO_PROGRAMS ?? 12)
+const turns = 4
+const tokenBudget = 2000
+const barWidth = 60
+
+const system = new StandinSystem({
+  command: [process.execPath, 'target/chicorynotchd.cjs'],
+  entries: 2,
+  storages: 3,
+  engines: 2,
+  services: 1,
+  nodeArguments: (process.env.DEMO_NODE_ARGUMENTS ?? '').split(' ').filter(word => word !== '')
+})
+
+/// Draws a program's calls on a line each.
+function draw ({ programId, calls }: ProgramSeen): string {
+  const endMs = Math.max(...calls.map(call => call.endMs))
+  const lines = [...calls].sort((a, b) => a.startMs - b.startMs).map(call => {
+    const from = Math.floor(call.startMs / endMs * barWidth)
+    const length = Math.max(1, Math.round((call.endMs - call.startMs) / endMs * barWidth))
+    const bar = ' '.repeat(from) + '='.repeat(Math.min(length, barWidth - from))
+    return `  ${call.what.padEnd(20)} |${bar.padEnd(barWidth)}| ${String(call.status)} ${Math.round(call.endMs - call.startMs)} ms`
+  })
+  return [`program ${programId}`, ...lines].join('\n')
+}
+
+async function main (): Promise<number> {
+  await system.start()
+  const entries = system.entries.map(node => node.callers)
+  const seen = await Promise.all(Array.from(
+    { length: programs },
+    (_, i) => runProgram(entries[i % entries.length]!, turns, tokenBudget)
+  ))
+  const calls = seen.flatMap(program => program.calls)
+  const failed = calls.filter(call => call.status !== 200)
+  const ran = [...system.engines, ...system.services].flatMap(upstream => upstream.ran)
+  const repeated = ran.length - new Set(ran.map(request => request.callId)).size
+  process.stdout.write(`${draw(seen[0]!)}\n\n${programs} programs, ${calls.length} calls, ${failed.length} failed, ${repeated} run twice\n`)
+  return failed.length === 0 && repeated === 0 ? 0 : 1
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${String(error)}\n`)
+  return 1
+}).then(async code => {
+  await system.stop()
+  process.exit(code)
+})
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -45,11 +45,21 @@
   process.on('unhandledRejection', error => {
     log.event(Events.unexpectedError, { where: 'promise', error: messageOf(error) })
   })
-  const running = await startByRole[settings.node.role]({ settings, platform: platform.connect(settings, log), log, metrics })
+  const running = await startByRole[settings.node.role]({
+    settings,
+    platform: platform.connect(settings, log),
+    log,
+    metrics
+  })
   await serveStatus(`${settings.node.ip}:${settings.listen.metrics_port}`, {
     '/metrics': () => ({ status: 200, text: metrics.toText() })
   })
-  log.event(Events.processStarted, { role: settings.node.role, zone: settings.node.zone, pid: process.pid, startMs: Math.round(performance.now()) })
+  log.event(Events.processStarted, {
+    role: settings.node.role,
+    zone: settings.node.zone,
+    pid: process.pid,
+    startMs: Math.round(performance.now())
+  })
   process.on('SIGHUP', () => reload(settingsFile, log))
   process.once('SIGTERM', () => {
     log.event(Events.processStopping, { signal: 'SIGTERM', graceMs: settings.timing.stop_grace_ms })
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -41,8 +41,8 @@
 const viewName = 'current'
 const watchWaitMs = 2000
 const watchPauseMs = 40
-const viewReadPauseMs = 500
-const viewCheckMs = 1000
+const viewReadPauseMs = 200
+const viewCheckMs = 250
 const cacheBytes = 24 * 1024 * 1024
 const defaultMaxConnections = 32
 /// One entry's part of an instance's connections.
@@ -85,7 +85,14 @@
       connect: address => new LedgerConnection(address),
       onStale: () => this.readView()
     }, log)
-    this.context = { codec: platform.headers, placement, ledger: this.quorum, cache: new ChainCache(cacheBytes), log, metrics }
+    this.context = {
+      codec: platform.headers,
+      placement,
+      ledger: this.quorum,
+      cache: new ChainCache(cacheBytes),
+      log,
+      metrics
+    }
     this.front = new FrontServer({
       serve: exchange => this.serve(exchange),
       onMalformed: code => log.event(Events.requestMalformed, { code })
@@ -104,7 +111,10 @@
           if (main !== undefined) this.configure(main)
         },
         onChanges: changes => {
-          for (const { name, object } of changes) if (name === configurationName && object !== null) this.configure(object)
+          for (const {
+            name,
+            object
+          } of changes) if (name === configurationName && object !== null) this.configure(object)
         }
       }, log),
       follow(platform.store, { kind: ObjectKind.instances, ...pace }, this.registry, log)
@@ -133,7 +143,7 @@
   }
 
   private get isReady (): boolean {
-    return !this.isStopping && this.routes !== null && this.registry.isReady
+    return !this.isStopping && this.routes !== null && this.registry.isReady && this.quorum.viewVersion > 0
   }
 
   private async serve (exchange: Parameters<typeof serveExchange>[0]): Promise<void> {
@@ -153,7 +163,11 @@
       this.configurationRevision = object.revision
       this.routes = new RouteTable(configuration)
       this.front.limit(configuration.callerLimits)
-      this.log.event(Events.configurationApplied, { version: configuration.version, revision: object.revision, routes: configuration.routes.length })
+      this.log.event(Events.configurationApplied, {
+        version: configuration.version,
+        revision: object.revision,
+        routes: configuration.routes.length
+      })
     } catch (error) {
       this.log.event(Events.configurationRejected, { revision: object.revision, error: messageOf(error) })
     }
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -79,19 +79,49 @@
   }
 }
 
-function noteEnd (call: Call, receivedAtMs: number, answer: Answer, signal: AbortSignal, context: ForwardContext): void {
+function noteEnd (
+  call: Call,
+  receivedAtMs: number,
+  answer: Answer,
+  signal: AbortSignal,
+  context: ForwardContext
+): void {
   const durationMs = performance.now() - receivedAtMs
   if (signal.aborted) {
-    context.log.event(Events.callAbandoned, { callId: call.id, programId: call.program?.id, reason: String(signal.reason), durationMs: Math.round(durationMs) })
+    context.log.event(Events.callAbandoned, {
+      callId: call.id,
+      programId: call.program?.id,
+      reason: String(signal.reason),
+      durationMs: Math.round(durationMs)
+    })
     return
   }
   context.metrics.observeMs('call', durationMs)
   context.metrics.count(`answers_total{status="${answer.status}"}`)
-  context.log.event(Events.callFinished, { callId: call.id, programId: call.program?.id, status: answer.status, bytes: answer.bytes, durationMs: Math.round(durationMs) })
+  context.log.event(Events.callFinished, {
+    callId: call.id,
+    programId: call.program?.id,
+    status: answer.status,
+    bytes: answer.bytes,
+    durationMs: Math.round(durationMs)
+  })
 }
 
-function refuse (error: unknown, call: Call | null, answer: Answer, receivedAtMs: number, signal: AbortSignal, context: ForwardContext): void {
-  const refused = error instanceof RefusedError ? error : new RefusedError(Refusal.internal, Verdict.mayHaveRun, messageOf(error))
+function refuse (
+  error: unknown,
+  call: Call | null,
+  answer: Answer,
+  receivedAtMs: number,
+  signal: AbortSignal,
+  context: ForwardContext
+): void {
+  const refused = error instanceof RefusedError
+    ? error
+    : new RefusedError(
+      Refusal.internal,
+      Verdict.mayHaveRun,
+      messageOf(error)
+    )
   if (refused !== error) context.log.event(Events.unexpectedError, { callId: call?.id ?? '', where: 'serving a call', error: messageOf(error) })
   const durationMs = Math.round(performance.now() - receivedAtMs)
   const fields = { callId: call?.id ?? '', programId: call?.program?.id, refusal: refused.refusal, verdict: refused.verdict, reason: refused.message, durationMs }
@@ -114,7 +144,11 @@
   status = 0
   bytes = 0
 
-  constructor (private readonly exchange: Exchange, private readonly codec: HeaderCodec, private readonly state: ServeState) {}
+  constructor (
+    private readonly exchange: Exchange,
+    private readonly codec: HeaderCodec,
+    private readonly state: ServeState
+  ) {}
 
   get isOpen (): boolean {
     return this.exchange.isOpen
@@ -151,7 +185,14 @@
       ...(call === null ? {} : this.codec.nameCall(call.id)),
       ...(refused.retryAfterMs > 0 ? { 'retry-after': String(refused.retryAfterMs / 1000) } : {})
     }
-    const body = JSON.stringify({ error: { code: refused.refusal, verdict: refused.verdict, message: refused.message, retryAfterMs: refused.retryAfterMs } })
+    const body = JSON.stringify({
+      error: {
+        code: refused.refusal,
+        verdict: refused.verdict,
+        message: refused.message,
+        retryAfterMs: refused.retryAfterMs
+      }
+    })
     this.exchange.answer(refused.status, headers, Buffer.from(body), this.state.isStopping || call === null)
   }
 }
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -74,10 +74,15 @@
 
   private put (description: InstanceDescription): void {
     const known = this.byId.get(description.id)
-    if (known !== undefined && known.description.address === description.address && known.description.service === description.service) {
+    if (known !== undefined && isSamePlace(known.description, description)) {
       const { isReady } = known.description
       known.description = description
-      if (isReady !== description.isReady) this.log.event(Events.instanceChanged, { instanceId: description.id, isReady: description.isReady })
+      if (isReady !== description.isReady) {
+        this.log.event(Events.instanceChanged, {
+          instanceId: description.id,
+          isReady: description.isReady
+        })
+      }
       return
     }
     if (known !== undefined) this.remove(description.id, 'moved')
@@ -121,3 +126,7 @@
     this.held.delete(id)
   }
 }
+
+function isSamePlace (a: InstanceDescription, b: InstanceDescription): boolean {
+  return a.address === b.address && a.service === b.service
+}
--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -41,7 +41,12 @@
     const disk = new Disk(folder, diskId, log)
     const records = await disk.readSegments(names)
     await disk.startSegment()
-    log.event(Events.diskOpened, { diskId, records: records.length, segments: disk.segments.length - 1, isNew: known === null })
+    log.event(Events.diskOpened, {
+      diskId,
+      records: records.length,
+      segments: disk.segments.length - 1,
+      isNew: known === null
+    })
     return { disk, contents: { records, wasEmpty: known === null && records.length === 0 } }
   }
 
--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -130,7 +130,14 @@
 }
 
 function entryOf (record: LedgerRecord): AccountEntry {
-  if (record.kind === RecordKind.reservation) return { id: record.id, reserved: record.tokens, spent: 0, settled: false }
+  if (record.kind === RecordKind.reservation) {
+    return {
+      id: record.id,
+      reserved: record.tokens,
+      spent: 0,
+      settled: false
+    }
+  }
   return { id: record.id, reserved: 0, spent: record.tokens, settled: true }
 }
 
--- a/process/membership/src/codec.ts
+++ b/process/membership/src/codec.ts
@@ -16,7 +16,15 @@
 }
 
 function readMember (value: unknown): Member {
-  const { name, diskId, address, zone, state, replacement, syncedView } = (value ?? {}) as Partial<Record<string, unknown>>
+  const {
+    name,
+    diskId,
+    address,
+    zone,
+    state,
+    replacement,
+    syncedView
+  } = (value ?? {}) as Partial<Record<string, unknown>>
   const texts = [name, diskId, address, zone]
   if (!texts.every(text => typeof text === 'string') || !states.has(state) || !isCount(syncedView)) {
     throw new ViewFormatError(`not a member: ${JSON.stringify(value)}`)
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -96,7 +96,8 @@
   const member = view.members.find(other => other.diskId === diskId)
   if (member === undefined || member.syncedView >= syncedView) return view
   const next = replaceMember(view, { ...member, syncedView })
-  const isReady = next.members.every(other => other.state !== MemberState.serving || other.syncedView >= next.leaveVersion)
+  const serving = next.members.filter(other => other.state === MemberState.serving)
+  const isReady = serving.every(other => other.syncedView >= next.leaveVersion)
   if (!isReady) return next
   const members = next.members.filter(other => other.state !== MemberState.leaving)
   return { ...next, members }
@@ -109,7 +110,12 @@
 }
 
 /// Whether the present members without one are as many as a system at its full strength needs.
-export function isSuperfluous (view: View, diskId: string, present: ReadonlySet<string>, toleratedLosses: number): boolean {
+export function isSuperfluous (
+  view: View,
+  diskId: string,
+  present: ReadonlySet<string>,
+  toleratedLosses: number
+): boolean {
   const rest = view.members.filter(member => {
     return member.state === MemberState.serving && member.diskId !== diskId && present.has(member.diskId)
   })
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -31,7 +31,12 @@
 
 /// Picks the instance with the least expected time: work that waits or runs
 /// there, tokens of the prompt that it has not read, and the way to it.
-export function chooseInstance (candidates: readonly Instance[], need: PlacementNeed, zone: string, nowMs: number): Instance | null {
+export function chooseInstance (
+  candidates: readonly Instance[],
+  need: PlacementNeed,
+  zone: string,
+  nowMs: number
+): Instance | null {
   let best: Instance | null = null
   let bestMs = Infinity
   for (const instance of candidates) {
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -37,7 +37,11 @@
   private readonly waiters: Waiter[] = []
   private timer: ReturnType<typeof setInterval> | null = null
 
-  constructor (private readonly registry: InstanceRegistry, private readonly zone: string, private readonly log: EventLog) {}
+  constructor (
+    private readonly registry: InstanceRegistry,
+    private readonly zone: string,
+    private readonly log: EventLog
+  ) {}
 
   get waiting (): number {
     return this.waiters.length
@@ -46,7 +50,10 @@
   /// Rejects with `RefusedError` where no instance may take the call in time.
   acquire (need: PlacementNeed, signal: AbortSignal): Promise<Place> {
     const nowMs = performance.now()
-    const isBehind = this.waiters.some(waiter => waiter.need.service === need.service && rank(waiter, nowMs) <= need.priority)
+    const isBehind = this.waiters.some(waiter => waiter.need.service === need.service && rank(
+      waiter,
+      nowMs
+    ) <= need.priority)
     const found = isBehind ? null : this.tryPlace(need, nowMs)
     if (found !== null) return Promise.resolve(found)
     if (!this.hasCandidate(need)) return Promise.reject(refusedWithoutInstance(need.service))
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -47,7 +47,7 @@
     this.rule = quorumRule(view, this.options.toleratedLosses)
     const before = this.peers
     this.peers = view.members.map(member => {
-      const known = before.find(state => state.member.diskId === member.diskId && state.member.address === member.address)
+      const known = before.find(state => isSameDisk(state.member, member))
       if (known !== undefined) return Object.assign(known, { member })
       return { member, peer: this.options.connect(member.address), lastFailureMs: -Infinity }
     })
@@ -81,7 +81,10 @@
     const deadlineMs = performance.now() + timeoutMs
     let chain: LedgerRecord[] | null = null
     const ask = async (state: PeerState): Promise<void> => {
-      const reply = await this.ask(state, (peer, callMs) => peer.findChain({ viewVersion: this.view.version, turnId }, callMs), deadlineMs)
+      const reply = await this.ask(state, (peer, callMs) => peer.findChain({
+        viewVersion: this.view.version,
+        turnId
+      }, callMs), deadlineMs)
       if (reply === null || chain !== null) return
       if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
       else if (reply.chain.length === 0) absent.add(reply.standing!.diskId)
@@ -206,6 +209,10 @@
   }
 }
 
+function isSameDisk (a: Member, b: Member): boolean {
+  return a.diskId === b.diskId && a.address === b.address
+}
+
 function pause (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
--- a/process/settings/src/settings.ts
+++ b/process/settings/src/settings.ts
@@ -83,7 +83,10 @@
 }
 
 function describe (issue: z.core.$ZodIssue, table: unknown): string {
-  const found = JSON.stringify(issue.path.reduce<unknown>((at, key) => (at as Record<PropertyKey, unknown> | undefined)?.[key], table))
+  const found = JSON.stringify(issue.path.reduce<unknown>(
+    (at, key) => (at as Record<PropertyKey, unknown> | undefined)?.[key],
+    table
+  ))
   const key = issue.path.join('.')
   if (issue.code === 'unrecognized_keys') return `${[key, issue.keys.join(', ')].filter(part => part !== '').join('.')}: unknown key`
   return `${key}: found ${found ?? 'nothing'}: ${allowed(issue)}`
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -70,7 +70,11 @@
         for (const change of changes) if (change.name === viewName && change.object !== null) this.onView(change.object)
       }
     }, this.log))
-    this.stops.push(follow(this.store, { kind: ObjectKind.retirements, waitMs: retirementWaitMs, pauseMs: watchPauseMs }, {
+    this.stops.push(follow(this.store, {
+      kind: ObjectKind.retirements,
+      waitMs: retirementWaitMs,
+      pauseMs: watchPauseMs
+    }, {
       onListing: listing => {
         this.retirements.clear()
         for (const object of listing.objects) this.retirements.set(object.name, { status: object.status })
@@ -124,7 +128,16 @@
       const peer = this.options.connect(member.address)
       const copier = new PeerCopier(peer, this.ledger)
       const lastContactMs = performance.now()
-      this.peers.set(member.diskId, { member, peer, copier, mark: null, lastContactMs, isReachable: true, isCopying: false, nextCopyMs: 0 })
+      this.peers.set(member.diskId, {
+        member,
+        peer,
+        copier,
+        mark: null,
+        lastContactMs,
+        isReachable: true,
+        isCopying: false,
+        nextCopyMs: 0
+      })
     }
   }
 
@@ -150,8 +163,8 @@
     if (own?.state === MemberState.joining && this.holdsAll()) return withCompleted(view, ledger.diskId)
     const leaver = this.memberToLeave(nowMs)
     if (leaver !== null) return withLeaving(view, leaver)
-    const isSynced = own?.state === MemberState.serving && own.syncedView < view.leaveVersion && this.holdsAllSince(view.leaveVersion)
-    return isSynced ? withSynced(view, ledger.diskId, view.leaveVersion) : view
+    const isBehind = own?.state === MemberState.serving && own.syncedView < view.leaveVersion
+    return isBehind && this.holdsAllSince(view.leaveVersion) ? withSynced(view, ledger.diskId, view.leaveVersion) : view
   }
 
   /// Whether so many complete peers were copied that every counted record is here.
@@ -210,7 +223,11 @@
     const object = this.revision === 0
       ? await this.store.create(ObjectKind.storageViews, viewName, next)
       : await this.store.update(ObjectKind.storageViews, viewName, next, this.revision)
-    this.log.event(Events.viewChanged, { from: this.view.version, to: next.version, members: next.members.map(describe) })
+    this.log.event(Events.viewChanged, {
+      from: this.view.version,
+      to: next.version,
+      members: next.members.map(describe)
+    })
     if (object.revision > this.revision) this.adopt(next, object.revision)
   }
 
@@ -254,7 +271,13 @@
     state.copier.pass(this.view.version).then(({ mark, copied }) => {
       state.mark = mark
       this.noteContact(state)
-      if (copied > 0) this.log.event(Events.copyCompleted, { from: state.member.name, copied, viewVersion: mark.viewVersion })
+      if (copied > 0) {
+        this.log.event(Events.copyCompleted, {
+          from: state.member.name,
+          copied,
+          viewVersion: mark.viewVersion
+        })
+      }
     }, (error: unknown) => {
       this.log.event(Events.copyFailed, { from: state.member.name, error: messageOf(error) })
       this.noteSilence(state)
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -35,7 +35,11 @@
 }
 
 /// Looks up the turns before and reserves the budget at the same time.
-async function openTurn (routed: RoutedCall, mostTokens: number, context: ForwardContext): Promise<[readonly LedgerRecord[], TurnAccount | null]> {
+async function openTurn (
+  routed: RoutedCall,
+  mostTokens: number,
+  context: ForwardContext
+): Promise<[readonly LedgerRecord[], TurnAccount | null]> {
   const { call, route } = routed
   const startedAtMs = performance.now()
   const [history, account] = await Promise.allSettled([
@@ -181,7 +185,17 @@
     const { instance } = place
     const nowMs = performance.now()
     context.log.event(Events.callDispatched, {
-      callId: call.id, programId: call.program?.id, route: route.name, configVersion: routed.configVersion, instanceId: instance.description.id, running: instance.running, othersRunning: Math.round(instance.othersRunning), loadAgeMs: Math.round(nowMs - instance.loadReadAtMs), history: this.history.length, promptBytes: this.prompt.length, afterEvent: this.lastEventId
+      callId: call.id,
+      programId: call.program?.id,
+      route: route.name,
+      configVersion: routed.configVersion,
+      instanceId: instance.description.id,
+      running: instance.running,
+      othersRunning: Math.round(instance.othersRunning),
+      loadAgeMs: Math.round(nowMs - instance.loadReadAtMs),
+      history: this.history.length,
+      promptBytes: this.prompt.length,
+      afterEvent: this.lastEventId
     })
     const result = await attempt({
       call,
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -34,7 +34,13 @@
     note(result, progress)
     if (routed.signal.aborted || !mayRepeat(result, isIdempotent, progress, route.maxInstances)) break
     context.metrics.count('retries_total')
-    context.log.event(Events.callRetried, { callId: call.id, instanceId: id, result: result.kind, reason: reasonOf(result), sent: progress.sent })
+    context.log.event(Events.callRetried, {
+      callId: call.id,
+      instanceId: id,
+      result: result.kind,
+      reason: reasonOf(result),
+      sent: progress.sent
+    })
   }
   if (progress.lastAnswer !== null) caller.answer(progress.lastAnswer.head, progress.lastAnswer.body)
   else throw refusalOf(routed, progress)
@@ -48,7 +54,12 @@
 }
 
 /// Null where an earlier answer or failure has to do.
-async function findPlace (routed: RoutedCall, excluded: ReadonlySet<string>, progress: Progress, context: ForwardContext): Promise<Place | null> {
+async function findPlace (
+  routed: RoutedCall,
+  excluded: ReadonlySet<string>,
+  progress: Progress,
+  context: ForwardContext
+): Promise<Place | null> {
   try {
     return await context.placement.acquire({
       call: routed.call,
@@ -66,12 +77,26 @@
   }
 }
 
-async function sendOnce (routed: RoutedCall, place: Place, hasAlternative: boolean, context: ForwardContext): Promise<AttemptResult> {
+async function sendOnce (
+  routed: RoutedCall,
+  place: Place,
+  hasAlternative: boolean,
+  context: ForwardContext
+): Promise<AttemptResult> {
   const { call, route } = routed
   const { instance } = place
   const nowMs = performance.now()
   const { id } = instance.description
-  context.log.event(Events.callDispatched, { callId: call.id, programId: call.program?.id, route: route.name, configVersion: routed.configVersion, instanceId: id, running: instance.running, othersRunning: Math.round(instance.othersRunning), loadAgeMs: Math.round(nowMs - instance.loadReadAtMs) })
+  context.log.event(Events.callDispatched, {
+    callId: call.id,
+    programId: call.program?.id,
+    route: route.name,
+    configVersion: routed.configVersion,
+    instanceId: id,
+    running: instance.running,
+    othersRunning: Math.round(instance.othersRunning),
+    loadAgeMs: Math.round(nowMs - instance.loadReadAtMs)
+  })
   const silenceMs = hasAlternative ? Math.max(minSilenceMs, route.targetLatencyMs * silencePerTarget) : 0
   const result = await attempt({
     call,
--- a/request/turn/src/account.ts
+++ b/request/turn/src/account.ts
@@ -29,7 +29,13 @@
 
   /// Reserves the most that the turn may generate. Rejects with `RefusedError`
   /// where the budget is spent, or where the account can't be known.
-  static async open (call: Call, route: Route, mostTokens: number, ledger: TurnLedger, log: EventLog): Promise<TurnAccount | null> {
+  static async open (
+    call: Call,
+    route: Route,
+    mostTokens: number,
+    ledger: TurnLedger,
+    log: EventLog
+  ): Promise<TurnAccount | null> {
     const budget = call.program?.tokenBudget ?? null
     if (call.program === null || budget === null) return null
     const retentionMs = Math.max(route.retentionMs, minAccountRetentionMs)
@@ -49,7 +55,12 @@
     if (this.isSettled) return
     this.isSettled = true
     this.keepSettling(tokens).catch((error: unknown) => {
-      this.log.event(Events.settleAbandoned, { callId: this.callId, programId: this.programId, tokens, error: messageOf(error) })
+      this.log.event(Events.settleAbandoned, {
+        callId: this.callId,
+        programId: this.programId,
+        tokens,
+        error: messageOf(error)
+      })
     })
   }
 
@@ -59,7 +70,10 @@
   }
 
   private async reserve (mostTokens: number): Promise<AccountEntry[]> {
-    const record = { ...blankRecord(TurnRecordKind.reservation, this.callId, this.programId, this.retentionMs), tokens: mostTokens }
+    const record = {
+      ...blankRecord(TurnRecordKind.reservation, this.callId, this.programId, this.retentionMs),
+      tokens: mostTokens
+    }
     try {
       return await this.ledger.reserve(record, reserveTimeoutMs)
     } catch (error) {
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -12,7 +12,11 @@
 
 /// The turns before a call, oldest first; none for the first turn. Rejects with
 /// `RefusedError`: "no such turn" only where that is certain.
-export async function readHistory (call: Call, ledger: TurnLedger, cache: ChainCache): Promise<readonly LedgerRecord[]> {
+export async function readHistory (
+  call: Call,
+  ledger: TurnLedger,
+  cache: ChainCache
+): Promise<readonly LedgerRecord[]> {
   if (call.previousTurnId === null) return []
   const cached = cache.chainOf(call.previousTurnId)
   if (cached !== null) return cached
@@ -39,7 +43,14 @@
 }
 
 /// The record that keeps a turn.
-export function turnRecord (call: Call, route: Route, input: Buffer, output: Buffer, tokens: number, instanceId: string): LedgerRecord {
+export function turnRecord (
+  call: Call,
+  route: Route,
+  input: Buffer,
+  output: Buffer,
+  tokens: number,
+  instanceId: string
+): LedgerRecord {
   return {
     ...blankRecord(TurnRecordKind.turn, call.id, call.program?.id ?? '', route.retentionMs),
     previousId: call.previousTurnId ?? '',
--- /dev/null
+++ b/standin/store/src/index.ts
@@ -0,0 +1,1 @@
+export { StandinStore, StoreFault } from './store.js'
--- /dev/null
+++ b/standin/system/src/system.ts
@@ -0,0 +1,235 @@
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { StandinStore } from '#standin/store'
+import { StandinUpstream } from '#standin/upstream'
+
+/// The whole system as real processes on loopback, before stand-ins.
+export interface SystemOptions {
+  /// The daemon's command, as words.
+  readonly command: readonly string[]
+  readonly entries: number
+  readonly storages: number
+  readonly engines: number
+  readonly services: number
+  readonly nodeArguments?: readonly string[]
+}
+
+/// One process of the system.
+export interface SystemNode {
+  readonly name: string
+  readonly role: 'entry' | 'storage'
+  readonly callers: string
+  readonly readiness: string
+  readonly dataDir: string
+  readonly zone: string
+  readonly peerPort: number
+  readonly metricsPort: number
+  process: ChildProcess
+  readonly lines: string[]
+}
+
+const zones = ['north', 'south', 'east']
+const heartbeatMs = 1200
+const startTimeoutMs = 15_000
+
+export const tokensPerEvent = 10
+
+/// Starts and stops the processes of one system.
+export class StandinSystem {
+  readonly store = new StandinStore()
+  readonly engines: StandinUpstream[] = []
+  readonly services: StandinUpstream[] = []
+  readonly nodes: SystemNode[] = []
+  private folder = ''
+  private storeAddress = ''
+  private isFirstStart = true
+
+  constructor (private readonly options: SystemOptions) {}
+
+  async start (): Promise<void> {
+    this.folder = await mkdtemp(join(tmpdir(), 'chicorynotch-'))
+    this.storeAddress = await this.store.listen()
+    this.store.put('config', 'main', configuration(1))
+    for (let i = 0; i < this.options.engines; i++) await this.addUpstream('models', i, 12)
+    for (let i = 0; i < this.options.services; i++) await this.addUpstream('tools', i, 0)
+    for (let i = 0; i < this.options.storages; i++) await this.addNode('storage', i)
+    for (let i = 0; i < this.options.entries; i++) await this.addNode('entry', i)
+    await this.waitUntilReady()
+    this.isFirstStart = false
+  }
+
+  get entries (): SystemNode[] {
+    return this.nodes.filter(node => node.role === 'entry')
+  }
+
+  get storages (): SystemNode[] {
+    return this.nodes.filter(node => node.role === 'storage')
+  }
+
+  /// Kills a process and starts it again, with an empty disk where that is asked for.
+  async restart (node: SystemNode, signal: 'SIGKILL' | 'SIGTERM', losesDisk: boolean): Promise<void> {
+    await end(node.process, signal)
+    if (losesDisk) await rm(node.dataDir, { recursive: true, force: true })
+    await this.writeSettings(node)
+    node.process = this.launch(node)
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.nodes.map(node => end(node.process, 'SIGKILL')))
+    this.store.close()
+    for (const upstream of [...this.engines, ...this.services]) upstream.close()
+    await rm(this.folder, { recursive: true, force: true })
+  }
+
+  async waitUntilReady (): Promise<void> {
+    const endsAtMs = performance.now() + startTimeoutMs
+    for (const { readiness, name } of this.entries) {
+      while (!await isReady(readiness)) {
+        if (performance.now() > endsAtMs) throw new Error(`${name} did not become ready`)
+        await pause(50)
+      }
+    }
+    while (this.membersServing() < this.options.storages) {
+      if (performance.now() > endsAtMs) throw new Error('the storage instances did not join')
+      await pause(50)
+    }
+  }
+
+  /// Storage members that hold everything, as the store's view says.
+  membersServing (): number {
+    const view = this.store.get('chicorynotch-storage-views', 'current')?.spec as { members: { state: string }[] } | undefined
+    return view?.members.filter(member => member.state === 'serving').length ?? 0
+  }
+
+  private async addUpstream (service: 'models' | 'tools', number: number, events: number): Promise<void> {
+    const id = `${service}-${number}`
+    const upstream = new StandinUpstream({ id, events, firstMs: 8, eventMs: 4 })
+    const address = await upstream.listen();
+    (service === 'models' ? this.engines : this.services).push(upstream)
+    const zone = zones[number % zones.length]!
+    this.store.put('servers', id, { service, address, zone, version: 'v1', slots: 32, state: 'ready', cold_remaining_ms: 0, seq: 1 })
+  }
+
+  private async addNode (role: SystemNode['role'], number: number): Promise<void> {
+    const name = `${role}-${number}`
+    const [callers, readiness, peer, metrics] = await freePorts(4)
+    const dataDir = join(this.folder, name, 'data')
+    await mkdir(join(this.folder, name))
+    const node = {
+      name,
+      role,
+      callers: `127.0.0.1:${callers}`,
+      readiness: `127.0.0.1:${readiness}`,
+      dataDir,
+      peerPort: peer!,
+      metricsPort: metrics!,
+      zone: zones[number % zones.length]!,
+      lines: [] as string[],
+      process: null as unknown as ChildProcess
+    }
+    await this.writeSettings(node)
+    node.process = this.launch(node)
+    this.nodes.push(node)
+  }
+
+  private async writeSettings (node: SystemNode): Promise<void> {
+    await writeFile(this.settingsFile(node), `[node]
+name = "${node.name}"
+role = "${node.role}"
+zone = "${node.zone}"
+ip = "127.0.0.1"
+first_start = ${this.isFirstStart}
+tolerated_losses = 1
+[listen]
+callers = "${node.callers}"
+readiness = "${node.readiness}"
+readiness_path = "/readyz"
+peer_port = ${node.peerPort}
+metrics_port = ${node.metricsPort}
+[store]
+address = "${this.storeAddress}"
+[storage]
+data_dir = "${node.dataDir}"
+disk_mb = 100
+[timing]
+stop_grace_ms = 4000
+drain_ms = 2000
+catch_up_ms = 4900
+heartbeat_ms = ${heartbeatMs}
+`)
+  }
+
+  private launch (node: SystemNode): ChildProcess {
+    const [program, ...words] = this.options.command
+    const child = spawn(program!, [...this.options.nodeArguments ?? [], ...words], {
+      env: { ...process.env, CHICORYNOTCH_CONFIG: this.settingsFile(node) },
+      stdio: ['ignore', 'pipe', 'pipe']
+    })
+    const keep = (text: Buffer): void => { node.lines.push(...text.toString('utf8').split('\n').filter(line => line !== '')) }
+    child.stdout!.on('data', keep)
+    child.stderr!.on('data', keep)
+    return child
+  }
+
+  private settingsFile (node: SystemNode): string {
+    return join(this.folder, node.name, 'settings.toml')
+  }
+}
+
+/// The operator's configuration before the stand-ins.
+export function configuration (version: number): unknown {
+  const turn = { hostname: 'demo.example', route_kind: 'streaming', timeout_ms: 4000, target_latency_ms: 250, service: 'models', max_attempts: 2, retention_s: 60, sticky: true, target_gap_ms: 200 }
+  const tool = { hostname: 'demo.example', timeout_ms: 1500, target_latency_ms: 100, priority: 2, service: 'tools' }
+  return {
+    version,
+    routes: [
+      { ...turn, name: 'chat', path_prefix: '/chat/', priority: 0, keeps_history: true, resumable: false },
+      { ...turn, name: 'query', path_prefix: '/query/', priority: 1, keeps_history: false, resumable: true },
+      { ...tool, name: 'check', path_prefix: '/check/', route_kind: 'idempotent', max_attempts: 2 },
+      { ...tool, name: 'charge', path_prefix: '/charge/', route_kind: 'non_idempotent', max_attempts: 1 }
+    ],
+    services: [
+      { name: 'models', health_path: '/healthz', max_conns: 240, protocol: 'h1', tls: false, engine: { slots: 32, kv_capacity: 800_000, chunk_tokens: tokensPerEvent } },
+      { name: 'tools', health_path: '/healthz', max_conns: 110, protocol: 'h1', tls: false }
+    ],
+    limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+  }
+}
+
+async function isReady (address: string): Promise<boolean> {
+  try {
+    return (await fetch(`http://${address}/readyz`)).ok
+  } catch {
+    return false
+  }
+}
+
+function end (child: ChildProcess, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+  return new Promise(resolve => {
+    if (child.exitCode !== null || child.signalCode !== null) return resolve()
+    child.once('exit', () => resolve())
+    child.kill(signal)
+  })
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+function listenAnywhere (): Promise<Server> {
+  return new Promise(resolve => {
+    const server = createServer().listen(0, '127.0.0.1', () => resolve(server))
+  })
+}
+
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/standin/upstream/src/index.ts
@@ -0,0 +1,2 @@
+export { StandinUpstream, UpstreamFault } from './upstream.js'
+export type { RanRequest, UpstreamOptions } from './upstream.js'
