--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -41,10 +41,13 @@
         if (bytes > maxBytes) reject(tooLarge(maxBytes))
         else chunks.push(chunk)
       })
-      request.once('end', () => resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)))
       const breakOff = (): void => reject(new RefusedError(Refusal.invalid, Verdict.notRun, 'the body broke off'))
       request.once('error', breakOff)
       request.once('close', breakOff)
+      request.once('end', () => {
+        request.off('close', breakOff)
+        resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
+      })
     })
   }
 
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -90,7 +90,7 @@
 
 async function startStorage ({ settings, platform, log, metrics }: Parts): Promise<Running> {
   const { node, listen } = settings
-  const { disk, contents } = await Disk.open(settings.storage!.data_dir, log)
+  const { disk, contents } = Disk.open(settings.storage!.data_dir, log)
   const ledger = new Ledger(disk, contents)
   const server = new LedgerServer(ledger)
   const address = `${node.ip}:${listen.peer_port}`
@@ -107,13 +107,14 @@
   const compaction = setInterval(() => {
     ledger.compact(Date.now()).catch((error: unknown) => log.event(Events.diskFailed, { error: messageOf(error) }))
   }, compactEveryMs)
+  ledger.onFailure = error => endAfterFailure(log, error)
   metrics.gauge('records', () => ledger.records.count)
   return {
     stop: async () => {
       clearInterval(compaction)
       membership.stop()
       server.close()
-      await disk.close()
+      disk.close()
     }
   }
 }
@@ -127,3 +128,10 @@
     log.event(Events.settingsRejected, { file: settingsFile, error: messageOf(error) })
   }
 }
+
+/// What a disk holds after a failed write isn't known; the next start reads it anew.
+function endAfterFailure (log: ProcessLog, error: Error): void {
+  log.event(Events.processStopped, { reason: messageOf(error) })
+  log.flush()
+  process.exit(1)
+}
--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto'
-import { mkdir, open, readFile, readdir, rename, unlink } from 'node:fs/promises'
-import type { FileHandle } from 'node:fs/promises'
+import {
+  closeSync, fdatasyncSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync, unlinkSync, writeSync
+} from 'node:fs'
 import { join } from 'node:path'
 import { crc32 } from 'node:zlib'
 import { LedgerRecord } from '#connection/rpc'
@@ -21,30 +22,30 @@
 const segmentBytes = 8 * 1024 * 1024
 
 /// An append-only log of records in numbered segments. A record is framed with
-/// its length and checksum, so that a torn tail is found. Appends that arrive
-/// while a sync runs share the next one.
+/// its length and checksum, so that a torn tail is found. Appends of one turn of
+/// the loop share one write and one sync; the loop waits for the disk, which
+/// costs less than a hand-over to other threads.
 export class Disk {
   private segment = 0
-  private file: FileHandle | null = null
+  private file = noFile
   private writtenBytes = 0
   private segments: number[] = []
   private pending: Batch | null = null
-  private isWriting = false
 
   private constructor (private readonly folder: string, readonly diskId: string, private readonly log: EventLog) {}
 
-  static async open (folder: string, log: EventLog): Promise<{ disk: Disk, contents: DiskContents }> {
-    await mkdir(folder, { recursive: true })
-    const names = await readdir(folder)
-    const known = names.includes(identityFile) ? await readIdentity(folder) : null
-    const diskId = known ?? await writeIdentity(folder)
-    const disk = new Disk(folder, diskId, log)
-    const records = await disk.readSegments(names)
-    await disk.startSegment()
+  static open (folder: string, log: EventLog): { disk: Disk, contents: DiskContents } {
+    mkdirSync(folder, { recursive: true })
+    const names = readdirSync(folder)
+    const known = names.includes(identityFile) ? readIdentity(folder) : null
+    const disk = new Disk(folder, known ?? writeIdentity(folder), log)
+    const records = disk.readSegments(names)
+    disk.startSegment()
+    const { diskId, segments } = disk
     log.event(Events.diskOpened, {
       diskId,
       records: records.length,
-      segments: disk.segments.length - 1,
+      segments: segments.length - 1,
       isNew: known === null
     })
     return { disk, contents: { records, wasEmpty: known === null && records.length === 0 } }
@@ -60,74 +61,64 @@
 
   /// Resolves to the segment that holds the records once they are synced.
   append (records: readonly LedgerRecord[]): Promise<number> {
-    this.pending ??= newBatch()
-    const batch = this.pending
-    for (const record of records) batch.frames.push(...frame(record))
-    if (!this.isWriting) this.writePending()
-    return batch.synced
+    if (this.pending === null) {
+      this.pending = newBatch()
+      setImmediate(() => this.writePending())
+    }
+    for (const record of records) this.pending.frames.push(...frame(record))
+    return this.pending.synced
   }
 
   /// Removes a segment whose records are held elsewhere or no longer needed.
-  async dropSegment (segment: number): Promise<void> {
+  dropSegment (segment: number): void {
     this.segments = this.segments.filter(other => other !== segment)
-    await unlink(join(this.folder, segmentName(segment)))
+    unlinkSync(join(this.folder, segmentName(segment)))
     this.log.event(Events.segmentDropped, { segment })
   }
 
-  async close (): Promise<void> {
-    await this.pending?.synced
-    await this.file?.close()
-    this.file = null
+  close (): void {
+    this.writePending()
+    if (this.file !== noFile) closeSync(this.file)
+    this.file = noFile
   }
 
   private writePending (): void {
     const batch = this.pending
     if (batch === null) return
     this.pending = null
-    this.isWriting = true
-    this.write(batch.frames).then(batch.resolve, (error: unknown) => {
+    try {
+      batch.resolve(this.write(batch.frames))
+    } catch (error) {
       this.log.event(Events.diskFailed, { error: messageOf(error) })
       batch.reject(error as Error)
-    }).finally(() => {
-      this.isWriting = false
-      this.writePending()
-    })
+    }
   }
 
-  private async write (frames: readonly Buffer[]): Promise<number> {
-    if (this.file === null || this.writtenBytes > segmentBytes) await this.startSegment()
+  private write (frames: readonly Buffer[]): number {
+    if (this.writtenBytes > segmentBytes) this.startSegment()
     const bytes = Buffer.concat(frames)
-    try {
-      await writeWhole(this.file!, bytes)
-      await this.file!.datasync()
-    } catch (error) {
-      // What such a segment holds past its last sync isn't known; later records go to a new one.
-      await this.file?.close().catch(() => {})
-      this.file = null
-      throw error
-    }
+    for (let at = 0; at < bytes.length;) at += writeSync(this.file, bytes, at)
+    fdatasyncSync(this.file)
     this.writtenBytes += bytes.length
     return this.segment
   }
 
-  private async startSegment (): Promise<void> {
-    await this.file?.close()
-    this.file = null
+  private startSegment (): void {
+    if (this.file !== noFile) closeSync(this.file)
     const number = Math.max(this.segment, ...this.segments, 0) + 1
-    const file = await open(join(this.folder, segmentName(number)), 'wx')
-    await file.sync()
-    await syncFolder(this.folder)
-    this.file = file
+    this.file = openSync(join(this.folder, segmentName(number)), 'wx')
+    fsyncSync(this.file)
+    syncFolder(this.folder)
     this.segment = number
     this.writtenBytes = 0
     this.segments.push(number)
   }
 
-  private async readSegments (names: readonly string[]): Promise<{ record: LedgerRecord, segment: number }[]> {
+  private readSegments (names: readonly string[]): { record: LedgerRecord, segment: number }[] {
     const found: { record: LedgerRecord, segment: number }[] = []
     this.segments = names.flatMap(name => segmentPattern.exec(name)?.[1] ?? []).map(Number).sort((a, b) => a - b)
     for (const segment of this.segments) {
-      const bytes = await readFile(join(this.folder, segmentName(segment)))
+      const bytes = readFileSync(join(this.folder, segmentName(segment)))
       const { records, validBytes } = parseFrames(bytes)
       for (const record of records) found.push({ record, segment })
       if (validBytes < bytes.length) {
@@ -138,6 +129,8 @@
   }
 }
 
+const noFile = -1
+
 interface Batch {
   readonly frames: Buffer[]
   readonly synced: Promise<number>
@@ -184,33 +177,28 @@
   return `segment-${String(number).padStart(8, '0')}`
 }
 
-async function writeWhole (file: FileHandle, bytes: Buffer): Promise<void> {
-  let at = 0
-  while (at < bytes.length) at += (await file.write(bytes, at)).bytesWritten
-}
-
-async function readIdentity (folder: string): Promise<string | null> {
-  const text = await readFile(join(folder, identityFile), 'utf8')
+function readIdentity (folder: string): string | null {
+  const text = readFileSync(join(folder, identityFile), 'utf8')
   return /^[0-9a-f]{24}$/.test(text) ? text : null
 }
 
-async function writeIdentity (folder: string): Promise<string> {
+function writeIdentity (folder: string): string {
   const diskId = randomBytes(12).toString('hex')
   const path = join(folder, identityFile)
-  const file = await open(`${path}.new`, 'w')
-  await file.writeFile(diskId)
-  await file.sync()
-  await file.close()
-  await rename(`${path}.new`, path)
-  await syncFolder(folder)
+  const file = openSync(`${path}.new`, 'w')
+  writeSync(file, diskId)
+  fsyncSync(file)
+  closeSync(file)
+  renameSync(`${path}.new`, path)
+  syncFolder(folder)
   return diskId
 }
 
-async function syncFolder (folder: string): Promise<void> {
-  const handle = await open(folder, 'r')
+function syncFolder (folder: string): void {
+  const handle = openSync(folder, 'r')
   try {
-    await handle.sync()
+    fsyncSync(handle)
   } finally {
-    await handle.close()
+    closeSync(handle)
   }
 }
--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -20,6 +20,7 @@
   private readonly syncing = new Map<string, Promise<unknown>>()
   /// Set once a write failed: what the disk holds isn't known from then on.
   private failure: Error | null = null
+  onFailure: (error: Error) => void = () => {}
 
   constructor (private readonly disk: Disk, contents: DiskContents) {
     for (const { record, segment } of contents.records) this.records.add(record, segment)
@@ -79,6 +80,7 @@
         for (const held of added) held.segment = segment
       } catch (error) {
         this.failure = error as Error
+        this.onFailure(this.failure)
         throw error
       } finally {
         for (const key of keys) this.syncing.delete(key)
@@ -97,7 +99,7 @@
       const segment = await this.disk.append(live.map(held => held.record))
       for (const held of live) held.segment = segment
     }
-    await this.disk.dropSegment(oldest)
+    this.disk.dropSegment(oldest)
   }
 
   private standing (callersVersion: number): Standing {
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -18,7 +18,7 @@
   for (const name of ['a', 'b', 'c']) {
     const folder = await mkdtemp(join(tmpdir(), 'ledger-'))
     folders.push(folder)
-    const { disk, contents } = await Disk.open(folder, silentLog)
+    const { disk, contents } = Disk.open(folder, silentLog)
     const server = new LedgerServer(new Ledger(disk, contents))
     servers.push(server)
     const address = `127.0.0.1:${await server.listen('127.0.0.1:0')}`
@@ -72,7 +72,7 @@
   for (const name of ['a', 'b', 'c']) {
     const folder = await mkdtemp(join(tmpdir(), 'ledger-'))
     folders.push(folder)
-    const { disk, contents } = await Disk.open(folder, silentLog)
+    const { disk, contents } = Disk.open(folder, silentLog)
     const ledger = new Ledger(disk, contents)
     ledgers.push(ledger)
     const server = new LedgerServer(ledger)
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -2,6 +2,7 @@
 import type { LedgerRecord } from '#connection/rpc'
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import { EventStreamParser, TurnAccount, promptOf, readHistory, turnRecord } from '#request/turn'
+import type { StreamEvent } from '#request/turn'
 import { Events, messageOf } from '#process/log'
 import { noteCached } from '#process/instances'
 import type { Place } from '#process/placement'
@@ -140,25 +141,29 @@
   }
 
   onData (chunk: Buffer): void {
-    for (const event of this.parser.push(chunk)) {
-      if (event.id >= 0) {
-        if (this.lastEventId >= 0 && event.id !== this.lastEventId + 1) {
-          throw new Error(`event ${event.id} follows ${this.lastEventId}`)
-        }
-        this.lastEventId = event.id
-      }
-      if (event.data !== null) {
-        this.events++
-        if (this.routed.route.keepsHistory) this.output.push(Buffer.from(event.data), lineFeed)
-      }
-      this.caller.write(event.bytes)
-    }
+    const events = this.parser.push(chunk)
+    for (const event of events) this.take(event)
+    if (events.length === 1) this.caller.write(events[0]!.bytes)
+    else if (events.length > 1) this.caller.write(Buffer.concat(events.map(event => event.bytes)))
   }
 
   isWhole (): boolean {
     return !this.parser.hasPartial
   }
 
+  /// Counts an event before it goes to the caller; throws where it isn't the next one.
+  private take (event: StreamEvent): void {
+    if (event.id >= 0) {
+      if (this.lastEventId >= 0 && event.id !== this.lastEventId + 1) {
+        throw new Error(`event ${event.id} follows ${this.lastEventId}`)
+      }
+      this.lastEventId = event.id
+    }
+    if (event.data === null) return
+    this.events++
+    if (this.routed.route.keepsHistory) this.output.push(Buffer.from(event.data), lineFeed)
+  }
+
   private async findPlace (): Promise<Place> {
     const { routed, context } = this
     const previous = this.history[this.history.length - 1]
