--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -18,8 +18,6 @@
 }
 
 const channelOptions = {
-  'grpc.keepalive_time_ms': 1500,
-  'grpc.keepalive_timeout_ms': 700,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.min_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 400,
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -23,13 +23,13 @@
 const viewWaitMs = 5000
 const retirementWaitMs = 10_000
 const watchPauseMs = 50
-const tickMs = 250
-const calmCopyPauseMs = 1000
+const tickMs = 400
+const calmCopyPauseMs = 2000
 const urgentCopyPauseMs = 100
 /// A member that no peer reaches for this long may give way to another one.
 const unreachableAfterMs = 5000
 /// A peer that answered this recently counts as present.
-const presentForMs = 2500
+const presentForMs = 4500
 const writeRetryMs = 800
 
 interface PeerState {
