Refuse at once while the storage instances are out of reach, and send callers elsewhere

Members that don't answer are now taken for down and probed; while a quorum is down turns fail at once, answers close the connection, and the entry isn't ready.

--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -143,7 +143,12 @@
   }
 
   private get isReady (): boolean {
-    return !this.isStopping && this.routes !== null && this.registry.isReady && this.quorum.viewVersion > 0
+    return !this.isStopping && this.routes !== null && this.registry.isReady && this.quorum.isReachable
+  }
+
+  /// Whether callers should rather go to another entry.
+  get isUnfit (): boolean {
+    return this.isStopping || !this.quorum.isReachable
   }
 
   private async serve (exchange: Parameters<typeof serveExchange>[0]): Promise<void> {
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -12,7 +12,8 @@
 export interface ServeState {
   /// Null before the first configuration.
   readonly routes: RouteTable | null
-  readonly isStopping: boolean
+  /// Callers are asked to open their next connection to another entry.
+  readonly isUnfit: boolean
 }
 
 type Serve = (routed: RoutedCall, caller: CallerAnswer, context: ForwardContext) => Promise<void>
@@ -157,12 +158,12 @@
   answer (head: AnswerHead, body: Buffer): void {
     this.status = head.status
     this.bytes = body.length
-    this.exchange.answer(head.status, this.codec.passAnswer(head), body, this.state.isStopping)
+    this.exchange.answer(head.status, this.codec.passAnswer(head), body, this.state.isUnfit)
   }
 
   open (head: AnswerHead): void {
     this.status = head.status
-    this.exchange.open(head.status, this.codec.passAnswer(head), this.state.isStopping)
+    this.exchange.open(head.status, this.codec.passAnswer(head), this.state.isUnfit)
   }
 
   write (bytes: Buffer): void {
@@ -193,6 +194,6 @@
         retryAfterMs: refused.retryAfterMs
       }
     })
-    this.exchange.answer(refused.status, headers, Buffer.from(body), this.state.isStopping || call === null)
+    this.exchange.answer(refused.status, headers, Buffer.from(body), this.state.isUnfit || call === null)
   }
 }
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -22,11 +22,14 @@
 const retryPauseMs = 40
 /// After this long without the nearest member's answer the others are asked too.
 const hedgeAfterMs = 40
+/// How often members that are down are asked whether they are back.
+const probeEveryMs = 200
 
 interface PeerState {
   member: Member
   readonly peer: LedgerPeer
-  lastFailureMs: number
+  /// Its last answer failed; the next one that comes clears it.
+  isDown: boolean
 }
 
 /// The storage instances as one: a record counts, and is absent, by quorum.
@@ -34,6 +37,7 @@
   private view: View = emptyView
   private rule: QuorumRule = quorumRule(emptyView, 0)
   private peers: PeerState[] = []
+  private prober: ReturnType<typeof setInterval> | null = null
 
   constructor (private readonly options: QuorumOptions, private readonly log: EventLog) {}
 
@@ -49,12 +53,19 @@
     this.peers = view.members.map(member => {
       const known = before.find(state => isSameDisk(state.member, member))
       if (known !== undefined) return Object.assign(known, { member })
-      return { member, peer: this.options.connect(member.address), lastFailureMs: -Infinity }
+      return { member, peer: this.options.connect(member.address), isDown: false }
     })
     for (const old of before) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
     this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
   }
 
+  /// Whether so many members seem to be up that appends can count. While they
+  /// aren't, requests fail at once instead of waiting for the time to run out.
+  get isReachable (): boolean {
+    const up = new Set(this.peers.filter(state => !state.isDown).map(state => state.member.diskId))
+    return this.countIn(up, this.rule.writers) >= this.rule.appends
+  }
+
   /// Appends records; resolves once they can't be lost.
   async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void> {
     await this.collect(records, '', timeoutMs, replies => this.countOf(replies, this.rule.writers) >= this.rule.appends)
@@ -76,7 +87,7 @@
   /// A turn's whole chain, oldest first; null where it certainly isn't kept.
   async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
     const ordered = this.byDistance()
-    if (ordered.length === 0) throw new QuorumError('no storage instance is known')
+    this.refuseIfUnreachable()
     const absent = new Set<string>()
     const deadlineMs = performance.now() + timeoutMs
     let chain: LedgerRecord[] | null = null
@@ -100,6 +111,7 @@
   }
 
   close (): void {
+    if (this.prober !== null) clearInterval(this.prober)
     for (const { peer } of this.peers) peer.close()
   }
 
@@ -111,6 +123,7 @@
     timeoutMs: number,
     isEnough: (replies: ReadonlyMap<string, AppendReply>) => boolean
   ): Promise<ReadonlyMap<string, AppendReply>> {
+    this.refuseIfUnreachable()
     const deadlineMs = performance.now() + timeoutMs
     const replies = new Map<string, AppendReply>()
     const request = { viewVersion: this.view.version, records: [...records], accountOf }
@@ -159,7 +172,7 @@
   ): Promise<Reply | null> {
     while (true) {
       const leftMs = deadlineMs - performance.now()
-      if (leftMs <= 1) return null
+      if (leftMs <= 1 || (state.isDown && !this.isReachable)) return null
       try {
         const reply = await call(state.peer, Math.min(leftMs, callTimeoutMs))
         this.heed(state, reply.standing!)
@@ -173,8 +186,8 @@
 
   /// Takes over a newer view that an answer brings, and asks for one where the disk isn't the expected one.
   private heed (state: PeerState, standing: Standing): void {
-    if (state.lastFailureMs > -Infinity) {
-      state.lastFailureMs = -Infinity
+    if (state.isDown) {
+      state.isDown = false
       this.log.event(Events.memberRegained, { member: state.member.name })
     }
     if (standing.newerView !== undefined) this.adopt(standing.newerView, state.member.name)
@@ -182,18 +195,36 @@
   }
 
   private noteFailure (state: PeerState, error: unknown): void {
-    if (state.lastFailureMs === -Infinity) {
-      this.log.event(Events.memberLost, { member: state.member.name, error: messageOf(error) })
-    }
-    state.lastFailureMs = performance.now()
+    if (!state.isDown) this.log.event(Events.memberLost, { member: state.member.name, error: messageOf(error) })
+    state.isDown = true
+    this.prober ??= setInterval(() => this.probe(), probeEveryMs)
     this.options.onStale()
   }
 
+  private probe (): void {
+    const down = this.peers.filter(state => state.isDown)
+    if (down.length === 0 && this.prober !== null) {
+      clearInterval(this.prober)
+      this.prober = null
+    }
+    const question = { viewVersion: this.view.version, cursor: 0, limit: 0, epoch: '' }
+    for (const state of down) {
+      state.peer.digest(question, callTimeoutMs).then(reply => this.heed(state, reply.standing!), () => {
+        // Still down, as the log says already.
+      })
+    }
+  }
+
+  private refuseIfUnreachable (): void {
+    // A view with too few members, none of them down, is an old one: an answer brings the newer one.
+    const isOld = this.peers.length > 0 && !this.peers.some(state => state.isDown)
+    if (!this.isReachable && !isOld) throw new QuorumError('too few storage instances are up')
+  }
+
   private byDistance (): PeerState[] {
     const rank = (state: PeerState): number => {
-      const isFailing = state.lastFailureMs > -Infinity
       const isNew = !this.rule.knowers.has(state.member.diskId)
-      return (isFailing ? 4 : 0) + (isNew ? 2 : 0) + (state.member.zone === this.options.zone ? 0 : 1)
+      return (state.isDown ? 4 : 0) + (isNew ? 2 : 0) + (state.member.zone === this.options.zone ? 0 : 1)
     }
     return [...this.peers].sort((a, b) => rank(a) - rank(b))
   }
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -24,8 +24,11 @@
   const { call, route, service } = routed
   const tokensPerEvent = service?.engine?.tokensPerEvent ?? 1
   const mostTokens = roundUp(call.usage?.maxOutputTokens ?? 0, tokensPerEvent)
+  const startedAtMs = performance.now()
   const [history, account] = await openTurn(routed, mostTokens, context)
-  const turn = new Turn(routed, caller, context, history, tokensPerEvent)
+  const storageMs = performance.now() - startedAtMs
+  context.metrics.observeMs('storage', storageMs)
+  const turn = new Turn(routed, caller, context, history, tokensPerEvent, storageMs)
   try {
     const isStream = await turn.run()
     if (isStream && route.keepsHistory) await turn.keep(account)
@@ -42,12 +45,10 @@
   context: ForwardContext
 ): Promise<[readonly LedgerRecord[], TurnAccount | null]> {
   const { call, route } = routed
-  const startedAtMs = performance.now()
   const [history, account] = await Promise.allSettled([
     route.keepsHistory ? readHistory(call, context.ledger, context.cache) : [],
     TurnAccount.open(call, route, mostTokens, context.ledger, context.log)
   ])
-  context.metrics.observeMs('storage', performance.now() - startedAtMs)
   if (history.status === 'rejected') {
     if (account.status === 'fulfilled') account.value?.settle(0)
     throw history.reason
@@ -74,7 +75,8 @@
     private readonly caller: CallerAnswer,
     private readonly context: ForwardContext,
     private readonly history: readonly LedgerRecord[],
-    private readonly tokensPerEvent: number
+    private readonly tokensPerEvent: number,
+    private readonly storageMs: number
   ) {
     this.prompt = promptOf(history, routed.body)
     this.lastEventId = routed.call.lastEventId
@@ -200,7 +202,9 @@
       loadAgeMs: Math.round(nowMs - instance.loadReadAtMs),
       history: this.history.length,
       promptBytes: this.prompt.length,
-      afterEvent: this.lastEventId
+      afterEvent: this.lastEventId,
+      ageMs: Math.round(nowMs - call.receivedAtMs),
+      storageMs: Math.round(this.storageMs)
     })
     const result = await attempt({
       call,
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -93,6 +93,7 @@
     route: route.name,
     configVersion: routed.configVersion,
     instanceId: id,
+    ageMs: Math.round(nowMs - call.receivedAtMs),
     running: instance.running,
     othersRunning: Math.round(instance.othersRunning),
     loadAgeMs: Math.round(nowMs - instance.loadReadAtMs)
