Ask again for a membership that is too small; gather log lines

An entry that read the membership while the first storage instance alone was in it never became ready: no call went out, so no answer brought the newer view. Seen in half of the starts on loopback ('did not become ready'); the test with a one-member view fails before and passes now. Log lines are written 16 kB or 250 ms at a time.

--- a/process/log/src/log.ts
+++ b/process/log/src/log.ts
@@ -24,6 +24,9 @@
 
 const windowMs = 1000
 const bufferBytes = 256 * 1024
+/// Lines gather up to this size or time before they are written.
+const writeBytes = 16 * 1024
+const writeEveryMs = 250
 
 /// Writes events as JSON lines to standard output. Each kind has a number of
 /// lines a second; what goes beyond it is counted and told once the second is
@@ -35,7 +38,7 @@
   private windowEndMs = 0
 
   constructor (node: string, role: string) {
-    this.output = pino.destination({ fd: 1, sync: false, minLength: 0, maxLength: bufferBytes })
+    this.output = pino.destination({ fd: 1, sync: false, minLength: writeBytes, periodicFlush: writeEveryMs, maxLength: bufferBytes })
     this.logger = pino({ base: { node, role } }, this.output)
   }
 
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -57,6 +57,7 @@
     })
     for (const old of before) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
     this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
+    if (!this.isReachable) this.startProbing()
   }
 
   /// Whether so many members seem to be up that appends can count. While they
@@ -197,13 +198,20 @@
   private noteFailure (state: PeerState, error: unknown): void {
     if (!state.isDown) this.log.event(Events.memberLost, { member: state.member.name, error: messageOf(error) })
     state.isDown = true
-    this.prober ??= setInterval(() => this.probe(), probeEveryMs)
     this.options.onStale()
+    this.startProbing()
+  }
+
+  private startProbing (): void {
+    this.prober ??= setInterval(() => this.probe(), probeEveryMs)
   }
 
+  /// Asks members that are down whether they are back, and for a newer view
+  /// while this one has too few members that are up.
   private probe (): void {
     const down = this.peers.filter(state => state.isDown)
-    if (down.length === 0 && this.prober !== null) {
+    if (!this.isReachable) this.options.onStale()
+    else if (down.length === 0 && this.prober !== null) {
       clearInterval(this.prober)
       this.prober = null
     }
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -87,3 +87,15 @@
   expect(ledgers.filter(ledger => ledger.records.count === 1).length).toBeGreaterThan(1)
   stale.close()
 })
+
+test('a view with too few members is asked for again without any call', async () => {
+  let asked = 0
+  const stale = new LedgerQuorum({
+    zone: 'a', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStale: () => { asked++ }
+  }, silentLog)
+  stale.adopt({ ...view, members: view.members.slice(0, 1) }, 'test')
+  expect(stale.isReachable).toBe(false)
+  await new Promise(resolve => setTimeout(resolve, 500))
+  expect(asked).toBeGreaterThan(0)
+  stale.close()
+})
