--- a/process/log/src/log.ts
+++ b/process/log/src/log.ts
@@ -25,7 +25,7 @@
 const windowMs = 1000
 const bufferBytes = 256 * 1024
 /// Lines gather up to this size or time before they are written.
-const writeBytes = 16 * 1024
+const writeBytes = 8 * 1024
 const writeEveryMs = 250
 
 /// Writes events as JSON lines to standard output. Each kind has a number of
