Take a storage instance for down only when it is silent altogether

Now answers that have arrived are read before a request expires, a member counts as silent only if nothing came from it within the time, and keeping a turn is tried for its whole time.

--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -15,6 +15,11 @@
 /// A peer did not answer in time, or not at all.
 export class PeerError extends Error {
   override readonly name = 'PeerError'
+
+  /// `isSilent` is false where the peer has answered other requests meanwhile: it is slow, not gone.
+  constructor (message: string, readonly isSilent = true) {
+    super(message)
+  }
 }
 
 const channelOptions = {
@@ -45,6 +50,7 @@
   private outgoing: Request[] = []
   private lastNumber = 0
   private timeouts = 0
+  private lastReplyMs = -Infinity
   private isClosed = false
 
   constructor (private readonly address: string) {}
@@ -74,7 +80,8 @@
     if (this.isClosed) return Promise.reject(new PeerError(`${this.address}: closed`))
     return new Promise((resolve, reject) => {
       const number = this.lastNumber = (this.lastNumber + 1) % 0x7fffffff
-      const timer = setTimeout(() => this.expire(number), timeoutMs)
+      // After a stall of the loop, answers that have arrived are read before the time is up.
+      const timer = setTimeout(() => setImmediate(() => this.expire(number, timeoutMs)), timeoutMs)
       this.pending.set(number, { timer, resolve, reject })
       if (this.outgoing.length === 0) queueMicrotask(() => this.flush())
       this.outgoing.push({ ...blankRequest, ...question, number })
@@ -102,6 +109,7 @@
 
   private settle (reply: Reply): void {
     this.timeouts = 0
+    this.lastReplyMs = performance.now()
     const pending = this.take(reply.number)
     if (pending === undefined) return
     if (reply.error === '') pending.resolve(reply)
@@ -115,11 +123,12 @@
     return pending
   }
 
-  private expire (number: number): void {
+  private expire (number: number, timeoutMs: number): void {
     const pending = this.take(number)
     if (pending === undefined) return
-    pending.reject(new PeerError(`${this.address}: no answer in time`))
-    if (++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
+    const isSilent = performance.now() - this.lastReplyMs > timeoutMs
+    pending.reject(new PeerError(`${this.address}: no answer in time`, isSilent))
+    if (isSilent && ++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
   }
 
   /// The session is gone; what it carried has no answer.
--- a/process/log/src/log.ts
+++ b/process/log/src/log.ts
@@ -38,7 +38,13 @@
   private windowEndMs = 0
 
   constructor (node: string, role: string) {
-    this.output = pino.destination({ fd: 1, sync: false, minLength: writeBytes, periodicFlush: writeEveryMs, maxLength: bufferBytes })
+    this.output = pino.destination({
+      fd: 1,
+      sync: false,
+      minLength: writeBytes,
+      periodicFlush: writeEveryMs,
+      maxLength: bufferBytes
+    })
     this.logger = pino({ base: { node, role } }, this.output)
   }
 
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,3 +1,4 @@
+import { PeerError } from '#connection/rpc'
 import type { AccountEntry, AppendReply, LedgerPeer, LedgerRecord, Member, Standing, View } from '#connection/rpc'
 import { mergeEntry } from '#process/ledger'
 import { Events, messageOf } from '#process/log'
@@ -18,7 +19,7 @@
   readonly onStale: () => void
 }
 
-const callTimeoutMs = 350
+const callTimeoutMs = 400
 const retryPauseMs = 40
 /// After this long without the nearest member's answer the others are asked too.
 const hedgeAfterMs = 40
@@ -67,13 +68,15 @@
     return this.countIn(up, this.rule.writers) >= this.rule.appends
   }
 
-  /// Appends records; resolves once they can't be lost.
+  /// Appends records; resolves once they can't be lost. Tries for the whole
+  /// time, also while the storage instances seem to be out of reach.
   async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void> {
     await this.collect(records, '', timeoutMs, replies => this.countOf(replies, this.rule.writers) >= this.rule.appends)
   }
 
   /// Appends a reservation and resolves to the program's whole account.
   async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]> {
+    this.refuseIfUnreachable()
     const replies = await this.collect([reservation], reservation.programId, timeoutMs, replies => {
       return this.countOf(replies, this.rule.writers) >= this.rule.appends &&
         this.countOf(replies, this.rule.knowers) >= this.rule.accounts
@@ -93,10 +96,8 @@
     const deadlineMs = performance.now() + timeoutMs
     let chain: LedgerRecord[] | null = null
     const ask = async (state: PeerState): Promise<void> => {
-      const reply = await this.ask(state, (peer, callMs) => peer.findChain({
-        viewVersion: this.view.version,
-        turnId
-      }, callMs), deadlineMs)
+      const question = { viewVersion: this.view.version, turnId }
+      const reply = await this.ask(state, (peer, callMs) => peer.findChain(question, callMs), deadlineMs, true)
       if (reply === null || chain !== null) return
       if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
       else if (reply.chain.length === 0) absent.add(reply.standing!.diskId)
@@ -124,12 +125,11 @@
     timeoutMs: number,
     isEnough: (replies: ReadonlyMap<string, AppendReply>) => boolean
   ): Promise<ReadonlyMap<string, AppendReply>> {
-    this.refuseIfUnreachable()
     const deadlineMs = performance.now() + timeoutMs
     const replies = new Map<string, AppendReply>()
     const request = { viewVersion: this.view.version, records: [...records], accountOf }
     const send = async (state: PeerState): Promise<void> => {
-      const reply = await this.ask(state, (peer, callMs) => peer.append(request, callMs), deadlineMs)
+      const reply = await this.ask(state, (peer, callMs) => peer.append(request, callMs), deadlineMs, accountOf !== '')
       if (reply !== null) replies.set(reply.standing!.diskId, reply)
     }
     await this.askAll(send, () => isEnough(replies), deadlineMs)
@@ -165,15 +165,17 @@
     })
   }
 
-  /// Asks one member until it answers or the time is up; null in that case.
+  /// Asks one member until it answers or the time is up; null in that case, or
+  /// where it may give up since too few members are up.
   private async ask<Reply extends { standing?: Standing | undefined }> (
     state: PeerState,
     call: (peer: LedgerPeer, timeoutMs: number) => Promise<Reply>,
-    deadlineMs: number
+    deadlineMs: number,
+    givesUp: boolean
   ): Promise<Reply | null> {
     while (true) {
       const leftMs = deadlineMs - performance.now()
-      if (leftMs <= 1 || (state.isDown && !this.isReachable)) return null
+      if (leftMs <= 1 || (givesUp && state.isDown && !this.isReachable)) return null
       try {
         const reply = await call(state.peer, Math.min(leftMs, callTimeoutMs))
         this.heed(state, reply.standing!)
@@ -196,6 +198,7 @@
   }
 
   private noteFailure (state: PeerState, error: unknown): void {
+    if (error instanceof PeerError && !error.isSilent) return
     if (!state.isDown) this.log.event(Events.memberLost, { member: state.member.name, error: messageOf(error) })
     state.isDown = true
     this.options.onStale()
