--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -32,6 +32,10 @@
 }
 // A connection that has let this many requests in a row run out of time is taken for a silent one.
 const timeoutsBeforeReconnect = 2
+/// A timer that is this late shows that the loop stood still.
+const stallMs = 15
+/// What has arrived meanwhile gets this long to be read.
+const stallGraceMs = 60
 
 type Session = ClientDuplexStream<Requests, Replies>
 
@@ -80,8 +84,12 @@
     if (this.isClosed) return Promise.reject(new PeerError(`${this.address}: closed`))
     return new Promise((resolve, reject) => {
       const number = this.lastNumber = (this.lastNumber + 1) % 0x7fffffff
+      const dueMs = performance.now() + timeoutMs
       // After a stall of the loop, answers that have arrived are read before the time is up.
-      const timer = setTimeout(() => setImmediate(() => this.expire(number, timeoutMs)), timeoutMs)
+      const timer = setTimeout(() => {
+        const wasStalled = performance.now() - dueMs > stallMs
+        setTimeout(() => this.expire(number, timeoutMs), wasStalled ? stallGraceMs : 0)
+      }, timeoutMs)
       this.pending.set(number, { timer, resolve, reject })
       if (this.outgoing.length === 0) queueMicrotask(() => this.flush())
       this.outgoing.push({ ...blankRequest, ...question, number })
