--- /dev/null
+++ b/process/entry/test/serve.test.ts
@@ -0,0 +1,249 @@
+import { randomBytes } from 'node:crypto'
+import { connect } from 'node:net'
+import { request } from 'undici'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { FrontServer } from '#connection/front'
+import type { LedgerRecord } from '#connection/rpc'
+import { InstanceClient } from '#connection/upstream'
+import { ChainCache } from '#request/turn'
+import type { TurnLedger } from '#request/turn'
+import { RouteTable } from '#version/configuration'
+import { serveExchange } from '#process/entry'
+import { InstanceRegistry } from '#process/instances'
+import { mergeEntry } from '#process/ledger'
+import { silentLog } from '#process/log'
+import { Metrics } from '#process/metrics'
+import { Placement } from '#process/placement'
+import { platformHeaders, readConfiguration, readInstance } from '#platform'
+import { StandinUpstream, UpstreamFault } from '#standin/upstream'
+import { configuration } from '#standin/system'
+
+/// A ledger in memory that can be told to fail.
+class FakeLedger implements TurnLedger {
+  readonly records = new Map<string, LedgerRecord>()
+  isAway = false
+
+  async append (records: readonly LedgerRecord[]): Promise<void> {
+    if (this.isAway) throw new Error('away')
+    for (const record of records) this.records.set(`${record.kind}/${record.id}`, record)
+  }
+
+  async reserve (reservation: LedgerRecord): Promise<ReturnType<typeof mergeEntry>[]> {
+    await this.append([reservation])
+    const account = new Map<string, ReturnType<typeof mergeEntry>>()
+    for (const { kind, id, tokens, programId } of this.records.values()) {
+      if (programId !== reservation.programId) continue
+      const entry = kind === 1
+        ? {
+            id,
+            reserved: tokens,
+            spent: 0,
+            settled: false
+          }
+        : { id, reserved: 0, spent: tokens, settled: true }
+      account.set(id, mergeEntry(account.get(id), entry))
+    }
+    return [...account.values()]
+  }
+
+  async findChain (turnId: string): Promise<LedgerRecord[] | null> {
+    if (this.isAway) throw new Error('away')
+    const chain: LedgerRecord[] = []
+    for (let id = turnId; id !== '';) {
+      const turn = this.records.get(`3/${id}`)
+      if (turn === undefined) return null
+      chain.unshift(turn)
+      id = turn.previousId
+    }
+    return chain
+  }
+}
+
+interface Seen {
+  readonly status: number
+  readonly headers: Record<string, unknown>
+  readonly body: string
+}
+
+let ledger: FakeLedger
+let front: FrontServer
+let address: string
+let engines: StandinUpstream[]
+let tools: StandinUpstream[]
+
+beforeEach(async () => {
+  ledger = new FakeLedger()
+  engines = [0, 1].map(i => new StandinUpstream({ id: `models-${i}`, events: 4, firstMs: 1, eventMs: 1 }))
+  tools = [0, 1].map(i => new StandinUpstream({ id: `tools-${i}`, events: 0, firstMs: 1, eventMs: 0 }))
+  const registry = new InstanceRegistry({
+    readInstance,
+    connect: at => new InstanceClient(at.address, 8),
+    onChange: () => {}
+  }, silentLog)
+  const objects = []
+  for (const upstream of [...engines, ...tools]) {
+    const spec = { service: upstream.options.id.split('-')[0], address: await upstream.listen(), zone: 'z', slots: 8, state: 'ready' }
+    objects.push({ name: upstream.options.id, revision: 1, spec, status: null })
+  }
+  registry.onListing({ objects, revision: 1 }, false)
+  const routes = new RouteTable(readConfiguration({ name: 'main', revision: 1, spec: configuration(1), status: null }))
+  const placement = new Placement(registry, 'z', silentLog)
+  const context = {
+    codec: platformHeaders,
+    placement,
+    ledger,
+    cache: new ChainCache(1000),
+    log: silentLog,
+    metrics: new Metrics()
+  }
+  front = new FrontServer({
+    serve: exchange => serveExchange(exchange, { routes, isUnfit: false }, context),
+    onMalformed: () => {}
+  })
+  address = (await front.listen('127.0.0.1:0')).replace('http://', '')
+})
+
+afterEach(async () => {
+  for (const upstream of [...engines, ...tools]) upstream.close()
+  await front.close()
+})
+
+async function call (path: string, headers: Record<string, string> = {}, method: 'GET' | 'POST' = 'POST', body = 'hello'): Promise<Seen> {
+  const answer = await request(`http://${address}${path}`, {
+    method,
+    headers: { host: 'demo.example', 'attempt-id': randomBytes(8).toString('hex'), 'deadline-ms': '1500', ...headers },
+    body: method === 'GET' ? null : body
+  })
+  return { status: answer.statusCode, headers: answer.headers, body: await answer.body.text() }
+}
+
+function fault (upstreams: StandinUpstream[], kind: UpstreamFault): void {
+  for (const upstream of upstreams) upstream.fault = kind
+}
+
+const ran = (upstreams: StandinUpstream[]): number => upstreams.reduce((sum, upstream) => sum + upstream.ran.length, 0)
+
+test('an answer is passed on with its signature, under the id of the call', async () => {
+  const seen = await call('/charge/1', { 'attempt-id': 'a1' })
+  expect(seen).toMatchObject({ status: 200, body: 'done /charge/1 hello', headers: { 'attempt-id': 'a1' } })
+  expect(seen.headers['server-signature']).toMatch(/^tools-/)
+})
+
+test('headers that are the system\'s to set do not go upstream', async () => {
+  await call('/charge/1', { hold: 'x', 'pin-ms': '5', 'kv-backup': '1.2.3.4:5', 'expect-instance': 'other', 'x-own': 'kept' })
+  const { headers } = tools.flatMap(upstream => upstream.ran)[0]!
+  expect([headers.hold, headers['pin-ms'], headers['kv-backup']]).toEqual([undefined, undefined, undefined])
+  expect(headers['x-own']).toBe('kept')
+  expect(headers['expect-instance']).toMatch(/^tools-/)
+  expect(Number(headers['deadline-ms'])).toBeLessThanOrEqual(1500)
+})
+
+test.each<[string, UpstreamFault, number]>([
+  ['its answer lost', UpstreamFault.answerLost, 2],
+  ['answered under another id', UpstreamFault.mixedUp, 2],
+  ['broken off', UpstreamFault.broken, 2]
+])('an idempotent call runs at another instance: %s', async (_, kind, runs) => {
+  fault(tools, kind)
+  // Whichever is asked first fails, and the other one is sound by then.
+  tools[0]!.onRun = () => { tools[1]!.fault = UpstreamFault.none }
+  tools[1]!.onRun = () => { tools[0]!.fault = UpstreamFault.none }
+  expect((await call('/check/1', {}, 'GET')).status).toBe(200)
+  expect(ran(tools)).toBe(runs)
+})
+
+test('an idempotent call that one instance refuses runs at the other', async () => {
+  tools[0]!.fault = UpstreamFault.full
+  for (let i = 0; i < 4; i++) expect((await call('/check/1', {}, 'GET')).status).toBe(200)
+  expect([tools[0]!.ran.length, tools[1]!.ran.length]).toEqual([0, 4])
+})
+
+test.each<[string, UpstreamFault, number]>([
+  ['its answer lost', UpstreamFault.answerLost, 502],
+  ['answered under another id', UpstreamFault.mixedUp, 502],
+  ['broken off', UpstreamFault.broken, 502]
+])('a call that may not be repeated runs once, and "not run" is not said: %s', async (_, kind, status) => {
+  fault(tools, kind)
+  expect((await call('/charge/1')).status).toBe(status)
+  expect(ran(tools)).toBe(1)
+})
+
+test('a call that nobody ran is refused with the promise and a time to come back', async () => {
+  fault(tools, UpstreamFault.full)
+  const seen = await call('/charge/1')
+  expect(seen.status).toBe(503)
+  expect(Number(seen.headers['retry-after'])).toBeGreaterThan(0)
+  expect(ran(tools)).toBe(0)
+})
+
+test('a call that runs past its time is answered 504, one that never ran 503', async () => {
+  fault(tools, UpstreamFault.silent)
+  expect((await call('/charge/1', { 'deadline-ms': '120' })).status).toBe(504)
+})
+
+test.each([
+  ['no route', '/nowhere/1', {}, 404],
+  ['another host', '/charge/1', { host: 'other.example' }, 404],
+  ['a turn that never was', '/chat/1', { 'previous-turn': 'none' }, 404]
+])('%s', async (_, path, headers, status) => {
+  expect((await call(path, headers)).status).toBe(status)
+  expect(ran([...engines, ...tools])).toBe(0)
+})
+
+test('a turn gets the inputs and outputs before it, and is kept before its answer ends', async () => {
+  await call('/chat/1', { 'attempt-id': 't1' }, 'POST', 'first;')
+  await call('/chat/1', { 'attempt-id': 't2', 'previous-turn': 't1' }, 'POST', 'second;')
+  const prompts = engines.flatMap(engine => engine.ran).map(request => request.body)
+  const output = [1, 2, 3, 4].map(id => `piece ${id} after 6 bytes\n`).join('')
+  expect(prompts).toEqual(['first;', `first;${output}second;`])
+  expect(ledger.records.has('3/t2')).toBe(true)
+})
+
+test('a turn that can\'t be kept doesn\'t look whole; nothing is sent while the ledger is away', async () => {
+  engines[0]!.onRun = engines[1]!.onRun = () => { ledger.isAway = true }
+  await expect(call('/chat/1', {})).rejects.toThrow()
+  expect((await call('/chat/1', { 'previous-turn': 't1' })).status).toBe(503)
+  expect(ran(engines)).toBe(1)
+})
+
+test('a program may not go beyond its budget by more than one turn', async () => {
+  const headers = { 'program-id': 'p', 'token-budget': '70', 'token-usage': '10,40' }
+  const statuses: number[] = []
+  for (let i = 0; i < 4; i++) statuses.push((await call('/query/1', headers)).status)
+  expect(statuses).toEqual([200, 200, 402, 402])
+  expect(ran(engines)).toBe(2)
+})
+
+test('a resumable stream goes on at another engine after its last event', async () => {
+  engines[0]!.fault = engines[1]!.fault = UpstreamFault.broken
+  let runs = 0
+  engines[0]!.onRun = engines[1]!.onRun = () => { if (++runs === 2) fault(engines, UpstreamFault.none) }
+  const seen = await call('/query/1')
+  expect([...seen.body.matchAll(/id: (\d)/g)].map(match => match[1])).toEqual(['1', '2', '3', '4'])
+  expect(runs).toBe(2)
+})
+
+test('a stream that may not be resumed breaks off visibly', async () => {
+  fault(engines, UpstreamFault.broken)
+  await expect(call('/chat/1')).rejects.toThrow()
+  expect(ran(engines)).toBe(1)
+})
+
+test.each([
+  ['two lengths', 'POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: s1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde'],
+  ['a length and chunks', 'POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: s1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'],
+  ['a space before the colon', 'POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: s1\r\nContent-Length : 3\r\n\r\nabc'],
+  ['chunks that are none', 'POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n'],
+  ['no id', 'POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nContent-Length: 0\r\n\r\n'],
+  ['a header that is too large', `POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: s1\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`]
+])('a malformed request reaches nobody: %s', async (_, text) => {
+  const answer = await new Promise<string>(resolve => {
+    const [host, port] = address.split(':')
+    const socket = connect(Number(port), host, () => socket.write(text))
+    let seen = ''
+    socket.on('data', chunk => { seen += chunk.toString() })
+    socket.on('close', () => resolve(seen))
+    setTimeout(() => socket.destroy(), 400)
+  })
+  expect(answer).toMatch(/^HTTP\/1\.1 4(00|31)/)
+  expect(ran(tools)).toBe(0)
+})
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -88,9 +88,9 @@
 
   async waitUntilReady (): Promise<void> {
     const endsAtMs = performance.now() + startTimeoutMs
-    for (const { readiness, name } of this.entries) {
+    for (const { readiness, name, lines } of this.entries) {
       while (!await isReady(readiness)) {
-        if (performance.now() > endsAtMs) throw new Error(`${name} did not become ready`)
+        if (performance.now() > endsAtMs) throw new Error(`${name} did not become ready:\n${lines.join('\n')}`)
         await pause(50)
       }
     }
