--- /dev/null
+++ b/process/cli/test/cli.test.ts
@@ -0,0 +1,81 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect, test } from 'vitest'
+import { runCli } from '#process/cli'
+
+const log = [
+  '   0.5 e1 {"level":30,"time":100,"node":"e1","event":500,"callId":"c1","programId":"p","instanceId":"i","msg":"call-dispatched"}',
+  '{"level":40,"time":150,"node":"e1","event":330,"member":"s1","msg":"member-lost"}',
+  '{"level":40,"time":160,"node":"e2","event":330,"member":"s1","msg":"member-lost"}',
+  '{"level":40,"time":180,"node":"e1","event":332,"of":"append","ids":["c1"],"answered":1,"msg":"quorum-missed"}',
+  '{"level":40,"time":200,"node":"e1","event":502,"callId":"c1","programId":"p","refusal":"ledger-unavailable","durationMs":120,"msg":"call-refused"}',
+  '{"level":30,"time":300,"node":"e2","event":501,"callId":"c2","programId":"p","status":200,"durationMs":50,"msg":"call-finished"}',
+  '{"level":30,"time":310,"node":"e2","event":501,"callId":"c3","programId":"q"'
+].join('\n')
+
+async function run (...words: string[]): Promise<{ code: number, output: string }> {
+  let output = ''
+  const code = await runCli(words, { readInput: () => log, write: text => { output += text } })
+  return { code, output }
+}
+
+test('explain: a call\'s lines and what its process believed meanwhile', async () => {
+  const { code, output } = await run('explain', 'c1', '--json')
+  expect(code).toBe(0)
+  expect(JSON.parse(output).map((line: { name: string, node: string }) => `${line.node} ${line.name}`))
+    .toEqual(['e1 call-dispatched', 'e1 member-lost', 'e1 quorum-missed', 'e1 call-refused'])
+})
+
+test('timeline: a program\'s calls over all processes', async () => {
+  const { output } = await run('timeline', 'p')
+  expect(output.split('\n').filter(line => line !== '').map(line => line.split(' ')[0])).toEqual(['c1', 'c2'])
+  expect(output).toContain('call-refused ledger-unavailable')
+})
+
+test.each([
+  [['explain', 'nobody'], 1],
+  [['timeline', 'nobody'], 1],
+  [['dance'], 2],
+  [[], 2],
+  [['check', '/nonexistent'], 1]
+])('exit code of %j is %i', async (words, code) => {
+  expect((await run(...words)).code).toBe(code)
+})
+
+const sound = `[node]
+name = "e1"
+role = "entry"
+zone = "z"
+ip = "127.0.0.1"
+first_start = true
+tolerated_losses = 1
+[listen]
+callers = "127.0.0.1:80"
+readiness = "127.0.0.1:81"
+peer_port = 82
+metrics_port = 83
+[store]
+address = "127.0.0.1:84"
+[timing]
+stop_grace_ms = 8000
+drain_ms = 2000
+catch_up_ms = 4900
+heartbeat_ms = 1200
+`
+
+test.each([
+  ['sound', sound, 0, 'sound, role entry'],
+  ['an unknown key', sound.replace('zone =', 'zoen ='), 1, 'node.zoen: unknown key'],
+  ['a wrong type', sound.replace('8000', '"long"'), 1, 'timing.stop_grace_ms: found "long": expected number'],
+  ['a role that is none', sound.replace('"entry"', '"king"'), 1, 'node.role: found "king": expected one of entry, sidecar, storage'],
+  ['what the role needs', sound.replace('callers = "127.0.0.1:80"\n', ''), 1, 'listen.callers: an entry needs an address'],
+  ['no TOML', '[node', 1, '']
+])('check: %s', async (_, text, code, expected) => {
+  const folder = mkdtempSync(join(tmpdir(), 'cli-'))
+  writeFileSync(join(folder, 's.toml'), text)
+  const seen = await run('check', join(folder, 's.toml'))
+  rmSync(folder, { recursive: true })
+  expect(seen.code).toBe(code)
+  expect(seen.output).toContain(expected)
+})
--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -46,10 +46,12 @@
   instance.loadReadAtMs = nowMs
 }
 
-export function noteFailure (instance: Instance, nowMs: number): void {
+/// Returns for how long the instance is now avoided.
+export function noteFailure (instance: Instance, nowMs: number): number {
   instance.failures++
   const suspicionMs = Math.min(firstSuspicionMs * 2 ** (instance.failures - 1), maxSuspicionMs)
   instance.suspectUntilMs = nowMs + suspicionMs
+  return suspicionMs
 }
 
 export function noteSuccess (instance: Instance): void {
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -3,6 +3,8 @@
 import type { AnswerSink, Sending } from '#connection/upstream'
 import type { Call } from '#request/call'
 import { noteFailure, noteLoad, noteSuccess } from '#process/instances'
+import { Events } from '#process/log'
+import type { EventLog } from '#process/log'
 import type { Instance } from '#process/instances'
 
 /// How one sending to one instance ended.
@@ -39,6 +41,7 @@
   readonly signal: AbortSignal
   /// The attempt ends where nothing has come for this long; 0 for never.
   readonly silenceMs: number
+  readonly log: EventLog
 }
 
 const statusMisdirected = 421
@@ -116,7 +119,7 @@
 
   onError (error: UpstreamError): void {
     if (this.isOver) return
-    noteFailure(this.request.instance, performance.now())
+    this.suspect(error.message)
     this.finish({ kind: error.mayHaveRun ? 'broken' : 'unsent', reason: error.message })
   }
 
@@ -128,12 +131,26 @@
     this.sending?.abort()
   }
 
+  private suspect (reason: string): void {
+    const { instance, call, log } = this.request
+    const suspicionMs = noteFailure(instance, performance.now())
+    const { id, address } = instance.description
+    log.event(Events.instanceSuspected, {
+      instanceId: id,
+      address,
+      callId: call.id,
+      reason,
+      suspicionMs,
+      failures: instance.failures
+    })
+  }
+
   private restartSilence (): void {
-    const { silenceMs, instance } = this.request
+    const { silenceMs } = this.request
     if (silenceMs === 0) return
     if (this.silence !== null) clearTimeout(this.silence)
     this.silence = setTimeout(() => {
-      noteFailure(instance, performance.now())
+      this.suspect('silent')
       this.breakOff(`silent for ${silenceMs} ms`)
     }, silenceMs)
   }
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -210,6 +210,7 @@
       call,
       instance,
       codec: context.codec,
+      log: context.log,
       body: this.prompt,
       remainingMs: routed.deadlineMs - nowMs,
       lastEventId: this.lastEventId,
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -103,6 +103,7 @@
     call,
     instance,
     codec: context.codec,
+    log: context.log,
     body: routed.body,
     remainingMs: routed.deadlineMs - nowMs,
     lastEventId: -1,
