Try: hold others' load while fresh, late programs last, no call beyond an instance's slots

Cause (Tunda, mix: half of the engines are scaled in): entries send 4 x 33 calls to an engine of 32 slots, since what others have there fades within 400 ms; turns end at their deadline in the engine's queue.

--- /dev/null
+++ b/process/placement/test/placement.test.ts
@@ -0,0 +1,122 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { InstanceClient } from '#connection/upstream'
+import type { Call } from '#request/call'
+import { InstanceRegistry, estimateRunning, noteFailure, noteLoad } from '#process/instances'
+import type { Instance } from '#process/instances'
+import { silentLog } from '#process/log'
+import { Placement, chooseInstance } from '#process/placement'
+import type { PlacementNeed } from '#process/placement'
+import { readInstance } from '#platform'
+
+let registry: InstanceRegistry
+let placement: Placement
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'queueMicrotask'] })
+  const connect = ({ address }: { address: string }): InstanceClient => new InstanceClient(address, 4)
+  registry = new InstanceRegistry({ readInstance, connect, onChange: () => {} }, silentLog)
+  const objects = ['a', 'b'].map((name, i) => {
+    const spec = { service: 's', address: `10.0.0.${i + 1}:80`, zone: `z${i}`, slots: 1, state: 'ready' }
+    return { name, revision: 1, spec, status: null }
+  })
+  registry.onListing({ objects, revision: 1 }, false)
+  placement = new Placement(registry, 'z0', silentLog)
+})
+
+afterEach(() => { vi.useRealTimers() })
+
+function need (id: string, fields: Partial<PlacementNeed> = {}, remainingMs = 5000): PlacementNeed {
+  const call: Call = {
+    id,
+    method: 'POST',
+    path: '/',
+    host: 'h',
+    passedHeaders: [],
+    patienceMs: 4000,
+    receivedAtMs: performance.now(),
+    program: { id, sessionId: id, remainingMs, tokenBudget: null },
+    previousTurnId: null,
+    usage: null,
+    prefix: [],
+    lastEventId: -1
+  }
+  return {
+    call,
+    service: 's',
+    engine: null,
+    priority: 1,
+    bodyBytes: 0,
+    excluded: new Set(),
+    previousInstanceId: null,
+    deadlineMs: performance.now() + 4000,
+    ...fields
+  }
+}
+
+const signal = new AbortController().signal
+const instance = (id: string): Instance => registry.get(id)!
+
+test('full instances are waited for: urgent first, then the program that ends first, late ones last', async () => {
+  const held = [await placement.acquire(need('x1'), signal), await placement.acquire(need('x2'), signal)]
+  const order: string[] = []
+  const wait = (id: string, fields: Partial<PlacementNeed>, remainingMs: number): void => {
+    placement.acquire(need(id, fields, remainingMs), signal).then(place => {
+      order.push(id)
+      place.release()
+    }, () => { order.push(`refused ${id}`) })
+  }
+  wait('late', { priority: 0 }, -1)
+  wait('relaxed', {}, 3000)
+  wait('pressed', {}, 1000)
+  wait('urgent', { priority: 0 }, 3000)
+  held[0]!.release()
+  await vi.advanceTimersByTimeAsync(50)
+  expect(order).toEqual(['urgent', 'pressed', 'relaxed', 'late'])
+})
+
+test('a call that has waited too long is refused as not run, with a time to come back', async () => {
+  await placement.acquire(need('x1'), signal)
+  await placement.acquire(need('x2'), signal)
+  const refused = placement.acquire(need('x3'), signal).catch((error: unknown) => error)
+  await vi.advanceTimersByTimeAsync(2500)
+  expect(await refused).toMatchObject({ refusal: 'overloaded', verdict: 'not-run', status: 503 })
+})
+
+test('without an instance a call is refused at once', async () => {
+  const excluded = new Set(['a', 'b'])
+  await expect(placement.acquire(need('x', { excluded }), signal)).rejects.toMatchObject({ refusal: 'no-instance' })
+})
+
+test('a caller that leaves waits no longer', async () => {
+  await placement.acquire(need('x1'), signal)
+  await placement.acquire(need('x2'), signal)
+  const stop = new AbortController()
+  const waiting = placement.acquire(need('x3'), stop.signal).catch((error: unknown) => error)
+  stop.abort()
+  expect(await waiting).toMatchObject({ verdict: 'not-run' })
+  expect(placement.waiting).toBe(0)
+})
+
+test('an instance that failed is avoided for a while, not for ever', async () => {
+  noteFailure(instance('a'), performance.now())
+  expect((await placement.acquire(need('x'), signal)).instance).toBe(instance('b'))
+  await vi.advanceTimersByTimeAsync(400)
+  expect((await placement.acquire(need('y'), signal)).instance).toBe(instance('a'))
+})
+
+test('what others have there counts in full while fresh, then fades', () => {
+  noteLoad(instance('a'), { running: 3, waiting: 1, slots: 4 }, 1000)
+  expect(estimateRunning(instance('a'), 1500)).toBe(4)
+  expect(estimateRunning(instance('a'), 2200)).toBe(2)
+})
+
+test.each<[string, (a: Instance, b: Instance) => void, Partial<PlacementNeed>, string]>([
+  ['the own zone, all else equal', () => {}, {}, 'a'],
+  ['the less loaded one', a => { a.running = 3 }, {}, 'b'],
+  ['the one that ran the turn before', () => {}, { previousInstanceId: 'b' }, 'b']
+])('chooses %s', (_, prepare, fields, expected) => {
+  prepare(instance('a'), instance('b'))
+  const base = need('x', fields)
+  const sized = { ...base, call: { ...base.call, usage: { promptTokens: 12_000, maxOutputTokens: 100 } } }
+  expect(chooseInstance([instance('a'), instance('b')], sized, 'z0', 0)?.description.id).toBe(expected)
+})
