--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -31,15 +31,14 @@
 
 const firstSuspicionMs = 300
 const maxSuspicionMs = 4000
-/// Others' calls, as an answer told of them, count in full this long, and half
-/// after each further such time.
-const loadFreshMs = 600
+/// Others' calls, as an answer told of them, count half after this time.
+const loadHalfLifeMs = 400
 const maxCachedParts = 4000
 
 /// The calls that seem to be at the instance, from this process and others.
 export function estimateRunning (instance: Instance, nowMs: number): number {
-  const staleMs = Math.max(0, nowMs - instance.loadReadAtMs - loadFreshMs)
-  return instance.running + instance.othersRunning * 0.5 ** (staleMs / loadFreshMs)
+  const ageMs = nowMs - instance.loadReadAtMs
+  return instance.running + instance.othersRunning * 0.5 ** (ageMs / loadHalfLifeMs)
 }
 
 export function noteLoad (instance: Instance, load: UpstreamLoad, nowMs: number): void {
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -28,8 +28,8 @@
 const maxWaiting = 400
 /// Ageing: a waiting call counts as one rank more urgent after this time.
 const rankAgeMs = 400
-/// A program whose time is over goes behind all that may still be in time.
-const lateRanks = 10
+/// Calls of an instance beyond its slots, so that it never idles between two.
+const slackCalls = 1
 
 /// Gives calls their places at instances: at once where one is free, else in
 /// the order of their urgency.
@@ -50,10 +50,10 @@
   /// Rejects with `RefusedError` where no instance may take the call in time.
   acquire (need: PlacementNeed, signal: AbortSignal): Promise<Place> {
     const nowMs = performance.now()
-    const ownRank = rankOf(need, nowMs, nowMs)
-    const isBehind = this.waiters.some(waiter => {
-      return waiter.need.service === need.service && rankOf(waiter.need, waiter.since, nowMs) <= ownRank
-    })
+    const isBehind = this.waiters.some(waiter => waiter.need.service === need.service && rank(
+      waiter,
+      nowMs
+    ) <= need.priority)
     const found = isBehind ? null : this.tryPlace(need, nowMs)
     if (found !== null) return Promise.resolve(found)
     if (!this.hasCandidate(need)) return Promise.reject(refusedWithoutInstance(need.service))
@@ -64,8 +64,7 @@
   /// Lets waiting calls go where places have become free.
   recheck (): void {
     const nowMs = performance.now()
-    const order = (waiter: Waiter): number => rankOf(waiter.need, waiter.since, nowMs)
-    this.waiters.sort((a, b) => order(a) - order(b) || endOf(a.need) - endOf(b.need))
+    this.waiters.sort((a, b) => rank(a, nowMs) - rank(b, nowMs) || slackOf(a.need) - slackOf(b.need))
     for (const waiter of [...this.waiters]) this.settle(waiter, nowMs)
     if (this.waiters.length === 0 && this.timer !== null) {
       clearInterval(this.timer)
@@ -139,18 +138,14 @@
 }
 
 function hasRoom (instance: Instance, nowMs: number): boolean {
-  return estimateRunning(instance, nowMs) < instance.description.slots
+  return estimateRunning(instance, nowMs) < instance.description.slots + slackCalls
 }
 
-/// Lower goes first: the route's rank, better with each while of waiting,
-/// behind all others once the program's time is over.
-function rankOf (need: PlacementNeed, since: number, nowMs: number): number {
-  const isLate = need.call.program !== null && endOf(need) < nowMs
-  return need.priority + (isLate ? lateRanks : 0) - Math.floor((nowMs - since) / rankAgeMs)
+function rank (waiter: Waiter, nowMs: number): number {
+  return waiter.need.priority - Math.floor((nowMs - waiter.since) / rankAgeMs)
 }
 
-/// When the call's program, or else the call, should be finished.
-function endOf (need: PlacementNeed): number {
+function slackOf (need: PlacementNeed): number {
   return need.call.program === null ? need.deadlineMs : need.call.receivedAtMs + need.call.program.remainingMs
 }
 
