--- a/connection/header/src/native.ts
+++ b/connection/header/src/native.ts
@@ -10,7 +10,7 @@
   sessionId: 'chicorynotch-session-id',
   programRemainingMs: 'chicorynotch-program-remaining-ms',
   tokenBudget: 'chicorynotch-token-budget',
-  previousTurnId: 'chicorynotch-previous-turn-id',
+  previousTurnId: 'chicorynotch-follows-turn-id',
   lastEventId: 'last-event-id',
   signature: 'chicorynotch-signature',
   notRun: 'chicorynotch-not-run',
