--- a/demo/src/program.ts
+++ b/demo/src/program.ts
@@ -8,6 +8,8 @@
   readonly startMs: number
   readonly endMs: number
   readonly status: number
+  /// On the monotonic clock of this process.
+  readonly endedAtMs: number
 }
 
 /// One program: turns in order, tool calls between them, a sub-agent.
@@ -34,13 +36,8 @@
     const callId = randomBytes(8).toString('hex')
     const startMs = performance.now() - startedAtMs
     const named = { host, 'attempt-id': callId, 'program-id': programId, 'program-deadline-ms': String(programRemainingMs) }
-    const response = await request(`http://${entryAddress}${path}`, {
-      method: method as 'GET' | 'POST',
-      headers: { ...headers, ...named },
-      body: body ?? null
-    })
-    await response.body.arrayBuffer()
-    const seen = { callId, what, startMs, endMs: performance.now() - startedAtMs, status: response.statusCode }
+    const status = await send(entryAddress, method, path, { ...headers, ...named }, body)
+    const seen = { callId, what, startMs, endMs: performance.now() - startedAtMs, status, endedAtMs: performance.now() }
     calls.push(seen)
     return seen
   }
@@ -70,3 +67,23 @@
   }
   return { programId, calls }
 }
+
+/// Continues a kept turn with one of a new program; returns the answer's status.
+export async function continueTurn (entryAddress: string, previousTurnId: string): Promise<number> {
+  const id = randomBytes(8).toString('hex')
+  const headers = { host, 'attempt-id': id, 'program-id': id, 'previous-turn': previousTurnId, 'deadline-ms': String(turnPatienceMs) }
+  return await send(entryAddress, 'POST', '/chat/next', headers, 'next')
+}
+
+/// The status of a whole answer, 0 where it broke off or nobody listened.
+async function send (
+  entryAddress: string, method: string, path: string, headers: Record<string, string>, body?: string
+): Promise<number> {
+  try {
+    const response = await request(`http://${entryAddress}${path}`, { method: method as 'GET' | 'POST', headers, body: body ?? null })
+    await response.body.arrayBuffer()
+    return response.statusCode
+  } catch {
+    return 0
+  }
+}
