One copy of the record kinds and the view's name; drop dead fields; show the store's counters

Found on reading the change again: the record kinds stood in process/ledger and request/turn, the name of the membership's object in entry and storage; AnswerFields.isClosing and PlacementNeed.bodyBytes were read by nobody; and the platform's store client was given no metrics, so store_calls_total, which docs/OPERATIONS.md names, never showed.

--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -43,7 +43,6 @@
   /// The upstream says that it did not run the request.
   readonly isNotRun: boolean
   readonly isEncoded: boolean
-  readonly isClosing: boolean
   readonly load: UpstreamLoad | null
 }
 
@@ -113,7 +112,6 @@
       isSigned: headers[names.signature] !== undefined,
       isNotRun: headers[names.notRun] !== undefined,
       isEncoded: headers['content-encoding'] !== undefined,
-      isClosing: one(headers.connection)?.toLowerCase() === 'close',
       load: readLoad(one(headers[names.load]))
     }
   }
--- a/connection/rpc/src/index.ts
+++ b/connection/rpc/src/index.ts
@@ -1,5 +1,6 @@
 export { Record as LedgerRecord } from './generated/ledger.js'
 export type { AccountEntry, AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, Member, Standing, View } from './generated/ledger.js'
+export { RecordKind } from './recordkind.js'
 export { LedgerConnection, PeerError } from './client.js'
 export type { LedgerPeer } from './client.js'
 export { LedgerServer } from './server.js'
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -12,7 +12,7 @@
 
 /// What a daemon needs of the platform that it runs on.
 export interface DaemonPlatform {
-  readonly connect: (settings: Settings, log: ProcessLog) => EntryPlatform
+  readonly connect: (settings: Settings, log: ProcessLog, metrics: Metrics) => EntryPlatform
 }
 
 interface Running {
@@ -47,7 +47,7 @@
   })
   const running = await startByRole[settings.node.role]({
     settings,
-    platform: platform.connect(settings, log),
+    platform: platform.connect(settings, log, metrics),
     log,
     metrics
   })
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -12,7 +12,7 @@
 import type { InstanceDescription, ReadInstance } from '#process/instances'
 import { Events, messageOf } from '#process/log'
 import type { EventLog } from '#process/log'
-import { readView } from '#process/membership'
+import { readView, viewName } from '#process/membership'
 import type { Metrics } from '#process/metrics'
 import { Placement } from '#process/placement'
 import { LedgerQuorum } from '#process/quorum'
@@ -38,7 +38,6 @@
 }
 
 const configurationName = 'main'
-const viewName = 'current'
 const watchWaitMs = 2000
 const watchPauseMs = 40
 const viewReadPauseMs = 400
--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -1,8 +1,6 @@
+import { RecordKind } from '#connection/rpc'
 import type { AccountEntry, LedgerRecord } from '#connection/rpc'
 
-/// What a record says. The numbers are the wire's and the disk's.
-export const RecordKind = { reservation: 1, settlement: 2, turn: 3 } as const
-
 /// A record that is held, and until when.
 export interface HeldRecord {
   readonly record: LedgerRecord
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -11,6 +11,9 @@
 
 export type MemberState = typeof MemberState[keyof typeof MemberState]
 
+/// The name of the membership's object in the platform's store.
+export const viewName = 'current'
+
 /// The membership before any storage instance has registered.
 export const emptyView: View = { version: 0, members: [], leaveVersion: 0 }
 
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -11,8 +11,6 @@
   readonly engine: Engine | null
   /// 0 is the most urgent.
   readonly priority: number
-  /// Bytes that go to the instance.
-  readonly bodyBytes: number
   /// Instances that have failed this call already.
   readonly excluded: ReadonlySet<string>
   /// The instance that ran the turn before, where that is known.
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -45,7 +45,6 @@
     service: 's',
     engine: null,
     priority: 1,
-    bodyBytes: 0,
     excluded: new Set(),
     previousInstanceId: null,
     deadlineMs: performance.now() + 4000,
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -4,7 +4,7 @@
 import type { Ledger } from '#process/ledger'
 import { Events, messageOf } from '#process/log'
 import type { EventLog } from '#process/log'
-import { MemberState, canSpare, copiesNeeded, emptyView, isSuperfluous, readView, withCompleted, withLeaving, withMember, withSynced } from '#process/membership'
+import { MemberState, canSpare, copiesNeeded, emptyView, isSuperfluous, readView, viewName, withCompleted, withLeaving, withMember, withSynced } from '#process/membership'
 import { PeerCopier } from './copier.js'
 import type { CopyMark } from './copier.js'
 
@@ -19,7 +19,6 @@
   readonly connect: (address: string) => LedgerPeer
 }
 
-const viewName = 'current'
 const viewWaitMs = 5000
 const retirementWaitMs = 10_000
 const watchPauseMs = 50
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -175,7 +175,6 @@
         service: routed.serviceName,
         engine: routed.service?.engine ?? null,
         priority: routed.route.priority,
-        bodyBytes: this.prompt.length,
         excluded: this.excluded,
         previousInstanceId: previous === undefined || previous.instanceId === '' ? null : previous.instanceId,
         deadlineMs: routed.deadlineMs
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -66,7 +66,6 @@
       service: routed.serviceName,
       engine: routed.service?.engine ?? null,
       priority: routed.route.priority,
-      bodyBytes: routed.body.length,
       excluded,
       previousInstanceId: null,
       deadlineMs: routed.deadlineMs
--- a/request/turn/src/account.ts
+++ b/request/turn/src/account.ts
@@ -1,10 +1,11 @@
+import { RecordKind } from '#connection/rpc'
 import type { AccountEntry } from '#connection/rpc'
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import type { Call } from '#request/call'
 import type { Route } from '#version/configuration'
 import { Events, messageOf } from '#process/log'
 import type { EventLog } from '#process/log'
-import { TurnRecordKind, blankRecord } from './ledger.js'
+import { blankRecord } from './ledger.js'
 import type { TurnLedger } from './ledger.js'
 
 const reserveTimeoutMs = 900
@@ -71,7 +72,7 @@
 
   private async reserve (mostTokens: number): Promise<AccountEntry[]> {
     const record = {
-      ...blankRecord(TurnRecordKind.reservation, this.callId, this.programId, this.retentionMs),
+      ...blankRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
       tokens: mostTokens
     }
     try {
@@ -83,7 +84,7 @@
   }
 
   private async keepSettling (tokens: number): Promise<void> {
-    const record = { ...blankRecord(TurnRecordKind.settlement, this.callId, this.programId, this.retentionMs), tokens }
+    const record = { ...blankRecord(RecordKind.settlement, this.callId, this.programId, this.retentionMs), tokens }
     for (let tries = 1; ; tries++) {
       try {
         await this.ledger.append([record], settleTimeoutMs)
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -1,10 +1,11 @@
+import { RecordKind } from '#connection/rpc'
 import type { LedgerRecord } from '#connection/rpc'
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import type { Call } from '#request/call'
 import type { Route } from '#version/configuration'
 import { messageOf } from '#process/log'
 import type { ChainCache } from './chaincache.js'
-import { TurnRecordKind, blankRecord } from './ledger.js'
+import { blankRecord } from './ledger.js'
 import type { TurnLedger } from './ledger.js'
 
 const findTimeoutMs = 900
@@ -52,7 +53,7 @@
   instanceId: string
 ): LedgerRecord {
   return {
-    ...blankRecord(TurnRecordKind.turn, call.id, call.program?.id ?? '', route.retentionMs),
+    ...blankRecord(RecordKind.turn, call.id, call.program?.id ?? '', route.retentionMs),
     previousId: call.previousTurnId ?? '',
     input,
     output,
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -7,9 +7,6 @@
   findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null>
 }
 
-// The record kinds of process/ledger, by what a turn does.
-export const TurnRecordKind = { reservation: 1, settlement: 2, turn: 3 } as const
-
 /// A record without what only some kinds have.
 export function blankRecord (kind: number, id: string, programId: string, retentionMs: number): LedgerRecord {
   return {
