--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -1,5 +1,5 @@
-import { Pool } from 'undici'
-import type { Dispatcher } from 'undici'
+import { Pool } from './pool.js'
+import type { Dispatcher } from './pool.js'
 import type { AnswerHead } from '#connection/header'
 
 /// A request as it goes to an instance.
--- /dev/null
+++ b/connection/upstream/src/undici.d.ts
@@ -0,0 +1,13 @@
+/// Parts of undici that its index loads too; it declares no types for them.
+declare module 'undici/lib/api/api-request.js' {
+  const request: unknown
+  export = request
+}
+declare module 'undici/lib/dispatcher/dispatcher.js' {
+  const Dispatcher: { readonly prototype: object }
+  export = Dispatcher
+}
+declare module 'undici/lib/dispatcher/pool.js' {
+  const Pool: unknown
+  export = Pool
+}
--- a/process/metrics/src/metrics.ts
+++ b/process/metrics/src/metrics.ts
@@ -1,7 +1,12 @@
-import { build } from 'hdr-histogram-js'
 import type { Histogram } from 'hdr-histogram-js'
+// The library's index also loads what writes log files, a seventh of a start's processor time.
+import { constructorFromBucketSize } from 'hdr-histogram-js/dist/JsHistogramFactory.js'
 
+const lowestMs = 1
 const highestMs = 60_000
+const significantDigits = 2
+const bitsPerBucket = 32
+const LatencyHistogram = constructorFromBucketSize(bitsPerBucket)
 const quantiles = [50, 90, 99]
 
 /// The counters and latency histograms of a process, written in the usual
@@ -22,7 +27,7 @@
   observeMs (name: string, valueMs: number): void {
     let histogram = this.histograms.get(name)
     if (histogram === undefined) {
-      histogram = build({ highestTrackableValue: highestMs, numberOfSignificantValueDigits: 2, bitBucketSize: 32 })
+      histogram = new LatencyHistogram(lowestMs, highestMs, significantDigits)
       this.histograms.set(name, histogram)
     }
     histogram.recordValue(Math.min(Math.max(Math.round(valueMs), 0), highestMs))
