--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -1,12 +1,11 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
-import { createServer } from 'node:net'
-import type { AddressInfo, Server } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { StandinStore } from '#standin/store'
 import { StandinUpstream } from '#standin/upstream'
+import { freePorts } from './ports.js'
 
 /// The whole system as real processes on loopback, before stand-ins.
 export interface SystemOptions {
@@ -217,19 +216,6 @@
   })
 }
 
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
-}
-
-function listenAnywhere (): Promise<Server> {
-  return new Promise(resolve => {
-    const server = createServer().listen(0, '127.0.0.1', () => resolve(server))
-  })
-}
-
 function pause (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
