A reset no longer passes for the end of an answer that has no length

Change: the connector names a reset's code otherwise before the library's own listener sees the error. Test: a stand-in instance that resets an answer without a length; its three cases (idempotent, non-idempotent, stream) failed before and pass now.

--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -1,4 +1,4 @@
-import { Pool } from './pool.js'
+import { Pool, strictConnector } from './pool.js'
 import type { Dispatcher } from './pool.js'
 import type { AnswerHead } from '#connection/header'
 
@@ -48,7 +48,7 @@
     this.pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connect: { timeout: connectTimeoutMs },
+      connect: strictConnector(connectTimeoutMs),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: idleTimeoutMs,
--- a/connection/upstream/src/pool.ts
+++ b/connection/upstream/src/pool.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher as UndiciDispatcher, Pool as UndiciPool } from 'undici'
 import request from 'undici/lib/api/api-request.js'
+import buildConnector from 'undici/lib/core/connect.js'
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js'
 import PoolOfOrigin from 'undici/lib/dispatcher/pool.js'
 
@@ -10,4 +11,15 @@
 /// The library's pool of connections to one origin.
 export const Pool = PoolOfOrigin as new (origin: string, options: UndiciPool.Options) => UndiciPool
 export type Pool = UndiciPool
+
+/// Connects so that a reset never passes for the end of an answer.
+export function strictConnector (timeoutMs: number): UndiciPool.Options['connect'] {
+  const connect = buildConnector({ timeout: timeoutMs })
+  return (target, callback) => connect(target, callback).prependListener('error', nameReset)
+}
+
+// The library takes an error with the code ECONNRESET for the end of an answer that has no length.
+function nameReset (error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') error.code = 'CONNECTION_RESET'
+}
 export type { UndiciDispatcher as Dispatcher }
--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -66,6 +66,7 @@
 }
 
 let ledger: FakeLedger
+let registry: InstanceRegistry
 let front: FrontServer
 let address: string
 let engines: StandinUpstream[]
@@ -75,7 +76,7 @@
   ledger = new FakeLedger()
   engines = [0, 1].map(i => new StandinUpstream({ id: `models-${i}`, events: 4, firstMs: 1, eventMs: 1 }))
   tools = [0, 1].map(i => new StandinUpstream({ id: `tools-${i}`, events: 0, firstMs: 1, eventMs: 0 }))
-  const registry = new InstanceRegistry({
+  registry = new InstanceRegistry({
     readInstance,
     connect: at => new InstanceClient(at.address, 8),
     onChange: () => {}
@@ -247,3 +248,14 @@
   expect(answer).toMatch(/^HTTP\/1\.1 4(00|31)/)
   expect(ran(tools)).toBe(0)
 })
+
+// An answer without a length ends with its connection; the HTTP client took a reset for that end.
+test.each([
+  ['/check/1', 'GET', () => tools],
+  ['/charge/1', 'POST', () => tools],
+  ['/chat/1', 'POST', () => engines]
+] as const)('an answer without a length that is reset is not passed on as whole: %s', async (path, method, upstreams) => {
+  fault(upstreams(), UpstreamFault.unframedReset)
+  const seen = await call(path, {}, method).catch(() => null)
+  expect(seen?.status ?? 0).not.toBe(200)
+})
--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+
+const resetAfterMs = 20
 
 /// What an instance does to the requests that it gets.
 export const UpstreamFault = {
@@ -13,6 +15,8 @@
   mixedUp: 'mixed-up',
   /// Breaks the answer off in the middle.
   broken: 'broken',
+  /// Sends an answer without a length and resets its connection in the middle.
+  unframedReset: 'unframed-reset',
   /// Runs the request and says nothing.
   silent: 'silent'
 } as const
@@ -83,6 +87,10 @@
       request.socket.resetAndDestroy()
       return
     }
+    if (this.fault === UpstreamFault.unframedReset) {
+      resetUnframed(request.socket, callId, this.options.events > 0)
+      return
+    }
     const named = this.fault === UpstreamFault.mixedUp ? 'another' : callId
     const head = { 'attempt-id': named, 'server-signature': `${this.options.id}.${callId}`, 'server-load': '1,0,32' }
     if (this.options.events > 0) await this.stream(request, response, head, ran)
@@ -129,6 +137,13 @@
   }
 }
 
+function resetUnframed (socket: Socket, callId: string, isStream: boolean): void {
+  const type = isStream ? 'text/event-stream' : 'text/plain'
+  const head = `HTTP/1.1 200 OK\r\nattempt-id: ${callId}\r\nserver-signature: s\r\ncontent-type: ${type}\r\nconnection: close\r\n\r\n`
+  socket.write(`${head}id: 1\ndata: first\n\n`)
+  setTimeout(() => socket.resetAndDestroy(), resetAfterMs)
+}
+
 function pause (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
