Admit by program: running ones go on, new ones begin only below 0.55 of the slots

Cause: Tunda, mix: half of the engines are scaled in.

Change: a turn goes on with a program if the account shows other turns of it or it has a history; a program's first turn gets a place only below 0.55 of an instance's slots, waits a tenth of its target latency at most, and is refused with a time to come back. Running programs' turns go before, and wait 0.25 of their time instead of 0.6 (a call held over half its time untried costs all).

--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -249,6 +249,19 @@
   expect(ran(tools)).toBe(0)
 })
 
+test('over half full engines take turns of programs that run, and new programs come back later', async () => {
+  const inProgram = { 'program-id': 'p', 'session-id': 's', 'program-deadline-ms': '4000', 'token-budget': '500', 'token-usage': '40,40' }
+  const firstId = randomBytes(8).toString('hex')
+  expect((await call('/chat/1', { ...inProgram, 'attempt-id': firstId })).status).toBe(200)
+  for (const instance of registry.ofService('models')) instance.running = 6
+  expect((await call('/chat/2', { ...inProgram, 'previous-turn': firstId })).status).toBe(200)
+  expect((await call('/chat/helper', { ...inProgram, 'session-id': 'h' })).status).toBe(200)
+  const refused = await call('/chat/1', { ...inProgram, 'program-id': 'q' })
+  expect(refused.status).toBe(503)
+  expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0)
+  expect((await call('/chat/1', { 'token-usage': '40,40' })).status).toBe(200)
+})
+
 // An answer without a length ends with its connection; the HTTP client took a reset for that end.
 test.each([
   ['/check/1', 'GET', () => tools],
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -15,6 +15,10 @@
   readonly excluded: ReadonlySet<string>
   /// The instance that ran the turn before, where that is known.
   readonly previousInstanceId: string | null
+  /// The call goes on with a program that has generated tokens already.
+  readonly isContinuing: boolean
+  /// How long it may wait for a place before it is refused.
+  readonly maxWaitMs: number
   /// On the runtime's monotonic clock.
   readonly deadlineMs: number
 }
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -22,12 +22,14 @@
 const recheckMs = 15
 const noInstanceRetryMs = 300
 const overloadRetryMs = 150
-/// A call that has waited longer than this share of its time is refused.
-const maxWaitShare = 0.6
 /// Calls that may wait at once; more are refused at once.
 const maxWaiting = 400
 /// Ageing: a waiting call counts as one rank more urgent after this time.
 const rankAgeMs = 400
+/// A program that runs is worth its credit only once it ends: one that hasn't begun waits behind as many ranks.
+const newProgramRanks = 1
+/// A new program is begun only below this share of an instance's slots: the rest is for the turns of those that run.
+const newProgramShare = 0.55
 /// Calls of an instance beyond its slots, so that it never idles between two.
 const slackCalls = 1
 
@@ -50,10 +52,9 @@
   /// Rejects with `RefusedError` where no instance may take the call in time.
   acquire (need: PlacementNeed, signal: AbortSignal): Promise<Place> {
     const nowMs = performance.now()
-    const isBehind = this.waiters.some(waiter => waiter.need.service === need.service && rank(
-      waiter,
-      nowMs
-    ) <= need.priority)
+    const isBehind = this.waiters.some(waiter => {
+      return waiter.need.service === need.service && rank(waiter, nowMs) <= rankOf(need)
+    })
     const found = isBehind ? null : this.tryPlace(need, nowMs)
     if (found !== null) return Promise.resolve(found)
     if (!this.hasCandidate(need)) return Promise.reject(refusedWithoutInstance(need.service))
@@ -87,14 +88,13 @@
   private settle (waiter: Waiter, nowMs: number): void {
     const { need } = waiter
     const place = this.tryPlace(need, nowMs)
-    const allowedMs = (need.deadlineMs - waiter.since) * maxWaitShare
     if (place !== null) {
       this.forget(waiter)
       waiter.resolve(place)
     } else if (!this.hasCandidate(need)) {
       this.forget(waiter)
       waiter.reject(refusedWithoutInstance(need.service))
-    } else if (nowMs - waiter.since > allowedMs) {
+    } else if (nowMs - waiter.since > need.maxWaitMs) {
       this.forget(waiter)
       waiter.reject(refusedForLoad(need.service))
     }
@@ -109,7 +109,7 @@
   private tryPlace (need: PlacementNeed, nowMs: number): Place | null {
     const usable = this.candidates(need)
     const trusted = usable.filter(instance => instance.suspectUntilMs <= nowMs)
-    const open = (trusted.length > 0 ? trusted : usable).filter(instance => hasRoom(instance, nowMs))
+    const open = (trusted.length > 0 ? trusted : usable).filter(instance => hasRoom(instance, need, nowMs))
     const instance = chooseInstance(open, need, this.zone, nowMs)
     return instance === null ? null : this.take(instance)
   }
@@ -137,12 +137,18 @@
   }
 }
 
-function hasRoom (instance: Instance, nowMs: number): boolean {
-  return estimateRunning(instance, nowMs) < instance.description.slots + slackCalls
+function hasRoom (instance: Instance, need: PlacementNeed, nowMs: number): boolean {
+  const { slots } = instance.description
+  const places = need.isContinuing ? slots + slackCalls : slots * newProgramShare
+  return estimateRunning(instance, nowMs) < places
 }
 
 function rank (waiter: Waiter, nowMs: number): number {
-  return waiter.need.priority - Math.floor((nowMs - waiter.since) / rankAgeMs)
+  return rankOf(waiter.need) - Math.floor((nowMs - waiter.since) / rankAgeMs)
+}
+
+function rankOf (need: PlacementNeed): number {
+  return need.priority + (need.isContinuing ? 0 : newProgramRanks)
 }
 
 function slackOf (need: PlacementNeed): number {
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -47,6 +47,8 @@
     priority: 1,
     excluded: new Set(),
     previousInstanceId: null,
+    isContinuing: true,
+    maxWaitMs: 2400,
     deadlineMs: performance.now() + 4000,
     ...fields
   }
@@ -87,6 +89,38 @@
   expect(await refused).toMatchObject({ refusal: 'overloaded', verdict: 'not-run', status: 503 })
 })
 
+test.each([
+  ['the first turn of a program', false, 'refused'],
+  ['a turn of a program that runs', true, 'placed']
+])('%s at engines that are over half full: %s', async (_, isContinuing, expected) => {
+  for (const id of ['a', 'b']) {
+    const { description } = instance(id)
+    instance(id).description = { ...description, slots: 10 }
+    instance(id).running = 6
+  }
+  let outcome = 'waits'
+  placement.acquire(need('x', { isContinuing, maxWaitMs: 25 }), signal).then(() => { outcome = 'placed' }, error => {
+    expect(error).toMatchObject({ refusal: 'overloaded', verdict: 'not-run', status: 503 })
+    outcome = 'refused'
+  })
+  await vi.advanceTimersByTimeAsync(60)
+  expect(outcome).toBe(expected)
+})
+
+test('a running program\'s turn is placed before an equally urgent new program', async () => {
+  const held = await fill()
+  const order: string[] = []
+  for (const [id, isContinuing] of [['new', false], ['running', true]] as const) {
+    placement.acquire(need(id, { isContinuing }), signal).then(place => {
+      order.push(id)
+      place.release()
+    }, () => {})
+  }
+  for (const place of held) place.release()
+  await vi.advanceTimersByTimeAsync(50)
+  expect(order).toEqual(['running', 'new'])
+})
+
 test('without an instance a call is refused at once', async () => {
   const excluded = new Set(['a', 'b'])
   await expect(placement.acquire(need('x', { excluded }), signal)).rejects.toMatchObject({ refusal: 'no-instance' })
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -16,6 +16,11 @@
 const maxKeepMs = 1500
 /// A resumable stream goes on elsewhere after this much silence.
 const silenceMs = 900
+/// A turn of a program that runs may wait this share of its time for a place.
+const maxWaitShare = 0.25
+/// The first turn of a program may wait this share of its target latency; it
+/// is better refused at once, and begun later, than run late to no credit.
+const firstWaitShare = 0.1
 const lineFeed = Buffer.from('\n')
 
 /// Serves a call whose answer is a stream of events. Rejects with `RefusedError`
@@ -28,7 +33,8 @@
   const [history, account] = await openTurn(routed, mostTokens, context)
   const storageMs = performance.now() - startedAtMs
   context.metrics.observeMs('storage', storageMs)
-  const turn = new Turn(routed, caller, context, history, tokensPerEvent, storageMs)
+  const isFirst = account !== null && !account.hasOthers && history.length === 0
+  const turn = new Turn(routed, caller, context, history, isFirst, tokensPerEvent, storageMs)
   try {
     const isStream = await turn.run()
     if (isStream && route.keepsHistory) await turn.keep(account)
@@ -75,6 +81,7 @@
     private readonly caller: CallerAnswer,
     private readonly context: ForwardContext,
     private readonly history: readonly LedgerRecord[],
+    private readonly isFirst: boolean,
     private readonly tokensPerEvent: number,
     private readonly storageMs: number
   ) {
@@ -177,6 +184,8 @@
         priority: routed.route.priority,
         excluded: this.excluded,
         previousInstanceId: previous === undefined || previous.instanceId === '' ? null : previous.instanceId,
+        isContinuing: !this.isBeginning,
+        maxWaitMs: this.maxWaitMs,
         deadlineMs: routed.deadlineMs
       }, routed.signal)
     } catch (error) {
@@ -185,6 +194,17 @@
     }
   }
 
+  /// Whether its program has nothing to lose yet: no instance has had a turn of it.
+  private get isBeginning (): boolean {
+    return this.isFirst && this.sent === 0
+  }
+
+  private get maxWaitMs (): number {
+    const { deadlineMs, route } = this.routed
+    if (this.isBeginning) return route.targetLatencyMs * firstWaitShare
+    return (deadlineMs - performance.now()) * maxWaitShare
+  }
+
   private async sendOnce (place: Place): Promise<AttemptResult> {
     const { routed, context } = this
     const { call, route } = routed
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -12,6 +12,8 @@
 /// An idempotent call is sent elsewhere after this much silence, by its target latency.
 const silencePerTarget = 4
 const minSilenceMs = 250
+/// A call that has waited longer than this share of its time is refused.
+const maxWaitShare = 0.6
 
 /// Serves a call whose answer is passed on whole. Rejects with `RefusedError`.
 export async function serveUnary (routed: RoutedCall, caller: CallerAnswer, context: ForwardContext): Promise<void> {
@@ -68,6 +70,8 @@
       priority: routed.route.priority,
       excluded,
       previousInstanceId: null,
+      isContinuing: true,
+      maxWaitMs: (routed.deadlineMs - performance.now()) * maxWaitShare,
       deadlineMs: routed.deadlineMs
     }, routed.signal)
   } catch (error) {
--- a/request/turn/src/account.ts
+++ b/request/turn/src/account.ts
@@ -18,6 +18,8 @@
 
 /// One turn's share of its program's token budget.
 export class TurnAccount {
+  /// Whether other turns of the program have spent tokens or are about to.
+  hasOthers = false
   private isSettled = false
 
   private constructor (
@@ -43,6 +45,7 @@
     const account = new TurnAccount(ledger, log, call.id, call.program.id, retentionMs)
     const entries = await account.reserve(mostTokens)
     const others = countTokens(entries, call.id)
+    account.hasOthers = others > 0
     if (others > 0 && others >= budget) {
       account.settle(0)
       throw new RefusedError(Refusal.budgetSpent, Verdict.notRun, `${others} of ${budget} tokens are spent or reserved`)
