Tell a reset that comes with the last bytes from the end of an answer

Change: at an end, a connection without a peer counts as reset, and the answer that the library then calls complete as broken off.

Test: the stand-in instance resets 20 ms and 0 ms after its last bytes; the three cases at 0 ms failed before. A plain answer that ends with its connection still passes (test).

--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -43,12 +43,13 @@
 /// The connections to one instance, one request at a time on each.
 export class InstanceClient {
   private readonly pool: Pool
+  private readonly line: Line = { isResetting: false }
 
   constructor (address: string, maxConnections: number) {
     this.pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connect: strictConnector(connectTimeoutMs),
+      connect: strictConnector(connectTimeoutMs, () => this.noteReset()),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: idleTimeoutMs,
@@ -57,7 +58,7 @@
   }
 
   send (request: UpstreamRequest, sink: AnswerSink): Sending {
-    const exchange = new Exchange(sink)
+    const exchange = new Exchange(sink, this.line)
     this.pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -67,6 +68,12 @@
     return exchange
   }
 
+  private noteReset (): void {
+    this.line.isResetting = true
+    // The library ends the answer within the same event.
+    process.nextTick(() => { this.line.isResetting = false })
+  }
+
   close (): void {
     this.pool.close().catch(() => {
       // Closing twice rejects, and the pool is closed either way.
@@ -74,13 +81,18 @@
   }
 }
 
+/// Set while the library is told of the end of a connection that was reset.
+interface Line {
+  isResetting: boolean
+}
+
 class Exchange implements Dispatcher.DispatchHandler, Sending {
   isSent = false
   private controller: Dispatcher.DispatchController | null = null
   private isAborted = false
   private isDone = false
 
-  constructor (private readonly sink: AnswerSink) {}
+  constructor (private readonly sink: AnswerSink, private readonly line: Line) {}
 
   abort (): void {
     this.isAborted = true
@@ -105,7 +117,8 @@
   onResponseEnd (): void {
     if (this.isDone) return
     this.isDone = true
-    this.sink.onEnd()
+    if (this.line.isResetting) this.sink.onError(new UpstreamError('the connection was reset', true))
+    else this.sink.onEnd()
   }
 
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
--- a/connection/upstream/src/pool.ts
+++ b/connection/upstream/src/pool.ts
@@ -12,14 +12,22 @@
 export const Pool = PoolOfOrigin as new (origin: string, options: UndiciPool.Options) => UndiciPool
 export type Pool = UndiciPool
 
-/// Connects so that a reset never passes for the end of an answer.
-export function strictConnector (timeoutMs: number): UndiciPool.Options['connect'] {
+export type { UndiciDispatcher as Dispatcher }
+
+/// Connects so that a reset never passes for the end of an answer. `onReset` is
+/// called just before the library is told of an end that was a reset.
+export function strictConnector (timeoutMs: number, onReset: () => void): UndiciPool.Options['connect'] {
   const connect = buildConnector({ timeout: timeoutMs })
-  return (target, callback) => connect(target, callback).prependListener('error', nameReset)
+  return (target, callback) => {
+    const socket = connect(target, callback)
+    socket.prependListener('error', nameReset)
+    // The runtime reports a reset that comes with the last bytes as an ordinary
+    // end (libuv, at POLLHUP); a connection that was reset has no peer any more.
+    return socket.prependListener('end', () => { if (socket.remoteAddress === undefined) onReset() })
+  }
 }
 
 // The library takes an error with the code ECONNRESET for the end of an answer that has no length.
 function nameReset (error: NodeJS.ErrnoException): void {
   if (error.code === 'ECONNRESET') error.code = 'CONNECTION_RESET'
 }
-export type { UndiciDispatcher as Dispatcher }
--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { connect } from 'node:net'
 import { request } from 'undici'
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { FrontServer } from '#connection/front'
 import type { LedgerRecord } from '#connection/rpc'
 import { InstanceClient } from '#connection/upstream'
@@ -262,13 +262,23 @@
   expect((await call('/chat/1', { 'token-usage': '40,40' })).status).toBe(200)
 })
 
-// An answer without a length ends with its connection; the HTTP client took a reset for that end.
-test.each([
-  ['/check/1', 'GET', () => tools],
-  ['/charge/1', 'POST', () => tools],
-  ['/chat/1', 'POST', () => engines]
-] as const)('an answer without a length that is reset is not passed on as whole: %s', async (path, method, upstreams) => {
-  fault(upstreams(), UpstreamFault.unframedReset)
-  const seen = await call(path, {}, method).catch(() => null)
-  expect(seen?.status ?? 0).not.toBe(200)
+// An answer without a length ends with its connection; the HTTP client took a reset for that
+// end, and the runtime reports a reset that comes with the last bytes as an ordinary end.
+describe.each([20, 0])('an answer without a length that is reset %i ms after its last bytes', resetAfterMs => {
+  test.each([
+    ['/check/1', 'GET', () => tools],
+    ['/charge/1', 'POST', () => tools],
+    ['/chat/1', 'POST', () => engines]
+  ] as const)('is not passed on as whole: %s', async (path, method, upstreams) => {
+    for (const upstream of upstreams()) upstream.resetAfterMs = resetAfterMs
+    fault(upstreams(), UpstreamFault.unframedReset)
+    const seen = await call(path, {}, method).catch(() => null)
+    expect(seen?.status ?? 0).not.toBe(200)
+  })
+})
+
+test('an answer without a length that ends with its connection is passed on', async () => {
+  fault(tools, UpstreamFault.unframed)
+  const seen = await call('/charge/1')
+  expect([seen.status, seen.body]).toEqual([200, 'done /charge/1 hello'])
 })
--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -2,8 +2,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 
-const resetAfterMs = 20
-
 /// What an instance does to the requests that it gets.
 export const UpstreamFault = {
   none: 'none',
@@ -15,6 +13,8 @@
   mixedUp: 'mixed-up',
   /// Breaks the answer off in the middle.
   broken: 'broken',
+  /// Sends an answer without a length, which ends with its connection.
+  unframed: 'unframed',
   /// Sends an answer without a length and resets its connection in the middle.
   unframedReset: 'unframed-reset',
   /// Runs the request and says nothing.
@@ -45,6 +45,8 @@
 export class StandinUpstream {
   fault: UpstreamFault = UpstreamFault.none
   readonly ran: RanRequest[] = []
+  /// Between the last bytes and the reset; 0: the caller sees both at once.
+  resetAfterMs = 20
   /// Called with each request that begins to run.
   onRun: (request: RanRequest) => void = () => {}
   private readonly server: Server
@@ -88,7 +90,7 @@
       return
     }
     if (this.fault === UpstreamFault.unframedReset) {
-      resetUnframed(request.socket, callId, this.options.events > 0)
+      this.resetUnframed(request.socket, callId)
       return
     }
     const named = this.fault === UpstreamFault.mixedUp ? 'another' : callId
@@ -97,9 +99,24 @@
     else await this.answer(response, head, ran)
   }
 
+  private resetUnframed (socket: Socket, callId: string): void {
+    const type = this.options.events > 0 ? 'text/event-stream' : 'text/plain'
+    const head = `HTTP/1.1 200 OK\r\nattempt-id: ${callId}\r\nserver-signature: s\r\ncontent-type: ${type}\r\nconnection: close\r\n\r\n`
+    socket.write(`${head}id: 1\ndata: first\n\n`)
+    if (this.resetAfterMs === 0) socket.resetAndDestroy()
+    else setTimeout(() => socket.resetAndDestroy(), this.resetAfterMs)
+  }
+
   private async answer (response: ServerResponse, head: Record<string, string>, ran: RanRequest): Promise<void> {
     await pause(this.options.firstMs)
     const body = `done ${ran.path} ${ran.body}`
+    if (this.fault === UpstreamFault.unframed) {
+      response.removeHeader('transfer-encoding')
+      response.useChunkedEncodingByDefault = false
+      response.shouldKeepAlive = false
+      response.writeHead(200, head).end(body)
+      return
+    }
     response.writeHead(200, { ...head, 'content-length': String(body.length) })
     if (this.fault === UpstreamFault.broken) {
       response.write(body.slice(0, 3), () => response.destroy())
@@ -137,13 +154,6 @@
   }
 }
 
-function resetUnframed (socket: Socket, callId: string, isStream: boolean): void {
-  const type = isStream ? 'text/event-stream' : 'text/plain'
-  const head = `HTTP/1.1 200 OK\r\nattempt-id: ${callId}\r\nserver-signature: s\r\ncontent-type: ${type}\r\nconnection: close\r\n\r\n`
-  socket.write(`${head}id: 1\ndata: first\n\n`)
-  setTimeout(() => socket.resetAndDestroy(), resetAfterMs)
-}
-
 function pause (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
