Turns opened at once can't pass a budget together, and one of them runs

Cause: three turns of one program through three entries at the same moment may each see just one of the others, since each counts the answers of two storage instances and the reservations reach the three in different orders (A C B, B A C, C B A). All three pass: 30 tokens of a budget of 15, where one turn of 10 beyond it is allowed.

Change: near the end of a budget the account is read once more after the reservation is kept (of those that pass, the one kept last has then seen all). Where the open reservations leave no room for each other, those with the highest ids give way and the lowest reads again, four times 25 ms at most. "Near" is eight turns' most: that many of one program may open within one round trip. A budget that is spent for good is refused without the second read.

--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -30,9 +30,14 @@
 
   async reserve (reservation: LedgerRecord): Promise<ReturnType<typeof mergeEntry>[]> {
     await this.append([reservation])
+    return await this.readAccount(reservation.programId)
+  }
+
+  async readAccount (ofProgram: string): Promise<ReturnType<typeof mergeEntry>[]> {
+    if (this.isAway) throw new Error('away')
     const account = new Map<string, ReturnType<typeof mergeEntry>>()
     for (const { kind, id, tokens, programId } of this.records.values()) {
-      if (programId !== reservation.programId) continue
+      if (programId !== ofProgram) continue
       const entry = kind === 1
         ? {
             id,
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -76,9 +76,23 @@
 
   /// Appends a reservation and resolves to the program's whole account.
   async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]> {
+    return await this.accountAfter([reservation], reservation.programId, timeoutMs, this.rule.appends)
+  }
+
+  /// A program's whole account: all that was reserved and settled before the call.
+  async readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]> {
+    return await this.accountAfter([], programId, timeoutMs, 0)
+  }
+
+  private async accountAfter (
+    records: readonly LedgerRecord[],
+    programId: string,
+    timeoutMs: number,
+    appends: number
+  ): Promise<AccountEntry[]> {
     this.refuseIfUnreachable()
-    const replies = await this.collect([reservation], reservation.programId, timeoutMs, replies => {
-      return this.countOf(replies, this.rule.writers) >= this.rule.appends &&
+    const replies = await this.collect(records, programId, timeoutMs, replies => {
+      return this.countOf(replies, this.rule.writers) >= appends &&
         this.countOf(replies, this.rule.knowers) >= this.rule.accounts
     })
     const account = new Map<string, AccountEntry>()
--- a/process/storage/test/cluster.ts
+++ b/process/storage/test/cluster.ts
@@ -13,7 +13,8 @@
 import { Membership } from '#process/storage'
 
 const toleratedLosses = 1
-const latencyMs = 2
+const defaultLatencyMs = 2
+const entryCount = 3
 const watchPollMs = 50
 const callTimeoutMs = 900
 
@@ -75,7 +76,7 @@
   }
 
   private async call (): Promise<void> {
-    await pause(latencyMs)
+    await pause(defaultLatencyMs)
     if (this.isAway) throw new StoreUnavailableError('away', false)
   }
 }
@@ -90,23 +91,29 @@
 }
 
 /// Storage instances with their real code over a fake network, disk faults and
-/// clock, and one entry's quorum before them.
+/// clock, and some entries' quorums before them.
 export class Cluster {
   readonly store = new MemoryStore()
   readonly nodes: Node[] = []
-  readonly quorum: LedgerQuorum
+  readonly entries: readonly LedgerQuorum[]
+  /// One way, from an entry or a storage instance to an address.
+  latencyMs: (from: string, address: string) => number = () => defaultLatencyMs
   /// Pairs of storage instances that can't reach each other.
   readonly cuts = new Set<string>()
   readonly kept = new Set<string>()
   private turns = 0
 
   constructor () {
-    this.quorum = new LedgerQuorum({
+    this.entries = Array.from({ length: entryCount }, (_, i) => new LedgerQuorum({
       zone: 'z',
       toleratedLosses,
-      connect: address => this.peer('entry', address),
+      connect: address => this.peer(`entry${i}`, address),
       onStale: () => this.readView().catch(() => {})
-    }, silentLog)
+    }, silentLog))
+  }
+
+  get quorum (): LedgerQuorum {
+    return this.entries[0]!
   }
 
   async start (size: number): Promise<void> {
@@ -116,7 +123,7 @@
   }
 
   stop (): void {
-    this.quorum.close()
+    for (const entry of this.entries) entry.close()
     for (const node of this.nodes) {
       node.membership?.stop()
       rmSync(node.folder, { recursive: true, force: true })
@@ -216,7 +223,8 @@
     return found
   }
 
-  private async settle<Value> (work: Promise<Value>): Promise<Value> {
+  /// Lets time go on until the work is done.
+  async settle<Value> (work: Promise<Value>): Promise<Value> {
     const progress = { isDone: false }
     const done = work.finally(() => { progress.isDone = true })
     while (!progress.isDone) await this.advance(1)
@@ -225,7 +233,8 @@
 
   private async readView (): Promise<void> {
     const object = await this.store.get(ObjectKind.storageViews, 'current')
-    if (object !== null) this.quorum.adopt(readView(object.spec), 'store')
+    if (object === null) return
+    for (const entry of this.entries) entry.adopt(readView(object.spec), 'store')
   }
 
   private newNode (): Node {
@@ -251,13 +260,13 @@
 
   private peer (from: string, address: string): LedgerPeer {
     const reach = async <Reply> (ask: (ledger: Ledger) => Promise<Reply>): Promise<Reply> => {
-      await pause(latencyMs)
+      await pause(this.latencyMs(from, address))
       const node = this.nodes.find(other => other.address === address)
       if (node?.ledger == null || this.cuts.has(`${from}|${node.name}`) || this.cuts.has(`${node.name}|${from}`)) {
         throw new PeerError(`${address} is out of reach`)
       }
       const reply = await ask(node.ledger)
-      await pause(latencyMs)
+      await pause(this.latencyMs(from, address))
       if (node.ledger === null) throw new PeerError(`${address} died`)
       return reply
     }
--- a/request/turn/src/account.ts
+++ b/request/turn/src/account.ts
@@ -9,6 +9,11 @@
 import type { TurnLedger } from './ledger.js'
 
 const reserveTimeoutMs = 900
+/// Turns of one program that may be opened within one round trip: so many may not see each other.
+const openTogether = 8
+/// How often, and after which pause, the account is read until those that give way have done so.
+const maxReads = 4
+const rereadPauseMs = 25
 const settleTimeoutMs = 1500
 const settleRetryPauseMs = 400
 const settleTries = 8
@@ -44,7 +49,10 @@
     const retentionMs = Math.max(route.retentionMs, minAccountRetentionMs)
     const account = new TurnAccount(ledger, log, call.id, call.program.id, retentionMs)
     const entries = await account.reserve(mostTokens)
-    const others = countTokens(entries, call.id)
+    const spent = countTokens(entries.filter(entry => entry.settled), call.id)
+    let others = countTokens(entries, call.id)
+    const isClose = others > 0 && others + openTogether * mostTokens > budget
+    if (isClose && spent < budget) others = await account.countAgain(budget)
     account.hasOthers = others > 0
     if (others > 0 && others >= budget) {
       account.settle(0)
@@ -78,8 +86,31 @@
       ...blankRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
       tokens: mostTokens
     }
+    return await this.orRefuse(this.ledger.reserve(record, reserveTimeoutMs))
+  }
+
+  /// Counts the others' tokens once this turn's reservation is kept.
+  ///
+  /// Reservations that are made at once may each miss some of the others; of
+  /// those that pass here, the one that was kept last sees all. Where they
+  /// leave no room for each other, those with the highest ids give way.
+  private async countAgain (budget: number): Promise<number> {
+    for (let reads = 1; ; reads++) {
+      const entries = await this.read()
+      const others = countTokens(entries, this.callId)
+      const before = countTokens(entries.filter(entry => entry.settled || entry.id < this.callId), this.callId)
+      if (others < budget || before >= budget || reads === maxReads) return others
+      await new Promise(resolve => setTimeout(resolve, rereadPauseMs))
+    }
+  }
+
+  private async read (): Promise<AccountEntry[]> {
+    return await this.orRefuse(this.ledger.readAccount(this.programId, reserveTimeoutMs))
+  }
+
+  private async orRefuse (entries: Promise<AccountEntry[]>): Promise<AccountEntry[]> {
     try {
-      return await this.ledger.reserve(record, reserveTimeoutMs)
+      return await entries
     } catch (error) {
       this.settle(0)
       throw new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, messageOf(error), ledgerRetryMs)
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -4,6 +4,8 @@
 export interface TurnLedger {
   append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void>
   reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]>
+  /// All that was reserved and settled before the call.
+  readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]>
   findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null>
 }
 
