--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -2,37 +2,53 @@
 import yargs from 'yargs'
 import { SettingsError, parseSettings } from '#process/settings'
 import { formatLine, formatTimeline, linesAbout, readLines, timelineOf } from './lines.js'
+import { formatReports, readReports } from './report.js'
+import { formatStatus, readStatus } from './status.js'
 
 /// Where the command line reads and writes; tests give their own.
 export interface CliStreams {
   readonly readInput: () => string
   readonly write: (text: string) => void
+  /// Rejects where the answer isn't a success.
+  readonly fetchText: (url: string) => Promise<string>
 }
 
 /// 0 done, 1 found nothing or a fault, 2 wrong words.
 export type ExitCode = 0 | 1 | 2
 
+const wrongWords = 2
 const defaultAroundMs = 1000
 
 /// Runs one command of `chicorynotch`.
 export async function runCli (words: readonly string[], streams: CliStreams): Promise<ExitCode> {
   let code: ExitCode = 0
-  const end = (next: ExitCode): void => { code = next }
+  // The parser calls a command's handler also where it has found a fault in the words.
+  const run = async (work: () => ExitCode | Promise<ExitCode>): Promise<void> => {
+    if (code !== wrongWords) code = await work()
+  }
   const parser = yargs([...words]).scriptName('chicorynotch').version(false).strict().demandCommand(1, 'a command is needed')
     .option('json', { type: 'boolean', default: false, describe: 'print JSON' })
     .command('check <file>', 'check a settings file whole', builder => builder.positional('file', { type: 'string', demandOption: true }),
-      args => end(check(args.file, args.json, streams)))
+      args => run(() => check(args.file, args.json, streams)))
     .command('explain <id>', "print a call's or program's way through logs on standard input",
       builder => builder.positional('id', { type: 'string', demandOption: true })
         .option('around-ms', { type: 'number', default: defaultAroundMs, describe: 'what the processes believed this long before and after' }),
-      args => end(explain(args.id, args.aroundMs, args.json, streams)))
+      args => run(() => explain(args.id, args.aroundMs, args.json, streams)))
     .command('timeline <program>', "draw a program's calls over all processes from logs on standard input",
       builder => builder.positional('program', { type: 'string', demandOption: true }),
-      args => end(timeline(args.program, args.json, streams)))
+      args => run(() => timeline(args.program, args.json, streams)))
+    .command('status <address...>', 'ask processes on their metrics addresses (HOST:PORT)',
+      builder => builder.positional('address', { type: 'string', array: true, demandOption: true }),
+      args => run(() => status(args.address, args.json, streams)))
+    .command('report <file...>', 'show the days of journal entries over time, with what took most from each',
+      builder => builder.positional('file', { type: 'string', array: true, demandOption: true })
+        .option('site', { type: 'string', describe: 'only this site' }),
+      args => run(() => report(args.file, args.site, args.json, streams)))
+    .example('chicorynotch report --site tunda-ops journal/*.json', 'how has the site come on?')
     .example('chicorynotch explain 9c41d07be2a35f68 < all.log', 'why did this call end as it did?')
     .fail((message, error) => {
-      streams.write(`chicorynotch: ${message ?? error?.message}\n`)
-      end(2)
+      if (code !== wrongWords) streams.write(`chicorynotch: ${message ?? error?.message}\n`)
+      code = wrongWords
     })
     .exitProcess(false)
   await parser.parseAsync()
@@ -51,6 +67,24 @@
   }
 }
 
+async function status (addresses: readonly string[], isJson: boolean, streams: CliStreams): Promise<ExitCode> {
+  const { write, fetchText } = streams
+  const statuses = await readStatus(addresses, fetchText)
+  write(`${isJson ? JSON.stringify(statuses) : formatStatus(statuses)}\n`)
+  return statuses.every(({ values }) => values !== null) ? 0 : 1
+}
+
+function report (files: readonly string[], site: string | undefined, isJson: boolean, { write }: CliStreams): ExitCode {
+  const reports = readReports(files.map(file => readFileSync(file, 'utf8')))
+    .filter(day => site === undefined || day.site === site)
+  if (reports.length === 0) {
+    write(isJson ? '[]\n' : 'no day was played\n')
+    return 1
+  }
+  write(`${isJson ? JSON.stringify(reports) : formatReports(reports)}\n`)
+  return 0
+}
+
 function explain (id: string, aroundMs: number, isJson: boolean, { readInput, write }: CliStreams): ExitCode {
   const lines = linesAbout(readLines(readInput()), id, aroundMs)
   if (lines.length === 0) {
--- a/process/cli/test/cli.test.ts
+++ b/process/cli/test/cli.test.ts
@@ -14,9 +14,23 @@
   '{"level":30,"time":310,"node":"e2","event":501,"callId":"c3","programId":"q"'
 ].join('\n')
 
+const metrics = '# a comment\nchicorynotch_calls_under_way 3\nchicorynotch_answers_total{status="200"} 41\nchicorynotch_call_ms_count 41\n'
+
+async function fetchText (url: string): Promise<string> {
+  if (!url.startsWith('http://up:1/')) throw new Error('nobody listens')
+  return metrics
+}
+
+const entry = (at: string, site: string, worth: number, rules: object): string => JSON.stringify({
+  at: [at, at],
+  cmd: 'score',
+  site,
+  days: [{ name: 'd', G: worth, score: 0.5, served: 1, rules, gate: true, prices: [['disk', 1, 0.01], ['processor', 9, 0.02]] }]
+})
+
 async function run (...words: string[]): Promise<{ code: number, output: string }> {
   let output = ''
-  const code = await runCli(words, { readInput: () => log, write: text => { output += text } })
+  const code = await runCli(words, { readInput: () => log, write: text => { output += text }, fetchText })
   return { code, output }
 }
 
@@ -79,3 +93,32 @@
   expect(seen.code).toBe(code)
   expect(seen.output).toContain(expected)
 })
+
+test('status: what each process says, and exit code 1 where one is silent', async () => {
+  const { code, output } = await run('status', 'up:1', 'gone:1')
+  expect(code).toBe(1)
+  expect(output).toBe('up:1 calls_under_way=3 answers_total{status="200"}=41\ngone:1 no answer: nobody listens\n')
+})
+
+test('report: days in order of time, rules and largest prices', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'cli-'))
+  const files = [entry('2026-02', 'a', 0.5, {}), entry('2026-01', 'a', -0.1, { MIXED: 8 }), entry('2026-03', 'b', 1, {})].map((text, i) => {
+    const file = join(folder, `${i}.json`)
+    writeFileSync(file, text)
+    return file
+  })
+  const { code, output } = await run('report', '--site', 'a', ...files)
+  rmSync(folder, { recursive: true })
+  expect(code).toBe(0)
+  const lines = output.trim().split('\n')
+  expect(lines[0]).toMatch(/^2026-01 a .* -0\.100 broken MIXED; processor 0\.020, disk 0\.010$/)
+  expect(lines[1]).toMatch(/^2026-02 a .*\|#{15} {15}\| 0\.500 gate;/)
+  expect(lines).toHaveLength(2)
+})
+
+// The parser ran the command all the same, and a call id that is undefined stands in most lines.
+test.each([['explain'], ['timeline'], ['status'], ['report'], ['explain', '--dance', 'c1']])('wrong words run no command: %s %s', async (...words) => {
+  const { code, output } = await run(...words.filter(word => word !== undefined))
+  expect(code).toBe(2)
+  expect(output.split('\n')).toHaveLength(2)
+})
