One copy of a call's tries and of the pause; a line where the process stood still

Forwarding of whole answers and of streams shared retry counting, the placement request and the dispatch line by copy; `Tries` holds them now. `pause` stood in eight files. Behaviour as before (tests unchanged).

--- a/connection/store/src/follow.ts
+++ b/connection/store/src/follow.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from '#process/log'
 import { HistoryGoneError } from './store.js'
 import type { ObjectStore, StoreChange, StoreListing } from './store.js'
+import { pause } from '#process/clock'
 
 /// Receives what a kind of objects looks like, and each change of it.
 export interface Follower {
@@ -74,7 +75,3 @@
     await pause(options.pauseMs)
   }
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -3,6 +3,7 @@
 import { StoreFault } from '#standin/store'
 import { continueTurn, runProgram } from './program.js'
 import type { CallSeen } from './program.js'
+import { pause } from '#process/clock'
 
 /// Plays programs against real processes while these are killed, lose their
 /// disks and their store, and checks what must hold in the end.
@@ -79,10 +80,6 @@
   return lost
 }
 
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
-
 main().catch((error: unknown) => {
   process.stderr.write(`${String(error)}\n`)
   return 1
--- /dev/null
+++ b/process/clock/src/index.ts
@@ -0,0 +1,2 @@
+export { pause } from './pause.js'
+export { StallWatch } from './stallwatch.js'
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { serveStatus } from '#connection/front'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
+import { StallWatch } from '#process/clock'
 import { Entry } from '#process/entry'
 import type { EntryPlatform } from '#process/entry'
 import { Disk, Ledger } from '#process/ledger'
@@ -60,9 +61,11 @@
     pid: process.pid,
     startMs: Math.round(performance.now())
   })
+  const watch = new StallWatch(lateMs => log.event(Events.processStalled, { lateMs }))
   process.on('SIGHUP', () => reload(settingsFile, log))
   process.once('SIGTERM', () => {
     log.event(Events.processStopping, { signal: 'SIGTERM', graceMs: settings.timing.stop_grace_ms })
+    watch.stop()
     running.stop().then(() => {
       log.event(Events.processStopped, {})
       log.flush()
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import { LedgerQuorum } from '#process/quorum'
 import { serveExchange } from './serve.js'
 import type { ServeState } from './serve.js'
+import { pause } from '#process/clock'
 
 export interface EntryOptions {
   readonly zone: string
@@ -196,7 +197,3 @@
     }).finally(() => { this.isReadingView = false })
   }
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '#process/log'
 import { emptyView, quorumRule } from '#process/membership'
 import type { QuorumRule } from '#process/membership'
+import { pause } from '#process/clock'
 
 /// The storage instances could not be asked, or too few of them answered.
 export class QuorumError extends Error {
@@ -268,7 +269,3 @@
 function isSameDisk (a: Member, b: Member): boolean {
   return a.diskId === b.diskId && a.address === b.address
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/process/storage/test/cluster.ts
+++ b/process/storage/test/cluster.ts
@@ -11,6 +11,7 @@
 import { MemberState, readView } from '#process/membership'
 import { LedgerQuorum } from '#process/quorum'
 import { Membership } from '#process/storage'
+import { pause } from '#process/clock'
 
 const toleratedLosses = 1
 const defaultLatencyMs = 2
@@ -283,7 +284,3 @@
 function newFolder (): string {
   return mkdtempSync(join(tmpdir(), 'cluster-'))
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -6,13 +6,10 @@
 import { Events, messageOf } from '#process/log'
 import { noteCached } from '#process/instances'
 import type { Place } from '#process/placement'
-import { attempt } from './attempt.js'
 import type { AttemptResult, StreamListener } from './attempt.js'
-import { AbortReason } from './context.js'
 import type { CallerAnswer, ForwardContext, RoutedCall } from './context.js'
+import { Tries, reasonOf, verdictOf } from './tries.js'
 
-const maxUnsentTries = 4
-const fullRetryMs = 100
 const maxKeepMs = 1500
 /// A resumable stream goes on elsewhere after this much silence.
 const silenceMs = 900
@@ -67,13 +64,10 @@
 class Turn implements StreamListener {
   private readonly output: Buffer[] = []
   private readonly prompt: Buffer
-  private readonly excluded = new Set<string>()
+  private readonly tries: Tries
   private parser = new EventStreamParser()
   private lastEventId: number
   private events = 0
-  private sent = 0
-  private unsent = 0
-  private mayHaveRun = false
   private instanceId = ''
 
   constructor (
@@ -86,6 +80,7 @@
     private readonly storageMs: number
   ) {
     this.prompt = promptOf(history, routed.body)
+    this.tries = new Tries(routed, context)
     this.lastEventId = routed.call.lastEventId
   }
 
@@ -102,8 +97,6 @@
       const { id } = place.instance.description
       this.instanceId = id
       const result = await this.sendOnce(place)
-      place.release()
-      this.excluded.add(id)
       if (result.kind === 'stream-ended') {
         noteCached(place.instance, routed.call.prefix.map(part => part.id))
         return true
@@ -113,11 +106,15 @@
         caller.answer(result.head, result.body)
         return false
       }
-      this.note(result)
-      if (!this.mayGoOn(result)) throw this.refusal(result)
+      if (!this.tries.mayGoOn(result, routed.route.resumable)) throw this.tries.refusal(this.verdict, result)
       context.metrics.count('retries_total')
       context.log.event(this.events > 0 ? Events.streamResumed : Events.callRetried, {
-        callId: routed.call.id, instanceId: id, result: result.kind, reason: result.kind === 'not-run' ? result.status : result.reason, lastEventId: this.lastEventId, sent: this.sent
+        callId: routed.call.id,
+        instanceId: id,
+        result: result.kind,
+        reason: reasonOf(result),
+        lastEventId: this.lastEventId,
+        sent: this.tries.sent
       })
     }
   }
@@ -174,29 +171,20 @@
   }
 
   private async findPlace (): Promise<Place> {
-    const { routed, context } = this
     const previous = this.history[this.history.length - 1]
+    const previousInstanceId = previous === undefined || previous.instanceId === '' ? null : previous.instanceId
     try {
-      return await context.placement.acquire({
-        call: routed.call,
-        service: routed.serviceName,
-        engine: routed.service?.engine ?? null,
-        priority: routed.route.priority,
-        excluded: this.excluded,
-        previousInstanceId: previous === undefined || previous.instanceId === '' ? null : previous.instanceId,
-        isContinuing: !this.isBeginning,
-        maxWaitMs: this.maxWaitMs,
-        deadlineMs: routed.deadlineMs
-      }, routed.signal)
+      const { maxWaitMs } = this
+      return await this.tries.findPlace({ previousInstanceId, isContinuing: !this.isBeginning, maxWaitMs })
     } catch (error) {
-      if (this.mayHaveRun) throw this.broken(messageOf(error))
+      if (this.tries.mayHaveRun) throw this.broken(messageOf(error))
       throw error
     }
   }
 
   /// Whether its program has nothing to lose yet: no instance has had a turn of it.
   private get isBeginning (): boolean {
-    return this.isFirst && this.sent === 0
+    return this.isFirst && this.tries.sent === 0
   }
 
   private get maxWaitMs (): number {
@@ -205,63 +193,19 @@
     return (deadlineMs - performance.now()) * maxWaitShare
   }
 
-  private async sendOnce (place: Place): Promise<AttemptResult> {
-    const { routed, context } = this
-    const { call, route } = routed
-    const { instance } = place
-    const nowMs = performance.now()
-    context.log.event(Events.callDispatched, {
-      callId: call.id,
-      programId: call.program?.id,
-      route: route.name,
-      configVersion: routed.configVersion,
-      instanceId: instance.description.id,
-      running: instance.running,
-      othersRunning: Math.round(instance.othersRunning),
-      loadAgeMs: Math.round(nowMs - instance.loadReadAtMs),
-      history: this.history.length,
-      promptBytes: this.prompt.length,
-      afterEvent: this.lastEventId,
-      ageMs: Math.round(nowMs - call.receivedAtMs),
-      storageMs: Math.round(this.storageMs)
-    })
-    const result = await attempt({
-      call,
-      instance,
-      codec: context.codec,
-      log: context.log,
+  private sendOnce (place: Place): Promise<AttemptResult> {
+    return this.tries.send(place, {
       body: this.prompt,
-      remainingMs: routed.deadlineMs - nowMs,
       lastEventId: this.lastEventId,
       listener: this,
-      signal: routed.signal,
-      silenceMs: route.resumable ? silenceMs : 0
+      silenceMs: this.routed.route.resumable ? silenceMs : 0,
+      details: {
+        history: this.history.length,
+        promptBytes: this.prompt.length,
+        afterEvent: this.lastEventId,
+        storageMs: Math.round(this.storageMs)
+      }
     })
-    context.metrics.observeMs('instance', performance.now() - nowMs)
-    return result
-  }
-
-  private note (result: AttemptResult): void {
-    if (result.kind === 'unsent') this.unsent++
-    else this.sent++
-    if (result.kind === 'broken') this.mayHaveRun = true
-  }
-
-  private mayGoOn (result: AttemptResult): boolean {
-    const { route, signal } = this.routed
-    if (signal.aborted) return false
-    if (result.kind === 'unsent') return this.unsent < maxUnsentTries
-    if (this.sent >= route.maxInstances) return false
-    return result.kind === 'not-run' ? this.events === 0 || route.resumable : route.resumable
-  }
-
-  private refusal (result: AttemptResult): RefusedError {
-    const { signal } = this.routed
-    if (signal.aborted && signal.reason === AbortReason.deadline) {
-      return new RefusedError(Refusal.timedOut, this.verdict, 'the stream did not end within the time allowed')
-    }
-    const reason = result.kind === 'broken' || result.kind === 'unsent' ? result.reason : result.kind
-    return new RefusedError(Refusal.upstreamFailed, this.verdict, reason, fullRetryMs)
   }
 
   private broken (reason: string): RefusedError {
@@ -269,7 +213,7 @@
   }
 
   private get verdict (): Verdict {
-    return this.mayHaveRun || this.events > 0 ? Verdict.mayHaveRun : Verdict.notRun
+    return verdictOf(this.tries.mayHaveRun || this.events > 0)
   }
 }
 
--- a/request/turn/src/account.ts
+++ b/request/turn/src/account.ts
@@ -3,6 +3,7 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import type { Call } from '#request/call'
 import type { Route } from '#version/configuration'
+import { pause } from '#process/clock'
 import { Events, messageOf } from '#process/log'
 import type { EventLog } from '#process/log'
 import { blankRecord } from './ledger.js'
@@ -100,7 +101,7 @@
       const others = countTokens(entries, this.callId)
       const before = countTokens(entries.filter(entry => entry.settled || entry.id < this.callId), this.callId)
       if (others < budget || before >= budget || reads === maxReads) return others
-      await new Promise(resolve => setTimeout(resolve, rereadPauseMs))
+      await pause(rereadPauseMs)
     }
   }
 
@@ -126,7 +127,7 @@
       } catch (error) {
         if (tries >= settleTries) throw error
       }
-      await new Promise(resolve => setTimeout(resolve, settleRetryPauseMs))
+      await pause(settleRetryPauseMs)
     }
   }
 }
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -6,6 +6,7 @@
 import { StandinStore } from '#standin/store'
 import { StandinUpstream } from '#standin/upstream'
 import { freePorts } from './ports.js'
+import { pause } from '#process/clock'
 
 /// The whole system as real processes on loopback, before stand-ins.
 export interface SystemOptions {
@@ -215,7 +216,3 @@
     child.kill(signal)
   })
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { pause } from '#process/clock'
 
 /// What an instance does to the requests that it gets.
 export const UpstreamFault = {
@@ -153,7 +154,3 @@
     return `piece ${id} after ${ran.body.length} bytes`
   }
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
