Several connections to a storage instance: busy entries no longer wait for its window

Storage took 424 ms (p50) at the one entry of a zone under two bursts, 20 ms at others at the same time, so it was neither the storage instances nor the network. Ruled out: a late loop (no timer was 60 ms late; refusing calls from that lag on never happened, reverted). A turn's record is 16 to 23 kB; HTTP/2 lets 64 KiB be under way on a connection until the other side's word is read, one loop turn later each.

What the connections know of the peer is shared: an answer on any shows that it is slow, not silent; two requests without any answer replace them all.

--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -45,6 +45,19 @@
   reject (error: PeerError): void
 }
 
+/// What the connections to one peer know together.
+export interface Hearing {
+  lastReplyMs: number
+  /// Requests in a row that ran out of time while nothing at all came from the peer.
+  timeouts: number
+  /// How often the peer was found silent; each connection is replaced after that.
+  silences: number
+}
+
+export function newHearing (): Hearing {
+  return { lastReplyMs: -Infinity, timeouts: 0, silences: 0 }
+}
+
 /// A storage instance over one gRPC stream. Requests of one turn of the loop
 /// share a message. A connection that went silent is replaced.
 export class LedgerConnection implements LedgerPeer {
@@ -55,9 +68,10 @@
   private lastNumber = 0
   private timeouts = 0
   private lastReplyMs = -Infinity
+  private silences = 0
   private isClosed = false
 
-  constructor (private readonly address: string) {}
+  constructor (private readonly address: string, private readonly hearing: Hearing = newHearing()) {}
 
   async append (request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
     return (await this.ask({ append: request }, timeoutMs)).append!
@@ -82,6 +96,10 @@
 
   private ask (question: Partial<Request>, timeoutMs: number): Promise<Reply> {
     if (this.isClosed) return Promise.reject(new PeerError(`${this.address}: closed`))
+    if (this.silences !== this.hearing.silences) {
+      this.silences = this.hearing.silences
+      this.drop('silent')
+    }
     return new Promise((resolve, reject) => {
       const number = this.lastNumber = (this.lastNumber + 1) % 0x7fffffff
       const dueMs = performance.now() + timeoutMs
@@ -116,8 +134,8 @@
   }
 
   private settle (reply: Reply): void {
-    this.timeouts = 0
-    this.lastReplyMs = performance.now()
+    this.timeouts = this.hearing.timeouts = 0
+    this.lastReplyMs = this.hearing.lastReplyMs = performance.now()
     const pending = this.take(reply.number)
     if (pending === undefined) return
     if (reply.error === '') pending.resolve(reply)
@@ -134,9 +152,15 @@
   private expire (number: number, timeoutMs: number): void {
     const pending = this.take(number)
     if (pending === undefined) return
-    const isSilent = performance.now() - this.lastReplyMs > timeoutMs
+    const { hearing } = this
+    const sinceMs = performance.now() - timeoutMs
+    const isSilent = hearing.lastReplyMs < sinceMs
     pending.reject(new PeerError(`${this.address}: no answer in time`, isSilent))
-    if (isSilent && ++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
+    if (isSilent && ++hearing.timeouts >= timeoutsBeforeReconnect) {
+      hearing.timeouts = 0
+      hearing.silences++
+    }
+    if (this.lastReplyMs < sinceMs && ++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
   }
 
   /// The session is gone; what it carried has no answer.
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -2,7 +2,7 @@
 import type { ForwardContext } from '#request/forward'
 import { FrontServer, serveStatus } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
-import { LedgerConnection } from '#connection/rpc'
+import { LedgerLanes } from '#connection/rpc'
 import { ObjectKind, follow } from '#connection/store'
 import type { ObjectStore, StoredObject } from '#connection/store'
 import { InstanceClient } from '#connection/upstream'
@@ -82,7 +82,7 @@
     this.quorum = new LedgerQuorum({
       zone: options.zone,
       toleratedLosses: options.toleratedLosses,
-      connect: address => new LedgerConnection(address),
+      connect: address => new LedgerLanes(address),
       onStale: () => this.readView()
     }, log)
     this.context = {
