--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -2,6 +2,8 @@
 import yargs from 'yargs'
 import { SettingsError, parseSettings } from '#process/settings'
 import { formatLine, formatTimeline, linesAbout, readLines, timelineOf } from './lines.js'
+import type { TimelineCall } from './lines.js'
+import { timelinePage } from './page.js'
 import { formatReports, readReports } from './report.js'
 import { formatStatus, readStatus } from './status.js'
 
@@ -35,8 +37,9 @@
         .option('around-ms', { type: 'number', default: defaultAroundMs, describe: 'what the processes believed this long before and after' }),
       args => run(() => explain(args.id, args.aroundMs, args.json, streams)))
     .command('timeline <program>', "draw a program's calls over all processes from logs on standard input",
-      builder => builder.positional('program', { type: 'string', demandOption: true }),
-      args => run(() => timeline(args.program, args.json, streams)))
+      builder => builder.positional('program', { type: 'string', demandOption: true })
+        .option('html', { type: 'boolean', default: false, describe: 'print a page with a picture' }),
+      args => run(() => timeline(args.program, args.json ? 'json' : args.html ? 'html' : 'text', streams)))
     .command('status <address...>', 'ask processes on their metrics addresses (HOST:PORT)',
       builder => builder.positional('address', { type: 'string', array: true, demandOption: true }),
       args => run(() => status(args.address, args.json, streams)))
@@ -95,12 +98,20 @@
   return 0
 }
 
-function timeline (programId: string, isJson: boolean, { readInput, write }: CliStreams): ExitCode {
+type TimelineForm = 'json' | 'html' | 'text'
+
+const timelineAs: Readonly<Record<TimelineForm, (programId: string, calls: readonly TimelineCall[]) => string>> = {
+  json: (_, calls) => `${JSON.stringify(calls)}\n`,
+  html: timelinePage,
+  text: (_, calls) => `${formatTimeline(calls)}\n`
+}
+
+function timeline (programId: string, form: TimelineForm, { readInput, write }: CliStreams): ExitCode {
   const calls = timelineOf(readLines(readInput()), programId)
   if (calls.length === 0) {
-    write(isJson ? '[]\n' : `no call of ${programId}\n`)
+    write(form === 'json' ? '[]\n' : `no call of ${programId}\n`)
     return 1
   }
-  write(isJson ? `${JSON.stringify(calls)}\n` : `${formatTimeline(calls)}\n`)
+  write(timelineAs[form](programId, calls))
   return 0
 }
--- a/process/cli/test/cli.test.ts
+++ b/process/cli/test/cli.test.ts
@@ -47,6 +47,13 @@
   expect(output).toContain('call-refused ledger-unavailable')
 })
 
+test('timeline: a page that needs nothing else, with a bar for each call', async () => {
+  const { code, output } = await run('timeline', 'p', '--html')
+  expect(code).toBe(0)
+  expect(output.match(/<rect /g)).toHaveLength(2)
+  expect(output).not.toMatch(/(src|href)=/)
+})
+
 test.each([
   [['explain', 'nobody'], 1],
   [['timeline', 'nobody'], 1],
