--- /dev/null
+++ b/process/entry/test/harness.ts
@@ -0,0 +1,126 @@
+import { randomBytes } from 'node:crypto'
+import { request } from 'undici'
+import { FrontServer } from '#connection/front'
+import type { LedgerRecord } from '#connection/rpc'
+import { InstanceClient } from '#connection/upstream'
+import { ChainCache } from '#request/turn'
+import type { TurnLedger } from '#request/turn'
+import { RouteTable } from '#version/configuration'
+import { serveExchange } from '#process/entry'
+import { InstanceRegistry } from '#process/instances'
+import { mergeEntry } from '#process/ledger'
+import { silentLog } from '#process/log'
+import { Metrics } from '#process/metrics'
+import { Placement } from '#process/placement'
+import { platformHeaders, readConfiguration, readInstance } from '#platform'
+import { configuration } from '#standin/system'
+
+/// A ledger in memory that can be told to fail.
+export class FakeLedger implements TurnLedger {
+  readonly records = new Map<string, LedgerRecord>()
+  isAway = false
+
+  async append (records: readonly LedgerRecord[]): Promise<void> {
+    if (this.isAway) throw new Error('away')
+    for (const record of records) this.records.set(`${record.kind}/${record.id}`, record)
+  }
+
+  async reserve (reservation: LedgerRecord): Promise<ReturnType<typeof mergeEntry>[]> {
+    await this.append([reservation])
+    return await this.readAccount(reservation.programId)
+  }
+
+  async readAccount (ofProgram: string): Promise<ReturnType<typeof mergeEntry>[]> {
+    if (this.isAway) throw new Error('away')
+    const account = new Map<string, ReturnType<typeof mergeEntry>>()
+    for (const { kind, id, tokens, programId } of this.records.values()) {
+      if (programId !== ofProgram) continue
+      const entry = kind === 1
+        ? {
+            id,
+            reserved: tokens,
+            spent: 0,
+            settled: false
+          }
+        : { id, reserved: 0, spent: tokens, settled: true }
+      account.set(id, mergeEntry(account.get(id), entry))
+    }
+    return [...account.values()]
+  }
+
+  async findChain (turnId: string): Promise<LedgerRecord[] | null> {
+    if (this.isAway) throw new Error('away')
+    const chain: LedgerRecord[] = []
+    for (let id = turnId; id !== '';) {
+      const turn = this.records.get(`3/${id}`)
+      if (turn === undefined) return null
+      chain.unshift(turn)
+      id = turn.previousId
+    }
+    return chain
+  }
+}
+
+/// What a caller saw.
+export interface Seen {
+  readonly status: number
+  readonly headers: Record<string, unknown>
+  readonly body: string
+}
+
+/// An upstream instance by its id, which begins with its service, and its address.
+export interface Listed {
+  readonly id: string
+  readonly address: string
+}
+
+/// The serving part of an entry before given instances, with a ledger in memory.
+export class EntryHarness {
+  readonly ledger = new FakeLedger()
+  readonly registry: InstanceRegistry
+  address = ''
+  private readonly front: FrontServer
+
+  constructor (instances: readonly Listed[]) {
+    this.registry = new InstanceRegistry({
+      readInstance,
+      connect: at => new InstanceClient(at.address, 8),
+      onChange: () => {}
+    }, silentLog)
+    const objects = instances.map(({ id, address }) => {
+      const spec = { service: id.split('-')[0], address, zone: 'z', slots: 8, state: 'ready' }
+      return { name: id, revision: 1, spec, status: null }
+    })
+    this.registry.onListing({ objects, revision: 1 }, false)
+    const routes = new RouteTable(readConfiguration({ name: 'main', revision: 1, spec: configuration(1), status: null }))
+    const context = {
+      codec: platformHeaders,
+      placement: new Placement(this.registry, 'z', silentLog),
+      ledger: this.ledger,
+      cache: new ChainCache(1000),
+      log: silentLog,
+      metrics: new Metrics()
+    }
+    this.front = new FrontServer({
+      serve: exchange => serveExchange(exchange, { routes, isUnfit: false }, context),
+      onMalformed: () => {}
+    })
+  }
+
+  async listen (): Promise<void> {
+    this.address = (await this.front.listen('127.0.0.1:0')).replace('http://', '')
+  }
+
+  async close (): Promise<void> {
+    await this.front.close()
+  }
+
+  async call (path: string, headers: Record<string, string> = {}, method: 'GET' | 'POST' = 'POST', body = 'hello'): Promise<Seen> {
+    const answer = await request(`http://${this.address}${path}`, {
+      method,
+      headers: { host: 'demo.example', 'attempt-id': randomBytes(8).toString('hex'), 'deadline-ms': '1500', ...headers },
+      body: method === 'GET' ? null : body
+    })
+    return { status: answer.statusCode, headers: answer.headers, body: await answer.body.text() }
+  }
+}
--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -1,126 +1,30 @@
 import { randomBytes } from 'node:crypto'
 import { connect } from 'node:net'
-import { request } from 'undici'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
-import { FrontServer } from '#connection/front'
-import type { LedgerRecord } from '#connection/rpc'
-import { InstanceClient } from '#connection/upstream'
-import { ChainCache } from '#request/turn'
-import type { TurnLedger } from '#request/turn'
-import { RouteTable } from '#version/configuration'
-import { serveExchange } from '#process/entry'
-import { InstanceRegistry } from '#process/instances'
-import { mergeEntry } from '#process/ledger'
-import { silentLog } from '#process/log'
-import { Metrics } from '#process/metrics'
-import { Placement } from '#process/placement'
-import { platformHeaders, readConfiguration, readInstance } from '#platform'
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
-import { configuration } from '#standin/system'
+import { EntryHarness } from './harness.js'
+import type { Seen } from './harness.js'
 
-/// A ledger in memory that can be told to fail.
-class FakeLedger implements TurnLedger {
-  readonly records = new Map<string, LedgerRecord>()
-  isAway = false
-
-  async append (records: readonly LedgerRecord[]): Promise<void> {
-    if (this.isAway) throw new Error('away')
-    for (const record of records) this.records.set(`${record.kind}/${record.id}`, record)
-  }
-
-  async reserve (reservation: LedgerRecord): Promise<ReturnType<typeof mergeEntry>[]> {
-    await this.append([reservation])
-    return await this.readAccount(reservation.programId)
-  }
-
-  async readAccount (ofProgram: string): Promise<ReturnType<typeof mergeEntry>[]> {
-    if (this.isAway) throw new Error('away')
-    const account = new Map<string, ReturnType<typeof mergeEntry>>()
-    for (const { kind, id, tokens, programId } of this.records.values()) {
-      if (programId !== ofProgram) continue
-      const entry = kind === 1
-        ? {
-            id,
-            reserved: tokens,
-            spent: 0,
-            settled: false
-          }
-        : { id, reserved: 0, spent: tokens, settled: true }
-      account.set(id, mergeEntry(account.get(id), entry))
-    }
-    return [...account.values()]
-  }
-
-  async findChain (turnId: string): Promise<LedgerRecord[] | null> {
-    if (this.isAway) throw new Error('away')
-    const chain: LedgerRecord[] = []
-    for (let id = turnId; id !== '';) {
-      const turn = this.records.get(`3/${id}`)
-      if (turn === undefined) return null
-      chain.unshift(turn)
-      id = turn.previousId
-    }
-    return chain
-  }
-}
-
-interface Seen {
-  readonly status: number
-  readonly headers: Record<string, unknown>
-  readonly body: string
-}
-
-let ledger: FakeLedger
-let registry: InstanceRegistry
-let front: FrontServer
-let address: string
+let entry: EntryHarness
 let engines: StandinUpstream[]
 let tools: StandinUpstream[]
 
 beforeEach(async () => {
-  ledger = new FakeLedger()
   engines = [0, 1].map(i => new StandinUpstream({ id: `models-${i}`, events: 4, firstMs: 1, eventMs: 1 }))
   tools = [0, 1].map(i => new StandinUpstream({ id: `tools-${i}`, events: 0, firstMs: 1, eventMs: 0 }))
-  registry = new InstanceRegistry({
-    readInstance,
-    connect: at => new InstanceClient(at.address, 8),
-    onChange: () => {}
-  }, silentLog)
-  const objects = []
-  for (const upstream of [...engines, ...tools]) {
-    const spec = { service: upstream.options.id.split('-')[0], address: await upstream.listen(), zone: 'z', slots: 8, state: 'ready' }
-    objects.push({ name: upstream.options.id, revision: 1, spec, status: null })
-  }
-  registry.onListing({ objects, revision: 1 }, false)
-  const routes = new RouteTable(readConfiguration({ name: 'main', revision: 1, spec: configuration(1), status: null }))
-  const placement = new Placement(registry, 'z', silentLog)
-  const context = {
-    codec: platformHeaders,
-    placement,
-    ledger,
-    cache: new ChainCache(1000),
-    log: silentLog,
-    metrics: new Metrics()
-  }
-  front = new FrontServer({
-    serve: exchange => serveExchange(exchange, { routes, isUnfit: false }, context),
-    onMalformed: () => {}
-  })
-  address = (await front.listen('127.0.0.1:0')).replace('http://', '')
+  const upstreams = [...engines, ...tools]
+  const listed = upstreams.map(async upstream => ({ id: upstream.options.id, address: await upstream.listen() }))
+  entry = new EntryHarness(await Promise.all(listed))
+  await entry.listen()
 })
 
 afterEach(async () => {
   for (const upstream of [...engines, ...tools]) upstream.close()
-  await front.close()
+  await entry.close()
 })
 
-async function call (path: string, headers: Record<string, string> = {}, method: 'GET' | 'POST' = 'POST', body = 'hello'): Promise<Seen> {
-  const answer = await request(`http://${address}${path}`, {
-    method,
-    headers: { host: 'demo.example', 'attempt-id': randomBytes(8).toString('hex'), 'deadline-ms': '1500', ...headers },
-    body: method === 'GET' ? null : body
-  })
-  return { status: answer.statusCode, headers: answer.headers, body: await answer.body.text() }
+function call (...words: Parameters<EntryHarness['call']>): Promise<Seen> {
+  return entry.call(...words)
 }
 
 function fault (upstreams: StandinUpstream[], kind: UpstreamFault): void {
@@ -201,11 +105,11 @@
   const prompts = engines.flatMap(engine => engine.ran).map(request => request.body)
   const output = [1, 2, 3, 4].map(id => `piece ${id} after 6 bytes\n`).join('')
   expect(prompts).toEqual(['first;', `first;${output}second;`])
-  expect(ledger.records.has('3/t2')).toBe(true)
+  expect(entry.ledger.records.has('3/t2')).toBe(true)
 })
 
 test('a turn that can\'t be kept doesn\'t look whole; nothing is sent while the ledger is away', async () => {
-  engines[0]!.onRun = engines[1]!.onRun = () => { ledger.isAway = true }
+  engines[0]!.onRun = engines[1]!.onRun = () => { entry.ledger.isAway = true }
   await expect(call('/chat/1', {})).rejects.toThrow()
   expect((await call('/chat/1', { 'previous-turn': 't1' })).status).toBe(503)
   expect(ran(engines)).toBe(1)
@@ -243,7 +147,7 @@
   ['a header that is too large', `POST /charge/1 HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: s1\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`]
 ])('a malformed request reaches nobody: %s', async (_, text) => {
   const answer = await new Promise<string>(resolve => {
-    const [host, port] = address.split(':')
+    const [host, port] = entry.address.split(':')
     const socket = connect(Number(port), host, () => socket.write(text))
     let seen = ''
     socket.on('data', chunk => { seen += chunk.toString() })
@@ -258,7 +162,7 @@
   const inProgram = { 'program-id': 'p', 'session-id': 's', 'program-deadline-ms': '4000', 'token-budget': '500', 'token-usage': '40,40' }
   const firstId = randomBytes(8).toString('hex')
   expect((await call('/chat/1', { ...inProgram, 'attempt-id': firstId })).status).toBe(200)
-  for (const instance of registry.ofService('models')) instance.running = 6
+  for (const instance of entry.registry.ofService('models')) instance.running = 6
   expect((await call('/chat/2', { ...inProgram, 'previous-turn': firstId })).status).toBe(200)
   expect((await call('/chat/helper', { ...inProgram, 'session-id': 'h' })).status).toBe(200)
   const refused = await call('/chat/1', { ...inProgram, 'program-id': 'q' })
