Compare placement policies on emulated engines: npm run bench -- policy

The product's placement code, real instance lists and load beliefs of four entries, against engines that batch, prefill, cache and queue in order of arrival, on a virtual clock; round robin, least loaded and "every program begun" as baselines.

Development tool only; the daemon is as before.

--- /dev/null
+++ b/emulator/policy/src/index.ts
@@ -0,0 +1,6 @@
+export { comparePolicies, playScenario, scenarios } from './compare.js'
+export type { Scenario } from './compare.js'
+export type { EmulationResult, MakePolicy, PlacementPolicy } from './emulation.js'
+export { EmulatedEngine } from './engine.js'
+export type { EngineCall, EngineTraits } from './engine.js'
+export { policies } from './policies.js'
--- /dev/null
+++ b/emulator/policy/src/policies.ts
@@ -0,0 +1,41 @@
+import type { InstanceRegistry, Instance } from '#process/instances'
+import { silentLog } from '#process/log'
+import { Placement } from '#process/placement'
+import type { Place } from '#process/placement'
+import type { MakePolicy, PlacementPolicy } from './emulation.js'
+
+const zone = 'z'
+
+/// The product's policy and plain ones to hold it against.
+export const policies: Readonly<Record<string, MakePolicy>> = {
+  'round robin': registry => new PlainPolicy(registry, takeInTurn()),
+  'least loaded': registry => new PlainPolicy(registry, leastLoaded),
+  'every program begun': registry => beginEveryProgram(new Placement(registry, zone, silentLog)),
+  chosen: registry => new Placement(registry, zone, silentLog)
+}
+
+type Choose = (instances: readonly Instance[]) => Instance
+
+/// Places each call at once, whatever the instances have to do.
+class PlainPolicy implements PlacementPolicy {
+  constructor (private readonly registry: InstanceRegistry, private readonly choose: Choose) {}
+
+  acquire ({ service }: Parameters<PlacementPolicy['acquire']>[0]): Promise<Place> {
+    const instance = this.choose([...this.registry.ofService(service)])
+    instance.running++
+    return Promise.resolve({ instance, release: () => { instance.running-- } })
+  }
+}
+
+function takeInTurn (): Choose {
+  let next = 0
+  return instances => instances[next++ % instances.length]!
+}
+
+function leastLoaded (instances: readonly Instance[]): Instance {
+  return instances.reduce((least, instance) => instance.running < least.running ? instance : least)
+}
+
+function beginEveryProgram (placement: Placement): PlacementPolicy {
+  return { acquire: (need, signal) => placement.acquire({ ...need, isContinuing: true, maxWaitMs: Infinity }, signal) }
+}
