--- a/emulator/policy/src/engine.ts
+++ b/emulator/policy/src/engine.ts
@@ -51,7 +51,8 @@
     while (this.running.length < this.traits.slots && this.waiting.length > 0) {
       const call = this.waiting.shift()!
       const contextK = call.prefix.reduce((sum, part) => sum + part.tokens, 0) / 1000
-      this.running.push({ call, contextK, prefillLeft: this.unread(call), tokensLeft: call.outputTokens, hasBegun: false })
+      const prefillLeft = this.unread(call)
+      this.running.push({ call, contextK, prefillLeft, tokensLeft: call.outputTokens, hasBegun: false })
     }
   }
 
--- a/emulator/policy/test/policy.test.ts
+++ b/emulator/policy/test/policy.test.ts
@@ -14,17 +14,16 @@
 
 test('with half the engines more programs end in their aim than if every one is begun', async () => {
   const halved = scenarios['half the engines']!
-  const [chosen, greedy, plain] = await Promise.resolve().then(async () => [
-    await playScenario(halved, policies.chosen!, seed),
-    await playScenario(halved, policies['every program begun']!, seed),
-    await playScenario(halved, policies['least loaded']!, seed)
-  ] as const)
+  const chosen = await playScenario(halved, policies.chosen!, seed)
+  const greedy = await playScenario(halved, policies['every program begun']!, seed)
+  const plain = await playScenario(halved, policies['least loaded']!, seed)
   expect(chosen.worth).toBeGreaterThan(greedy.worth)
   expect(greedy.worth).toBeGreaterThan(plain.worth)
 })
 
 test('an engine reads a prompt once, and takes the next call in order of arrival', async () => {
-  const engine = new EmulatedEngine({ slots: 1, stepMs: 1, stepMsPerCall: 0, stepMsPerKContext: 0, prefillTokensPerMs: 100, slowness: 1 })
+  const traits = { slots: 1, stepMs: 1, stepMsPerCall: 0, stepMsPerKContext: 0, prefillTokensPerMs: 100, slowness: 1 }
+  const engine = new EmulatedEngine(traits)
   const ends: string[] = []
   const startedAtMs = performance.now()
   const run = (name: string): Promise<number> => new Promise(resolve => engine.run({
