A gap within one piece of a stream no longer swallows the events before it

Cause (found by reading): events of one chunk were counted one by one and written together afterwards; a wrong id in the middle threw in between.

Test: an instance sends 1, 2 and 4 in one write, another goes on; the caller got 3, 4 before and gets 1 to 4 now.

--- a/process/entry/test/garbled.test.ts
+++ b/process/entry/test/garbled.test.ts
@@ -19,8 +19,8 @@
   server.close()
 })
 
-/// Starts an entry before one instance that writes what it is told to.
-async function start (write: Write): Promise<void> {
+/// Starts an entry before an instance, under one or more ids, that writes what it is told to.
+async function start (write: Write, ids = ['tools-0']): Promise<void> {
   received = []
   let number = 0
   server = createServer(socket => {
@@ -34,7 +34,8 @@
     })
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  entry = new EntryHarness([{ id: 'tools-0', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }])
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  entry = new EntryHarness(ids.map(id => ({ id, address })))
   await entry.listen()
 }
 
@@ -89,3 +90,14 @@
   const body = first.slice(first.indexOf('\r\n\r\n') + 4, first.indexOf('\r\n\r\n') + 4 + longBody.length)
   expect(body).toBe('x'.repeat(body.length))
 })
+
+// The events before the gap counted as handed over and were not written, so the resumed stream lacked them.
+test('a gap within one piece of a stream: what came before it is passed on, the rest comes from elsewhere', async () => {
+  const event = (id: number): string => `id: ${id}\ndata: ${id}\n\n`
+  const head = (id: string): string => `HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n`
+  await start((id, number, socket) => {
+    if (number === 0) socket.write(`${head(id)}${event(1)}${event(2)}${event(4)}`)
+    else socket.end(`${head(id)}${event(3)}${event(4)}`)
+  }, ['models-0', 'models-1'])
+  expect((await entry.call('/query/1')).body).toBe([1, 2, 3, 4].map(event).join(''))
+})
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -147,10 +147,16 @@
   }
 
   onData (chunk: Buffer): void {
-    const events = this.parser.push(chunk)
-    for (const event of events) this.take(event)
-    if (events.length === 1) this.caller.write(events[0]!.bytes)
-    else if (events.length > 1) this.caller.write(Buffer.concat(events.map(event => event.bytes)))
+    const passed: Buffer[] = []
+    try {
+      for (const event of this.parser.push(chunk)) {
+        this.take(event)
+        passed.push(event.bytes)
+      }
+    } finally {
+      // What was taken counts as handed over, also where the next event is a wrong one.
+      if (passed.length > 0) this.caller.write(passed.length === 1 ? passed[0]! : Buffer.concat(passed))
+    }
   }
 
   isWhole (): boolean {
