A path that the framework can't decode reaches the core like any other

Found by a new table of requests against the front: `GET /a/%zz` was answered 400 by the framework's router before the core saw it; the route's prefix may allow it, so that is a wrong refusal.

--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -1,5 +1,5 @@
 import { fastify } from 'fastify'
-import type { FastifyInstance } from 'fastify'
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { Exchange } from './exchange.js'
 
 export interface FrontOptions {
@@ -23,8 +23,14 @@
   private readonly server: FastifyInstance
 
   constructor (options: FrontOptions) {
+    const serve = (request: FastifyRequest, reply: FastifyReply, done: () => void): void => {
+      reply.hijack()
+      options.serve(new Exchange(request.raw, reply.raw)).finally(done)
+    }
     this.server = fastify({
       logger: false,
+      // A path that the router can't decode is the core's business like any other.
+      frameworkErrors: (_, request, reply) => serve(request, reply, () => {}),
       forceCloseConnections: 'idle',
       http: { maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false },
       clientErrorHandler: (error, socket) => {
@@ -34,10 +40,7 @@
         socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
       }
     })
-    this.server.addHook('onRequest', (request, reply, done) => {
-      reply.hijack()
-      options.serve(new Exchange(request.raw, reply.raw)).finally(done)
-    })
+    this.server.addHook('onRequest', serve)
     this.server.all('*', () => {})
   }
 
