A chain stays whole whatever the order in which a disk gets its turns

Cause (found by reading): a turn keeps those before it from expiring, but the walk back stopped at one that wasn't held yet. A copy from a peer or a rewritten segment brings turns in any order; with a, c, b the first turn expired 20 s before the last one, and with every disk rebuilt in turn the chain is lost.

--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -17,6 +17,8 @@
 export class Records {
   private readonly byKey = new Map<string, HeldRecord>()
   private readonly accounts = new Map<string, Map<string, AccountEntry>>()
+  /// Until when turns that aren't held yet are needed by later ones that are.
+  private readonly neededUntilMs = new Map<string, number>()
   private arrivals: string[] = []
   private arrivalBase = 0
 
@@ -32,7 +34,9 @@
   add (record: LedgerRecord, segment = -1): HeldRecord | null {
     const key = keyOf(record)
     if (this.byKey.has(key)) return null
-    const held = { record, segment, keepUntilMs: record.recordedAtMs + record.retentionMs + retentionSlackMs }
+    const ownUntilMs = record.recordedAtMs + record.retentionMs + retentionSlackMs
+    const held = { record, segment, keepUntilMs: Math.max(ownUntilMs, this.neededUntilMs.get(key) ?? 0) }
+    this.neededUntilMs.delete(key)
     this.byKey.set(key, held)
     this.arrivals.push(key)
     this.enterAccount(record)
@@ -81,6 +85,7 @@
       this.forget(key, held.record)
       dropped++
     }
+    for (const [key, untilMs] of this.neededUntilMs) if (untilMs <= nowMs) this.neededUntilMs.delete(key)
     if (passed > 0) {
       this.arrivals = this.arrivals.slice(passed).concat(kept)
       this.arrivalBase += passed
@@ -102,7 +107,12 @@
   private extendChain (previousId: string, untilMs: number): void {
     for (let id = previousId; id !== '';) {
       const held = this.byKey.get(turnKey(id))
-      if (held === undefined || held.keepUntilMs >= untilMs) return
+      if (held === undefined) {
+        const key = turnKey(id)
+        this.neededUntilMs.set(key, Math.max(untilMs, this.neededUntilMs.get(key) ?? 0))
+        return
+      }
+      if (held.keepUntilMs >= untilMs) return
       held.keepUntilMs = untilMs
       id = held.record.previousId
     }
