A storage instance that has answered since the request was sent is not silent

Traced beside 16 busy processes: the other answer came 19 to 101 ms after the request of 150 ms, so in time; but "heard" was counted over the timeout before now, and a late timer (with 60 ms of grace after a stall) moves now past the answer. A busy entry takes a live member for down that way. Ruled out: the new connections (one connection fails the same new test).

Change: heard since the request was sent. Tests: a loop that stands still for 400 ms after the answer fails on both before and passes now; the old test opens its connections first, has a longer timeout and checks its premise.

--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -102,11 +102,11 @@
     }
     return new Promise((resolve, reject) => {
       const number = this.lastNumber = (this.lastNumber + 1) % 0x7fffffff
-      const dueMs = performance.now() + timeoutMs
+      const sentAtMs = performance.now()
       // After a stall of the loop, answers that have arrived are read before the time is up.
       const timer = setTimeout(() => {
-        const wasStalled = performance.now() - dueMs > stallMs
-        setTimeout(() => this.expire(number, timeoutMs), wasStalled ? stallGraceMs : 0)
+        const wasStalled = performance.now() - sentAtMs - timeoutMs > stallMs
+        setTimeout(() => this.expire(number, sentAtMs), wasStalled ? stallGraceMs : 0)
       }, timeoutMs)
       this.pending.set(number, { timer, resolve, reject })
       if (this.outgoing.length === 0) queueMicrotask(() => this.flush())
@@ -149,18 +149,17 @@
     return pending
   }
 
-  private expire (number: number, timeoutMs: number): void {
+  private expire (number: number, sentAtMs: number): void {
     const pending = this.take(number)
     if (pending === undefined) return
     const { hearing } = this
-    const sinceMs = performance.now() - timeoutMs
-    const isSilent = hearing.lastReplyMs < sinceMs
+    const isSilent = hearing.lastReplyMs < sentAtMs
     pending.reject(new PeerError(`${this.address}: no answer in time`, isSilent))
     if (isSilent && ++hearing.timeouts >= timeoutsBeforeReconnect) {
       hearing.timeouts = 0
       hearing.silences++
     }
-    if (this.lastReplyMs < sinceMs && ++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
+    if (this.lastReplyMs < sentAtMs && ++this.timeouts >= timeoutsBeforeReconnect) this.drop('silent')
   }
 
   /// The session is gone; what it carried has no answer.
--- a/connection/rpc/test/client.test.ts
+++ b/connection/rpc/test/client.test.ts
@@ -39,13 +39,28 @@
   ['several connections', address => new LedgerLanes(address)]
 ])('%s', (_, open) => {
   test('a peer that answers other requests meanwhile is slow, not silent', async () => {
+    const timeoutMs = 600
     const connection = await connect(halfDeaf, open)
-    const waiting = failureOf(connection.append(append, 150))
-    await connection.digest(digest, 1000)
+    // Each connection is opened before, so that the answer comes while the append waits.
+    await Promise.all([1, 2, 3, 4].map(() => connection.digest(digest, 5000)))
+    const waiting = failureOf(connection.append(append, timeoutMs))
+    const askedAtMs = performance.now()
+    await connection.digest(digest, 5000)
+    expect(performance.now() - askedAtMs).toBeLessThan(timeoutMs)
     const failure = await waiting
     expect([failure.name, failure.isSilent]).toEqual(['PeerError', false])
   })
 
+  test('an answer counts also where the timer that follows it is late', async () => {
+    const connection = await connect(halfDeaf, open)
+    await Promise.all([1, 2, 3, 4].map(() => connection.digest(digest, 5000)))
+    const waiting = failureOf(connection.append(append, 200))
+    await connection.digest(digest, 5000)
+    const untilMs = performance.now() + 400
+    while (performance.now() < untilMs);
+    expect((await waiting).isSilent).toBe(false)
+  })
+
   test('a peer that answers nothing is silent, and is asked over a new connection', async () => {
     const connection = await connect(halfDeaf, open)
     for (let i = 0; i < 2; i++) expect((await failureOf(connection.append(append, 60))).isSilent).toBe(true)
