--- a/connection/store/src/follow.ts
+++ b/connection/store/src/follow.ts
@@ -1,8 +1,8 @@
+import { pause } from '#process/clock'
 import { Events, messageOf } from '#process/log'
 import type { EventLog } from '#process/log'
 import { HistoryGoneError } from './store.js'
-import type { ObjectStore, StoreChange, StoreListing } from './store.js'
-import { pause } from '#process/clock'
+import type { ObjectStore, StoreChange, StoreListing, StoredObject } from './store.js'
 
 /// Receives what a kind of objects looks like, and each change of it.
 export interface Follower {
@@ -32,6 +32,23 @@
   return () => stop.abort()
 }
 
+/// Follows one object of a kind. `onObject` gets it after each listing, null
+/// where it isn't there, and after each change but its end.
+export function followOne (
+  store: ObjectStore,
+  options: FollowOptions,
+  name: string,
+  onObject: (object: StoredObject | null) => void,
+  log: EventLog
+): () => void {
+  return follow(store, options, {
+    onListing: ({ objects }) => onObject(objects.find(object => object.name === name) ?? null),
+    onChanges: changes => {
+      for (const change of changes) if (change.name === name && change.object !== null) onObject(change.object)
+    }
+  }, log)
+}
+
 async function run (
   store: ObjectStore,
   options: FollowOptions,
--- a/demo/src/main.ts
+++ b/demo/src/main.ts
@@ -1,6 +1,7 @@
 import { StandinSystem } from '#standin/system'
 import { runProgram } from './program.js'
 import type { ProgramSeen } from './program.js'
+import { runOn } from './run.js'
 
 const programs = Number(process.env.DEMO_PROGRAMS ?? 12)
 const turns = 4
@@ -43,10 +44,4 @@
   return failed.length === 0 && repeated === 0 ? 0 : 1
 }
 
-main().catch((error: unknown) => {
-  process.stderr.write(`${String(error)}\n`)
-  return 1
-}).then(async code => {
-  await system.stop()
-  process.exit(code)
-})
+runOn(system, main)
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -1,9 +1,10 @@
+import { pause } from '#process/clock'
 import { StandinSystem } from '#standin/system'
 import type { SystemNode } from '#standin/system'
 import { StoreFault } from '#standin/store'
 import { continueTurn, runProgram } from './program.js'
 import type { CallSeen } from './program.js'
-import { pause } from '#process/clock'
+import { runOn } from './run.js'
 
 /// Plays programs against real processes while these are killed, lose their
 /// disks and their store, and checks what must hold in the end.
@@ -80,10 +81,4 @@
   return lost
 }
 
-main().catch((error: unknown) => {
-  process.stderr.write(`${String(error)}\n`)
-  return 1
-}).then(async code => {
-  await system.stop()
-  process.exit(code)
-})
+runOn(system, main)
--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -4,6 +4,7 @@
 import type { Instance } from '#process/instances'
 import { silentLog } from '#process/log'
 import type { Place, PlacementNeed } from '#process/placement'
+import { plainCall } from '#standin/call'
 import { EmulatedEngine } from './engine.js'
 import type { EngineTraits } from './engine.js'
 import type { TracedProgram, TracedTurn } from './trace.js'
@@ -157,18 +158,9 @@
 
 function callOf (program: TracedProgram, turn: TracedTurn, index: number, before: readonly string[]): Call {
   const own = [...before, `${program.id}/${index}`].map(id => ({ id, tokens: turn.inputTokens }))
-  return {
-    id: `${program.id}/${index}`,
-    method: 'POST',
-    path: '/',
-    host: 'h',
-    passedHeaders: [],
+  return plainCall(`${program.id}/${index}`, {
     patienceMs,
-    receivedAtMs: performance.now(),
     program: { id: program.id, sessionId: program.id, remainingMs: patienceMs, tokenBudget: null },
-    previousTurnId: null,
-    usage: null,
-    prefix: [{ id: program.sharedPart, tokens: sharedTokens }, ...own],
-    lastEventId: -1
-  }
+    prefix: [{ id: program.sharedPart, tokens: sharedTokens }, ...own]
+  })
 }
--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -2,7 +2,7 @@
 import yargs from 'yargs'
 import { SettingsError, parseSettings } from '#process/settings'
 import { formatLine, formatTimeline, linesAbout, readLines, timelineOf } from './lines.js'
-import type { TimelineCall } from './lines.js'
+import type { LogLine, TimelineCall } from './lines.js'
 import { timelinePage } from './page.js'
 import { formatReports, readReports } from './report.js'
 import { formatStatus, readStatus } from './status.js'
@@ -39,7 +39,7 @@
     .command('timeline <program>', "draw a program's calls over all processes from logs on standard input",
       builder => builder.positional('program', { type: 'string', demandOption: true })
         .option('html', { type: 'boolean', default: false, describe: 'print a page with a picture' }),
-      args => run(() => timeline(args.program, args.json ? 'json' : args.html ? 'html' : 'text', streams)))
+      args => run(() => timeline(args.program, args.json, args.html, streams)))
     .command('status <address...>', 'ask processes on their metrics addresses (HOST:PORT)',
       builder => builder.positional('address', { type: 'string', array: true, demandOption: true }),
       args => run(() => status(args.address, args.json, streams)))
@@ -61,57 +61,54 @@
 function check (file: string, isJson: boolean, { write }: CliStreams): ExitCode {
   try {
     const settings = parseSettings(file, readFileSync(file, 'utf8'))
-    write(isJson ? `${JSON.stringify(settings)}\n` : `${file}: sound, role ${settings.node.role}\n`)
+    write(isJson ? jsonText(settings) : `${file}: sound, role ${settings.node.role}\n`)
     return 0
   } catch (error) {
     const faults = error instanceof SettingsError ? error.faults : [String(error)]
-    write(isJson ? `${JSON.stringify({ file, faults })}\n` : faults.map(fault => `${file}: ${fault}\n`).join(''))
+    write(isJson ? jsonText({ file, faults }) : faults.map(fault => `${file}: ${fault}\n`).join(''))
     return 1
   }
 }
 
 async function status (addresses: readonly string[], isJson: boolean, streams: CliStreams): Promise<ExitCode> {
-  const { write, fetchText } = streams
-  const statuses = await readStatus(addresses, fetchText)
-  write(`${isJson ? JSON.stringify(statuses) : formatStatus(statuses)}\n`)
+  const statuses = await readStatus(addresses, streams.fetchText)
+  streams.write(isJson ? jsonText(statuses) : `${formatStatus(statuses)}\n`)
   return statuses.every(({ values }) => values !== null) ? 0 : 1
 }
 
 function report (files: readonly string[], site: string | undefined, isJson: boolean, { write }: CliStreams): ExitCode {
   const reports = readReports(files.map(file => readFileSync(file, 'utf8')))
     .filter(day => site === undefined || day.site === site)
-  if (reports.length === 0) {
-    write(isJson ? '[]\n' : 'no day was played\n')
-    return 1
-  }
-  write(`${isJson ? JSON.stringify(reports) : formatReports(reports)}\n`)
-  return 0
+  return show(reports, isJson, days => `${formatReports(days)}\n`, 'no day was played', write)
 }
 
 function explain (id: string, aroundMs: number, isJson: boolean, { readInput, write }: CliStreams): ExitCode {
   const lines = linesAbout(readLines(readInput()), id, aroundMs)
-  if (lines.length === 0) {
-    write(isJson ? '[]\n' : `no line about ${id}\n`)
-    return 1
-  }
-  write(isJson ? `${JSON.stringify(lines)}\n` : lines.map(line => `${formatLine(line)}\n`).join(''))
-  return 0
+  const print = (found: readonly LogLine[]): string => found.map(line => `${formatLine(line)}\n`).join('')
+  return show(lines, isJson, print, `no line about ${id}`, write)
 }
 
-type TimelineForm = 'json' | 'html' | 'text'
+function timeline (programId: string, isJson: boolean, isPage: boolean, { readInput, write }: CliStreams): ExitCode {
+  const calls = timelineOf(readLines(readInput()), programId)
+  const draw = (found: readonly TimelineCall[]): string => {
+    return isPage ? timelinePage(programId, found) : `${formatTimeline(found)}\n`
+  }
+  return show(calls, isJson, draw, `no call of ${programId}`, write)
+}
 
-const timelineAs: Readonly<Record<TimelineForm, (programId: string, calls: readonly TimelineCall[]) => string>> = {
-  json: (_, calls) => `${JSON.stringify(calls)}\n`,
-  html: timelinePage,
-  text: (_, calls) => `${formatTimeline(calls)}\n`
+/// Writes what was found; where that is nothing, an empty list as JSON and a sentence otherwise.
+function show<Item> (
+  found: readonly Item[],
+  isJson: boolean,
+  format: (found: readonly Item[]) => string,
+  nothing: string,
+  write: CliStreams['write']
+): ExitCode {
+  if (isJson) write(jsonText(found))
+  else write(found.length > 0 ? format(found) : `${nothing}\n`)
+  return found.length > 0 ? 0 : 1
 }
 
-function timeline (programId: string, form: TimelineForm, { readInput, write }: CliStreams): ExitCode {
-  const calls = timelineOf(readLines(readInput()), programId)
-  if (calls.length === 0) {
-    write(form === 'json' ? '[]\n' : `no call of ${programId}\n`)
-    return 1
-  }
-  write(timelineAs[form](programId, calls))
-  return 0
+function jsonText (value: unknown): string {
+  return `${JSON.stringify(value)}\n`
 }
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -3,11 +3,12 @@
 import { FrontServer, serveStatus } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
 import { LedgerLanes } from '#connection/rpc'
-import { ObjectKind, follow } from '#connection/store'
+import { ObjectKind, follow, followOne } from '#connection/store'
 import type { ObjectStore, StoredObject } from '#connection/store'
 import { InstanceClient } from '#connection/upstream'
 import { RouteTable } from '#version/configuration'
 import type { Configuration } from '#version/configuration'
+import { pause } from '#process/clock'
 import { InstanceRegistry } from '#process/instances'
 import type { InstanceDescription, ReadInstance } from '#process/instances'
 import { Events, messageOf } from '#process/log'
@@ -18,7 +19,6 @@
 import { LedgerQuorum } from '#process/quorum'
 import { serveExchange } from './serve.js'
 import type { ServeState } from './serve.js'
-import { pause } from '#process/clock'
 
 export interface EntryOptions {
   readonly zone: string
@@ -105,17 +105,8 @@
     const { options, platform, log } = this
     const pace = { waitMs: watchWaitMs, pauseMs: watchPauseMs }
     this.stops.push(
-      follow(platform.store, { kind: ObjectKind.configuration, ...pace }, {
-        onListing: listing => {
-          const main = listing.objects.find(object => object.name === configurationName)
-          if (main !== undefined) this.configure(main)
-        },
-        onChanges: changes => {
-          for (const {
-            name,
-            object
-          } of changes) if (name === configurationName && object !== null) this.configure(object)
-        }
+      followOne(platform.store, { kind: ObjectKind.configuration, ...pace }, configurationName, object => {
+        if (object !== null) this.configure(object)
       }, log),
       follow(platform.store, { kind: ObjectKind.instances, ...pace }, this.registry, log)
     )
--- a/process/log/src/log.ts
+++ b/process/log/src/log.ts
@@ -89,7 +89,12 @@
   }
 }
 
-/// The message of anything thrown, for a log line.
+/// The message of anything thrown, with the kind of error, for a log line.
 export function messageOf (error: unknown): string {
   return error instanceof Error ? `${error.name}: ${error.message}` : String(error)
 }
+
+/// The message alone, where a reason or an error of another kind takes it up.
+export function reasonIn (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -55,9 +55,10 @@
     const isBehind = this.waiters.some(waiter => {
       return waiter.need.service === need.service && rank(waiter, nowMs) <= rankOf(need)
     })
-    const found = isBehind ? null : this.tryPlace(need, nowMs)
+    const candidates = this.candidates(need)
+    const found = isBehind ? null : this.tryPlace(candidates, need, nowMs)
     if (found !== null) return Promise.resolve(found)
-    if (!this.hasCandidate(need)) return Promise.reject(refusedWithoutInstance(need.service))
+    if (candidates.length === 0) return Promise.reject(refusedWithoutInstance(need.service))
     if (this.waiters.length >= maxWaiting) return Promise.reject(refusedForLoad(need.service))
     return this.wait(need, nowMs, signal)
   }
@@ -87,11 +88,12 @@
 
   private settle (waiter: Waiter, nowMs: number): void {
     const { need } = waiter
-    const place = this.tryPlace(need, nowMs)
+    const candidates = this.candidates(need)
+    const place = this.tryPlace(candidates, need, nowMs)
     if (place !== null) {
       this.forget(waiter)
       waiter.resolve(place)
-    } else if (!this.hasCandidate(need)) {
+    } else if (candidates.length === 0) {
       this.forget(waiter)
       waiter.reject(refusedWithoutInstance(need.service))
     } else if (nowMs - waiter.since > need.maxWaitMs) {
@@ -106,10 +108,9 @@
     return at >= 0
   }
 
-  private tryPlace (need: PlacementNeed, nowMs: number): Place | null {
-    const usable = this.candidates(need)
-    const trusted = usable.filter(instance => instance.suspectUntilMs <= nowMs)
-    const open = (trusted.length > 0 ? trusted : usable).filter(instance => hasRoom(instance, need, nowMs))
+  private tryPlace (candidates: readonly Instance[], need: PlacementNeed, nowMs: number): Place | null {
+    const trusted = candidates.filter(instance => instance.suspectUntilMs <= nowMs)
+    const open = (trusted.length > 0 ? trusted : candidates).filter(instance => hasRoom(instance, need, nowMs))
     const instance = chooseInstance(open, need, this.zone, nowMs)
     return instance === null ? null : this.take(instance)
   }
@@ -118,10 +119,6 @@
     return [...this.registry.ofService(need.service)].filter(instance => !need.excluded.has(instance.description.id))
   }
 
-  private hasCandidate (need: PlacementNeed): boolean {
-    return this.candidates(need).length > 0
-  }
-
   private take (instance: Instance): Place {
     instance.running++
     let isHeld = true
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -1,12 +1,12 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { InstanceClient } from '#connection/upstream'
-import type { Call } from '#request/call'
 import { InstanceRegistry, estimateRunning, noteFailure, noteLoad } from '#process/instances'
 import type { Instance } from '#process/instances'
 import { silentLog } from '#process/log'
 import { Placement, chooseInstance } from '#process/placement'
 import type { Place, PlacementNeed } from '#process/placement'
 import { readInstance } from '#platform'
+import { plainCall } from '#standin/call'
 
 let registry: InstanceRegistry
 let placement: Placement
@@ -26,20 +26,7 @@
 afterEach(() => { vi.useRealTimers() })
 
 function need (id: string, fields: Partial<PlacementNeed> = {}, remainingMs = 5000): PlacementNeed {
-  const call: Call = {
-    id,
-    method: 'POST',
-    path: '/',
-    host: 'h',
-    passedHeaders: [],
-    patienceMs: 4000,
-    receivedAtMs: performance.now(),
-    program: { id, sessionId: id, remainingMs, tokenBudget: null },
-    previousTurnId: null,
-    usage: null,
-    prefix: [],
-    lastEventId: -1
-  }
+  const call = plainCall(id, { program: { id, sessionId: id, remainingMs, tokenBudget: null } })
   return {
     call,
     service: 's',
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,11 +1,11 @@
 import { PeerError } from '#connection/rpc'
 import type { AccountEntry, AppendReply, LedgerPeer, LedgerRecord, Member, Standing, View } from '#connection/rpc'
+import { pause } from '#process/clock'
 import { mergeEntry } from '#process/ledger'
 import { Events, messageOf } from '#process/log'
 import type { EventLog } from '#process/log'
 import { emptyView, quorumRule } from '#process/membership'
 import type { QuorumRule } from '#process/membership'
-import { pause } from '#process/clock'
 
 /// The storage instances could not be asked, or too few of them answered.
 export class QuorumError extends Error {
@@ -65,14 +65,14 @@
   /// Whether so many members seem to be up that appends can count. While they
   /// aren't, requests fail at once instead of waiting for the time to run out.
   get isReachable (): boolean {
-    const up = new Set(this.peers.filter(state => !state.isDown).map(state => state.member.diskId))
-    return this.countIn(up, this.rule.writers) >= this.rule.appends
+    const up = this.peers.filter(state => !state.isDown && this.rule.writers.has(state.member.diskId))
+    return up.length >= this.rule.appends
   }
 
   /// Appends records; resolves once they can't be lost. Tries for the whole
   /// time, also while the storage instances seem to be out of reach.
   async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void> {
-    await this.collect(records, '', timeoutMs, replies => this.countOf(replies, this.rule.writers) >= this.rule.appends)
+    await this.collect(records, '', timeoutMs, replies => countIn(replies.keys(), this.rule.writers) >= this.rule.appends)
   }
 
   /// Appends a reservation and resolves to the program's whole account.
@@ -93,8 +93,8 @@
   ): Promise<AccountEntry[]> {
     this.refuseIfUnreachable()
     const replies = await this.collect(records, programId, timeoutMs, replies => {
-      return this.countOf(replies, this.rule.writers) >= appends &&
-        this.countOf(replies, this.rule.knowers) >= this.rule.accounts
+      return countIn(replies.keys(), this.rule.writers) >= appends &&
+        countIn(replies.keys(), this.rule.knowers) >= this.rule.accounts
     })
     const account = new Map<string, AccountEntry>()
     for (const reply of replies.values()) {
@@ -117,12 +117,12 @@
       if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
       else if (reply.chain.length === 0) absent.add(reply.standing!.diskId)
     }
-    const isDone = (): boolean => chain !== null || this.countIn(absent, this.rule.knowers) >= this.rule.absences
+    const isDone = (): boolean => chain !== null || countIn(absent, this.rule.knowers) >= this.rule.absences
     const nearest = ask(ordered[0]!)
     await Promise.race([nearest, pause(hedgeAfterMs)])
     if (!isDone()) await this.askAll(state => state === ordered[0] ? nearest : ask(state), isDone, deadlineMs)
     if (chain !== null) return chain
-    if (this.countIn(absent, this.rule.knowers) >= this.rule.absences) return null
+    if (countIn(absent, this.rule.knowers) >= this.rule.absences) return null
     this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent: absent.size, viewVersion: this.view.version })
     throw new QuorumError(`${absent.size} of ${this.rule.absences} storage instances answered`)
   }
@@ -254,16 +254,12 @@
     }
     return [...this.peers].sort((a, b) => rank(a) - rank(b))
   }
+}
 
-  private countOf (replies: ReadonlyMap<string, unknown>, counting: ReadonlySet<string>): number {
-    return this.countIn(new Set(replies.keys()), counting)
-  }
-
-  private countIn (diskIds: ReadonlySet<string>, counting: ReadonlySet<string>): number {
-    let count = 0
-    for (const diskId of diskIds) if (counting.has(diskId)) count++
-    return count
-  }
+function countIn (diskIds: Iterable<string>, counting: ReadonlySet<string>): number {
+  let count = 0
+  for (const diskId of diskIds) if (counting.has(diskId)) count++
+  return count
 }
 
 function isSameDisk (a: Member, b: Member): boolean {
--- a/process/storage/src/copier.ts
+++ b/process/storage/src/copier.ts
@@ -17,7 +17,6 @@
 export class PeerCopier {
   private cursor = 0
   private epoch = ''
-  private diskId = ''
 
   constructor (private readonly peer: LedgerPeer, private readonly ledger: Ledger) {}
 
@@ -29,17 +28,13 @@
     while (true) {
       const request = { viewVersion, cursor: this.cursor, limit: digestKeys, epoch: this.epoch }
       const digest = await this.peer.digest(request, callTimeoutMs)
-      const standing = digest.standing!
-      if (standing.diskId !== this.diskId || digest.epoch !== this.epoch) {
-        const restarts = this.epoch !== digest.epoch && this.cursor > 0
-        this.epoch = digest.epoch
-        this.diskId = standing.diskId
-        if (restarts) this.cursor = 0
-      }
-      if (seenVersion < 0) seenVersion = standing.viewVersion
+      const { diskId, viewVersion: peersVersion } = digest.standing!
+      if (seenVersion < 0) seenVersion = peersVersion
       copied += await this.copy(digest.keys)
+      // A peer that started anew begins at its first record, whatever cursor it is asked for.
+      this.epoch = digest.epoch
       this.cursor = digest.nextCursor
-      if (digest.atEnd) return { mark: { diskId: this.diskId, viewVersion: seenVersion }, copied }
+      if (digest.atEnd) return { mark: { diskId, viewVersion: seenVersion }, copied }
     }
   }
 
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -1,5 +1,5 @@
 import type { LedgerPeer, Member, View } from '#connection/rpc'
-import { ObjectKind, StoreConflictError, follow } from '#connection/store'
+import { ObjectKind, StoreConflictError, follow, followOne } from '#connection/store'
 import type { ObjectStore, StoredObject } from '#connection/store'
 import type { Ledger } from '#process/ledger'
 import { Events, messageOf } from '#process/log'
@@ -63,12 +63,8 @@
   ) {}
 
   start (): void {
-    this.stops.push(follow(this.store, { kind: ObjectKind.storageViews, waitMs: viewWaitMs, pauseMs: watchPauseMs }, {
-      onListing: listing => this.onView(listing.objects.find(object => object.name === viewName) ?? null),
-      onChanges: changes => {
-        for (const change of changes) if (change.name === viewName && change.object !== null) this.onView(change.object)
-      }
-    }, this.log))
+    const views = { kind: ObjectKind.storageViews, waitMs: viewWaitMs, pauseMs: watchPauseMs }
+    this.stops.push(followOne(this.store, views, viewName, object => this.onView(object), this.log))
     this.stops.push(follow(this.store, {
       kind: ObjectKind.retirements,
       waitMs: retirementWaitMs,
--- a/process/storage/test/budget.test.ts
+++ b/process/storage/test/budget.test.ts
@@ -5,9 +5,10 @@
 import { RouteKind } from '#version/configuration'
 import type { Route } from '#version/configuration'
 import { silentLog } from '#process/log'
-import { Cluster } from './cluster.js'
+import { plainCall } from '#standin/call'
+import { Cluster, faults, pauseClock } from './cluster.js'
+import type { Fault } from './cluster.js'
 
-const startSize = 3
 const mostTokens = 10
 const histories = Number(process.env.HISTORIES ?? 25)
 const seed = Number(process.env.HISTORY_SEED ?? 20261204)
@@ -31,9 +32,8 @@
 let calls = 0
 
 beforeEach(async () => {
-  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'performance', 'Date'] })
-  cluster = new Cluster()
-  await cluster.start(startSize)
+  pauseClock()
+  cluster = await Cluster.start()
 })
 
 afterEach(() => {
@@ -42,20 +42,7 @@
 })
 
 function callOf (tokenBudget: number): Call {
-  return {
-    id: `c${++calls}`,
-    method: 'POST',
-    path: '/',
-    host: 'h',
-    passedHeaders: [],
-    patienceMs: 4000,
-    receivedAtMs: performance.now(),
-    program: { id: 'p', sessionId: 's', remainingMs: 4000, tokenBudget },
-    previousTurnId: null,
-    usage: null,
-    prefix: [],
-    lastEventId: -1
-  }
+  return plainCall(`c${++calls}`, { program: { id: 'p', sessionId: 's', remainingMs: 4000, tokenBudget } })
 }
 
 /// Whether a turn through an entry may run.
@@ -83,10 +70,9 @@
   expect(opened.filter(account => account !== null)).toHaveLength(1)
 })
 
-type Step = 'spend' | 'crash-entry' | 'kill' | 'restart' | 'wipe' | 'away' | 'back' | 'wait'
+type Step = Fault | 'spend' | 'crash-entry'
 const steps: readonly Step[] = ['spend', 'spend', 'spend', 'crash-entry', 'kill', 'restart', 'restart', 'wipe', 'away', 'back', 'wait']
 const maxLatencyMs = 30
-const waitMs = 1500
 
 test(`in any history of faults that are tolerated, no budget is passed by more than one turn (seed ${seed})`, async () => {
   const history = fc.array(fc.tuple(fc.constantFrom(...steps), fc.nat({ max: 1000 })), { minLength: 5, maxLength: 25 })
@@ -94,30 +80,24 @@
   const budget = fc.integer({ min: 5, max: 60 })
   await fc.assert(fc.asyncProperty(history, delays, budget, async (sequence, delaysMs, tokenBudget) => {
     cluster.stop()
-    cluster = new Cluster()
-    await cluster.start(startSize)
+    cluster = await Cluster.start()
     let messages = 0
     cluster.latencyMs = () => delaysMs[messages++ % delaysMs.length]!
     let handedOut = 0
     for (const [step, pick] of sequence) {
-      const node = cluster.nodes[pick % cluster.nodes.length]!
-      if (step === 'spend' || step === 'crash-entry') {
-        const opened = await cluster.settle(Promise.all([0, 1, 2].map(entry => opens(entry, tokenBudget))))
-        for (const [i, account] of opened.entries()) {
-          if (account === null) continue
-          const tokens = (pick + i) % (mostTokens + 1)
-          handedOut += tokens
-          // An entry that dies settles nothing: the reservation counts at its most.
-          if (step === 'spend') account.settle(tokens)
-        }
-        expect(handedOut).toBeLessThanOrEqual(tokenBudget + mostTokens)
+      if (step !== 'spend' && step !== 'crash-entry') {
+        await faults[step](cluster, cluster.nodes[pick % cluster.nodes.length]!)
+        continue
+      }
+      const opened = await cluster.settle(Promise.all([0, 1, 2].map(entry => opens(entry, tokenBudget))))
+      for (const [i, account] of opened.entries()) {
+        if (account === null) continue
+        const tokens = (pick + i) % (mostTokens + 1)
+        handedOut += tokens
+        // An entry that dies settles nothing: the reservation counts at its most.
+        if (step === 'spend') account.settle(tokens)
       }
-      if (step === 'kill') cluster.kill(node)
-      if (step === 'restart') for (const other of cluster.nodes) if (other.ledger === null) cluster.restart(other, false)
-      if (step === 'wipe' && cluster.isWhole) cluster.restart(node, true)
-      if (step === 'away') cluster.store.isAway = true
-      if (step === 'back') cluster.store.isAway = false
-      if (step === 'wait') await cluster.advance(waitMs)
+      expect(handedOut).toBeLessThanOrEqual(tokenBudget + mostTokens)
     }
   }), { numRuns: histories, seed, endOnFailure: true })
 }, 120_000)
--- a/process/storage/test/cluster.ts
+++ b/process/storage/test/cluster.ts
@@ -6,14 +6,16 @@
 import type { LedgerPeer, LedgerRecord, View } from '#connection/rpc'
 import { HistoryGoneError, ObjectKind, StoreConflictError, StoreUnavailableError } from '#connection/store'
 import type { ObjectStore, StoreChange, StoredObject } from '#connection/store'
+import { pause } from '#process/clock'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { silentLog } from '#process/log'
 import { MemberState, readView } from '#process/membership'
 import { LedgerQuorum } from '#process/quorum'
 import { Membership } from '#process/storage'
-import { pause } from '#process/clock'
 
+export const startSize = 3
 const toleratedLosses = 1
+const waitMs = 1500
 const defaultLatencyMs = 2
 const entryCount = 3
 const watchPollMs = 50
@@ -117,10 +119,13 @@
     return this.entries[0]!
   }
 
-  async start (size: number): Promise<void> {
-    for (let i = 0; i < size; i++) this.boot(this.newNode(), true)
-    await this.advance(3000)
-    await this.settle(this.readView())
+  /// A cluster of the size that a system starts with, all of it serving.
+  static async start (): Promise<Cluster> {
+    const cluster = new Cluster()
+    for (let i = 0; i < startSize; i++) cluster.boot(cluster.newNode(), true)
+    await cluster.advance(3000)
+    await cluster.settle(cluster.readView())
+    return cluster
   }
 
   stop (): void {
@@ -281,6 +286,23 @@
   }
 }
 
+/// What may happen to a cluster, where the tolerated losses allow it.
+export type Fault = 'kill' | 'restart' | 'wipe' | 'away' | 'back' | 'wait'
+
+export const faults: Readonly<Record<Fault, (on: Cluster, node: Node) => void | Promise<void>>> = {
+  kill: (on, node) => on.kill(node),
+  restart: on => { for (const node of on.nodes) if (node.ledger === null) on.restart(node, false) },
+  wipe: (on, node) => { if (on.isWhole && !node.isGone) on.restart(node, true) },
+  away: on => { on.store.isAway = true },
+  back: on => { on.store.isAway = false },
+  wait: on => on.advance(waitMs)
+}
+
+/// Clusters live on this clock; `vi.useRealTimers` ends it.
+export function pauseClock (): void {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'performance', 'Date'] })
+}
+
 function newFolder (): string {
   return mkdtempSync(join(tmpdir(), 'cluster-'))
 }
--- a/process/storage/test/history.test.ts
+++ b/process/storage/test/history.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { Cluster } from './cluster.js'
+import { Cluster, faults, pauseClock, startSize } from './cluster.js'
+import type { Fault } from './cluster.js'
 
-const startSize = 3
 const copyMs = 4000
 const recoveryMs = 15_000
 const histories = Number(process.env.HISTORIES ?? 25)
@@ -11,9 +11,8 @@
 let cluster: Cluster
 
 beforeEach(async () => {
-  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'performance', 'Date'] })
-  cluster = new Cluster()
-  await cluster.start(startSize)
+  pauseClock()
+  cluster = await Cluster.start()
 })
 
 afterEach(() => {
@@ -78,47 +77,35 @@
   })
 })
 
-type Step = 'keep' | 'continue' | 'kill' | 'restart' | 'wipe' | 'add' | 'retire' | 'remove' | 'cut' | 'heal' | 'away' | 'back' | 'lossy' | 'wait'
+type Step = Fault | 'keep' | 'continue' | 'add' | 'retire' | 'remove' | 'cut' | 'heal' | 'lossy'
 
 const steps: readonly Step[] = ['keep', 'keep', 'continue', 'kill', 'restart', 'restart', 'wipe', 'add', 'retire', 'remove', 'cut', 'heal', 'away', 'back', 'lossy', 'wait', 'wait']
 const maxNodes = 7
-const waitMs = 1500
 
 /// Does what a step says, where the tolerated losses allow it.
-const perform: Readonly<Record<Step, (on: Cluster, pick: number) => void | Promise<void>>> = {
+const perform: Readonly<Record<Step, (on: Cluster, node: Cluster['nodes'][number]) => void | Promise<void>>> = {
+  ...faults,
   keep: on => on.keepTurn(false),
   continue: on => on.keepTurn(true),
-  kill: (on, pick) => on.kill(on.nodes[pick % on.nodes.length]!),
-  restart: on => { for (const node of on.nodes) if (node.ledger === null) on.restart(node, false) },
-  wipe: (on, pick) => {
-    const node = on.nodes[pick % on.nodes.length]!
-    if (on.isWhole && !node.isGone) on.restart(node, true)
-  },
   add: on => { if (on.nodes.length < maxNodes) on.add() },
-  retire: (on, pick) => on.retire(on.nodes[pick % on.nodes.length]!),
-  remove: (on, pick) => {
-    const node = on.nodes[pick % on.nodes.length]!
+  retire: (on, node) => on.retire(node),
+  remove: (on, node) => {
     if (on.isWhole && on.view!.members.length > startSize) on.remove(node)
   },
-  cut: (on, pick) => {
-    const node = on.nodes[pick % on.nodes.length]!
+  cut: (on, node) => {
     for (const other of on.nodes) if (other !== node) on.cuts.add(`${node.name}|${other.name}`)
   },
   heal: on => on.cuts.clear(),
-  away: on => { on.store.isAway = true },
-  back: on => { on.store.isAway = false },
-  lossy: on => { on.store.losesAnswers = !on.store.losesAnswers },
-  wait: on => on.advance(waitMs)
+  lossy: on => { on.store.losesAnswers = !on.store.losesAnswers }
 }
 
 test(`in any history of faults that are tolerated, no kept turn is denied or lost (seed ${seed})`, async () => {
   const history = fc.array(fc.tuple(fc.constantFrom(...steps), fc.nat({ max: 20 })), { minLength: 5, maxLength: 30 })
   await fc.assert(fc.asyncProperty(history, async sequence => {
     cluster.stop()
-    cluster = new Cluster()
-    await cluster.start(startSize)
+    cluster = await Cluster.start()
     for (const [step, pick] of sequence) {
-      await perform[step](cluster, pick)
+      await perform[step](cluster, cluster.nodes[pick % cluster.nodes.length]!)
       expect(await cluster.denied()).toEqual([])
     }
     cluster.cuts.clear()
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -3,7 +3,7 @@
 import type { AnswerSink, Sending } from '#connection/upstream'
 import type { Call } from '#request/call'
 import { noteFailure, noteLoad, noteSuccess } from '#process/instances'
-import { Events } from '#process/log'
+import { Events, reasonIn } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Instance } from '#process/instances'
 
@@ -72,7 +72,7 @@
     try {
       this.sending = instance.client.send({ method: call.method, path: call.path, headers, body }, this)
     } catch (error) {
-      this.onError(new UpstreamError(error instanceof Error ? error.message : String(error), false))
+      this.onError(new UpstreamError(reasonIn(error), false))
     }
   }
 
@@ -91,7 +91,7 @@
     try {
       listener!.onHead(head)
     } catch (error) {
-      this.breakOff(error instanceof Error ? error.message : String(error))
+      this.breakOff(reasonIn(error))
     }
   }
 
@@ -105,7 +105,7 @@
     try {
       this.request.listener!.onData(chunk)
     } catch (error) {
-      this.breakOff(error instanceof Error ? error.message : String(error))
+      this.breakOff(reasonIn(error))
     }
   }
 
--- /dev/null
+++ b/standin/call/src/index.ts
@@ -0,0 +1,1 @@
+export { plainCall } from './call.js'
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -3,10 +3,10 @@
 import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { pause } from '#process/clock'
 import { StandinStore } from '#standin/store'
 import { StandinUpstream } from '#standin/upstream'
 import { freePorts } from './ports.js'
-import { pause } from '#process/clock'
 
 /// The whole system as real processes on loopback, before stand-ins.
 export interface SystemOptions {
