--- a/demo/src/program.ts
+++ b/demo/src/program.ts
@@ -20,6 +20,13 @@
   readonly calls: readonly CallResult[]
 }
 
+export interface ProgramOptions {
+  /// Size of the input of the program's first turn.
+  readonly firstInputBytes?: number
+  /// Receives each call when it has ended.
+  readonly onCall?: (call: CallResult) => void
+}
+
 const host = 'demo.example'
 const programRemainingMs = 20_000
 const turnTimeoutMs = 4000
@@ -28,7 +35,9 @@
 
 /// Runs one program through an entry: a stored conversation whose turns are each followed by tool calls,
 /// with a sub-agent after the second turn. Stops after a turn that fails.
-export async function runProgram (entryAddress: string, turns: number, tokenBudget: number): Promise<ProgramResult> {
+export async function runProgram (
+  entryAddress: string, turns: number, tokenBudget: number, { firstInputBytes = 0, onCall }: ProgramOptions = {}
+): Promise<ProgramResult> {
   const programId = randomBytes(6).toString('hex')
   const calls: CallResult[] = []
   const startedAtMs = performance.now()
@@ -53,6 +62,7 @@
       endedAtMs: performance.now()
     }
     calls.push(result)
+    onCall?.(result)
     return result
   }
   const turn = (session: string, previous: string | null, turnNumber: number): Promise<CallResult> => {
@@ -63,7 +73,8 @@
       'token-usage': `400,${maxOutputTokens}`,
       ...(previous === null ? {} : { 'previous-turn': previous })
     }
-    return call(`turn ${turnNumber} of ${session}`, 'POST', `/chat/${turnNumber}`, headers, `input ${turnNumber} of ${session}; `)
+    const input = `input ${turnNumber} of ${session}; `.padEnd(previous === null ? firstInputBytes : 0, '.')
+    return call(`turn ${turnNumber} of ${session}`, 'POST', `/chat/${turnNumber}`, headers, input)
   }
   const tool = (name: string, method: string): Promise<CallResult> => {
     const headers = { 'deadline-ms': String(toolTimeoutMs) }
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -16,6 +16,8 @@
   readonly storages: number
   readonly engines: number
   readonly services: number
+  /// Routes of the configuration that get no calls.
+  readonly idleRoutes?: number
   /// Inserted before the arguments of `command`, for the Node.js runtime.
   readonly nodeArguments?: readonly string[]
 }
@@ -56,7 +58,7 @@
   async start (): Promise<void> {
     this.folder = await mkdtemp(join(tmpdir(), 'chicorynotch-'))
     this.storeAddress = await this.store.listen()
-    this.store.put('config', 'main', createConfiguration(1))
+    this.store.put('config', 'main', createConfiguration(1, this.options.idleRoutes))
     for (let i = 0; i < this.options.engines; i++) await this.addUpstream('models', i, 12)
     for (let i = 0; i < this.options.services; i++) await this.addUpstream('tools', i, 0)
     for (let i = 0; i < this.options.storages; i++) await this.addNode('storage', i)
@@ -81,8 +83,8 @@
     node.process = this.launch(node)
   }
 
-  async stop (): Promise<void> {
-    await Promise.all(this.nodes.map(node => terminate(node.process, 'SIGKILL')))
+  async stop (signal: 'SIGKILL' | 'SIGTERM' = 'SIGKILL'): Promise<void> {
+    await Promise.all(this.nodes.map(node => terminate(node.process, signal)))
     this.store.close()
     for (const upstream of [...this.engines, ...this.services]) upstream.close()
     await rm(this.folder, { recursive: true, force: true })
@@ -183,8 +185,8 @@
   }
 }
 
-/// Builds the operator's configuration for the stand-in upstream instances.
-export function createConfiguration (version: number): unknown {
+/// Builds the operator's configuration for the stand-in upstream instances, with further routes that get no calls.
+export function createConfiguration (version: number, idleRoutes = 0): unknown {
   const turn = { hostname: 'demo.example', route_kind: 'streaming', timeout_ms: 4000, target_latency_ms: 250, service: 'models', max_attempts: 2, retention_s: 60, sticky: true, target_gap_ms: 200 }
   const tool = { hostname: 'demo.example', timeout_ms: 1500, target_latency_ms: 100, priority: 2, service: 'tools' }
   return {
@@ -193,7 +195,10 @@
       { ...turn, name: 'chat', path_prefix: '/chat/', priority: 0, keeps_history: true, resumable: false },
       { ...turn, name: 'query', path_prefix: '/query/', priority: 1, keeps_history: false, resumable: true },
       { ...tool, name: 'check', path_prefix: '/check/', route_kind: 'idempotent', max_attempts: 2 },
-      { ...tool, name: 'charge', path_prefix: '/charge/', route_kind: 'non_idempotent', max_attempts: 1 }
+      { ...tool, name: 'charge', path_prefix: '/charge/', route_kind: 'non_idempotent', max_attempts: 1 },
+      ...Array.from({ length: idleRoutes }, (_, i) => {
+        return { ...tool, name: `idle-${i}`, path_prefix: `/idle-${i}/`, route_kind: 'idempotent', max_attempts: 2 }
+      })
     ],
     services: [
       { name: 'models', health_path: '/healthz', max_conns: 240, protocol: 'h1', tls: false, engine: { slots: 32, kv_capacity: 800_000, chunk_tokens: tokensPerEvent } },
