Event loop delay and CPU time of each process, in metrics and log

The logs could not tell a busy event loop from slow storage: process-stalled has a threshold of 250 ms. A check each 50 ms replaces the one each 500 ms; metrics get event_loop_delay and cpu_ms_total, and process-load is logged at most each 2 s, after an interval in which a timer was 100 ms late or more. No logic is changed.

--- a/process/clock/src/index.ts
+++ b/process/clock/src/index.ts
@@ -1,2 +1,3 @@
 export { sleep } from './sleep.js'
-export { StallDetector } from './stalldetector.js'
+export { LoopMonitor, readCpuMs } from './loopmonitor.js'
+export type { LoopMonitorOptions, ProcessLoad } from './loopmonitor.js'
--- /dev/null
+++ b/process/clock/src/loopmonitor.ts
@@ -0,0 +1,69 @@
+const checkIntervalMs = 50
+/// A timer this late means that the process was frozen or badly overloaded.
+const stallThresholdMs = 250
+const reportIntervalMs = 2000
+/// The load is reported only if a timer was at least this late.
+const minReportedDelayMs = 100
+
+/// The load of a process over one report interval.
+export interface ProcessLoad {
+  /// How late the latest timer fired.
+  readonly maxDelayMs: number
+  /// CPU time used, by all threads.
+  readonly cpuMs: number
+  readonly intervalMs: number
+}
+
+export interface LoopMonitorOptions {
+  /// Called after each check, with how late its timer fired.
+  readonly onDelay: (delayMs: number) => void
+  /// Called after each stall, with the delay of the timer.
+  readonly onStall: (delayMs: number) => void
+  /// Called after an interval in which the event loop fell behind.
+  readonly onLoad: (load: ProcessLoad) => void
+}
+
+/// Measures how far the event loop is behind: how late a timer fires that is due every 50 ms.
+export class LoopMonitor {
+  private expectedAtMs = performance.now() + checkIntervalMs
+  private reportedAtMs = performance.now()
+  private reportedCpuMs = readCpuMs()
+  private maxDelayMs = 0
+  private readonly timer = setInterval(() => this.check(), checkIntervalMs)
+
+  constructor (private readonly options: LoopMonitorOptions) {}
+
+  stop (): void {
+    clearInterval(this.timer)
+  }
+
+  private check (): void {
+    const nowMs = performance.now()
+    const delayMs = Math.max(0, nowMs - this.expectedAtMs)
+    this.expectedAtMs = nowMs + checkIntervalMs
+    this.maxDelayMs = Math.max(this.maxDelayMs, delayMs)
+    this.options.onDelay(delayMs)
+    if (delayMs >= stallThresholdMs) this.options.onStall(Math.round(delayMs))
+    if (nowMs - this.reportedAtMs >= reportIntervalMs) this.report(nowMs)
+  }
+
+  private report (nowMs: number): void {
+    const cpuMs = readCpuMs()
+    if (this.maxDelayMs >= minReportedDelayMs) {
+      this.options.onLoad({
+        maxDelayMs: Math.round(this.maxDelayMs),
+        cpuMs: Math.round(cpuMs - this.reportedCpuMs),
+        intervalMs: Math.round(nowMs - this.reportedAtMs)
+      })
+    }
+    this.reportedAtMs = nowMs
+    this.reportedCpuMs = cpuMs
+    this.maxDelayMs = 0
+  }
+}
+
+/// CPU time that this process has used since its start.
+export function readCpuMs (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / 1000
+}
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { serveStatus } from '#connection/front'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
-import { StallDetector } from '#process/clock'
+import { LoopMonitor, readCpuMs } from '#process/clock'
 import { Entry } from '#process/entry'
 import type { EntryPlatform } from '#process/entry'
 import { Disk, Ledger } from '#process/ledger'
@@ -63,11 +63,16 @@
     pid: process.pid,
     startMs: Math.round(performance.now())
   })
-  const stallDetector = new StallDetector(lateMs => log.event(Events.processStalled, { lateMs }))
+  const loopMonitor = new LoopMonitor({
+    onDelay: delayMs => metrics.observeMs('event_loop_delay', delayMs),
+    onStall: lateMs => log.event(Events.processStalled, { lateMs }),
+    onLoad: load => log.event(Events.processLoad, { ...load })
+  })
+  metrics.addGauge('cpu_ms_total', () => Math.round(readCpuMs()))
   process.on('SIGHUP', () => validateSettings(settingsFile, log))
   process.once('SIGTERM', () => {
     log.event(Events.processStopping, { signal: 'SIGTERM', graceMs: settings.timing.stop_grace_ms })
-    stallDetector.stop()
+    loopMonitor.stop()
     running.stop().then(() => {
       log.event(Events.processStopped, {})
       log.flush()
