--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,7 @@
   test: {
     include: ['**/test/**/*.test.ts'],
     exclude: ['node_modules/**', 'dist/**'],
+    setupFiles: ['knownred.setup.ts'],
     testTimeout: 20_000
   }
 })
