Placement: a pass over the queue evaluates the instances once per kind of call

Callers saw late responses from entries whose instances were all taken. Cause: each release of a lease, and a timer each 15 ms, evaluated every queued call at every instance: up to 400 x 31 estimates, on the loop that all calls share. Once a call without excluded instances finds no capacity, no other call of its service and kind is tried in that pass; leases released in one run of code share a pass. The test failed before (300 scans instead of 1).

--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -41,6 +41,7 @@
 export class Placement {
   private readonly queue: QueueEntry[] = []
   private timer: ReturnType<typeof setInterval> | null = null
+  private isPassDue = false
 
   constructor (
     private readonly registry: InstanceRegistry,
@@ -74,7 +75,9 @@
     const nowMs = performance.now()
     this.queue.sort((a, b) => getAgedRank(a, nowMs) - getAgedRank(b, nowMs) ||
       getDeadlineMs(a.request) - getDeadlineMs(b.request))
-    for (const entry of [...this.queue]) this.processEntry(entry, nowMs)
+    // Instances get no free capacity within a pass, so further calls of the same kind need not be tried.
+    const withoutCapacity = new Set<string>()
+    for (const entry of [...this.queue]) this.processEntry(entry, nowMs, withoutCapacity)
     if (this.queue.length === 0 && this.timer !== null) {
       clearInterval(this.timer)
       this.timer = null
@@ -91,14 +94,16 @@
       const entry = { request, queuedAtMs: nowMs, resolve, reject }
       this.queue.push(entry)
       signal.addEventListener('abort', () => {
-        if (this.dequeue(entry)) reject(new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while queued for an instance'))
+        if (this.dequeue(entry)) reject(createAbortedError())
       }, { once: true })
       this.timer ??= setInterval(() => this.processQueue(), queueIntervalMs)
     })
   }
 
-  private processEntry (entry: QueueEntry, nowMs: number): void {
+  private processEntry (entry: QueueEntry, nowMs: number, withoutCapacity: Set<string>): void {
     const { request } = entry
+    const kind = `${request.service} ${request.isContinuing}`
+    if (request.excluded.size === 0 && withoutCapacity.has(kind)) return this.refuseIfExpired(entry, nowMs)
     const candidates = this.findCandidates(request)
     const lease = this.tryAcquire(candidates, request, nowMs)
     if (lease !== null) {
@@ -107,12 +112,18 @@
     } else if (candidates.length === 0) {
       this.dequeue(entry)
       entry.reject(createNoInstanceError(request.service))
-    } else if (nowMs - entry.queuedAtMs > request.maxWaitMs) {
-      this.dequeue(entry)
-      entry.reject(createOverloadedError(request.service))
+    } else {
+      if (request.excluded.size === 0) withoutCapacity.add(kind)
+      this.refuseIfExpired(entry, nowMs)
     }
   }
 
+  private refuseIfExpired (entry: QueueEntry, nowMs: number): void {
+    if (nowMs - entry.queuedAtMs <= entry.request.maxWaitMs) return
+    this.dequeue(entry)
+    entry.reject(createOverloadedError(entry.request.service))
+  }
+
   private dequeue (entry: QueueEntry): boolean {
     const index = this.queue.indexOf(entry)
     if (index >= 0) this.queue.splice(index, 1)
@@ -132,6 +143,16 @@
       .filter(instance => !request.excluded.has(instance.description.id))
   }
 
+  /// Processes the queue once for all leases that are released in one run of code.
+  private processQueueSoon (): void {
+    if (this.queue.length === 0 || this.isPassDue) return
+    this.isPassDue = true
+    queueMicrotask(() => {
+      this.isPassDue = false
+      this.processQueue()
+    })
+  }
+
   private grantLease (instance: Instance): InstanceLease {
     instance.running++
     let isHeld = true
@@ -141,12 +162,16 @@
         if (!isHeld) return
         isHeld = false
         instance.running--
-        if (this.queue.length > 0) queueMicrotask(() => this.processQueue())
+        this.processQueueSoon()
       }
     }
   }
 }
 
+function createAbortedError (): RefusedError {
+  return new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while queued for an instance')
+}
+
 function hasCapacity (instance: Instance, request: PlacementRequest, nowMs: number): boolean {
   const { slots } = instance.description
   const capacity = request.isContinuing ? slots + extraCalls : slots * newProgramSlotShare
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -149,3 +149,16 @@
   const sized = { ...base, call: { ...base.call, usage: { promptTokens: 12_000, maxOutputTokens: 100 } } }
   expect(chooseInstance([instance('a'), instance('b')], sized, 'z0', 0)?.description.id).toBe(expected)
 })
+
+// Guards against an event loop kept busy by its own queue: each release evaluated every queued call at every instance.
+test('however many calls of a kind are queued without capacity, a pass evaluates the instances for one of them', async () => {
+  const leases = await acquireAll()
+  for (let i = 0; i < 300; i++) placement.acquire(createRequest(`q${i}`), signal).catch(() => {})
+  const readyInstances = vi.spyOn(registry, 'readyInstances')
+  placement.processQueue()
+  expect(readyInstances.mock.calls.length).toBe(1)
+  for (const lease of leases) lease.release()
+  await Promise.resolve()
+  expect(placement.queueLength).toBe(296)
+  expect(readyInstances.mock.calls.length).toBe(1 + 4 + 1)
+})
