--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -91,6 +91,7 @@
       waiting: this.queue.length
     })
     return new Promise((resolve, reject) => {
+      if (signal.aborted) return reject(createAbortedError())
       const entry = { request, queuedAtMs: nowMs, resolve, reject }
       this.queue.push(entry)
       signal.addEventListener('abort', () => {
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -162,3 +162,9 @@
   expect(placement.queueLength).toBe(296)
   expect(readyInstances.mock.calls.length).toBe(1 + 4 + 1)
 })
+
+test('a call that was aborted before it is queued is refused as not run', async () => {
+  await acquireAll()
+  await expect(placement.acquire(createRequest('x'), AbortSignal.abort())).rejects.toMatchObject({ verdict: 'not-run' })
+  expect(placement.queueLength).toBe(0)
+})
