Responses without end: memory stays bounded while they are received

An instance in trouble may send bytes that are no response, without end, until its client closes. Heads were bounded by the HTTP client.

--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -38,6 +38,8 @@
 
 const connectTimeoutMs = 400
 const idleTimeoutMs = 4000
+/// A larger response fails, and its connection is closed.
+const maxResponseBytes = 8 * 1024 * 1024
 // Subtracted from the idle timeout that an instance announces, so that no
 // request is sent on a connection that the instance is about to close.
 const idleMarginMs = 1000
@@ -54,6 +56,7 @@
       connect: createResetAwareConnector(connectTimeoutMs, () => this.recordReset()),
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxResponseSize: maxResponseBytes,
       keepAliveTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs
     })
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import { ChainCache } from '#request/turn'
+import { ResponseBudget } from '#request/forward'
 import type { ForwardContext } from '#request/forward'
 import { FrontServer, serveStatus } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
@@ -97,6 +98,7 @@
       placement,
       ledger: this.quorum,
       cache: new ChainCache(chainCacheBytes),
+      responseBudget: new ResponseBudget(),
       log,
       metrics
     }
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -3,6 +3,7 @@
 import { FrontServer } from '#connection/front'
 import type { LedgerRecord } from '#connection/rpc'
 import { InstanceClient } from '#connection/upstream'
+import { ResponseBudget } from '#request/forward'
 import { ChainCache } from '#request/turn'
 import type { TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
@@ -103,6 +104,7 @@
       placement: new Placement(this.registry, 'z', noopLog),
       ledger: this.ledger,
       cache: new ChainCache(1000),
+      responseBudget: new ResponseBudget(),
       log: noopLog,
       metrics: new Metrics()
     }
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -6,6 +6,7 @@
 import { Events, errorMessage } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Instance } from '#process/instances'
+import type { ResponseBudget, ResponseShare } from './responsebudget.js'
 
 /// How an attempt to run a call on an instance ended.
 export type AttemptResult =
@@ -45,6 +46,7 @@
   /// The attempt fails if no data arrives for this long; 0 for no limit.
   readonly idleTimeoutMs: number
   readonly log: EventLog
+  readonly responseBudget: ResponseBudget
 }
 
 /// Misdirected Request: the instance is not the expected one and did not run the call.
@@ -64,8 +66,11 @@
   private inFlight: InFlightRequest | null = null
   private idleTimer: ReturnType<typeof setTimeout> | null = null
   private isFinished = false
+  private readonly share: ResponseShare
 
-  constructor (private readonly request: AttemptRequest, private readonly resolve: (result: AttemptResult) => void) {}
+  constructor (private readonly request: AttemptRequest, private readonly resolve: (result: AttemptResult) => void) {
+    this.share = request.responseBudget.open()
+  }
 
   start (): void {
     const { call, codec, instance, remainingMs, lastEventId, body, signal } = this.request
@@ -102,6 +107,7 @@
   onData (chunk: Buffer): void {
     if (this.isFinished) return
     this.restartIdleTimer()
+    if (!this.share.add(chunk)) return this.fail('the responses being received take too much memory')
     if (!this.isStream) {
       this.chunks.push(chunk)
       return
@@ -163,6 +169,7 @@
     if (this.isFinished) return
     this.isFinished = true
     if (this.idleTimer !== null) clearTimeout(this.idleTimer)
+    this.share.close()
     this.request.signal.removeEventListener('abort', this.onAbort)
     this.resolve(result)
   }
--- a/request/forward/src/context.ts
+++ b/request/forward/src/context.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
 import type { Placement } from '#process/placement'
+import type { ResponseBudget } from './responsebudget.js'
 
 /// Components of the process that forwarding uses.
 export interface ForwardContext {
@@ -14,6 +15,7 @@
   readonly placement: Placement
   readonly ledger: TurnLedger
   readonly cache: ChainCache
+  readonly responseBudget: ResponseBudget
   readonly log: EventLog
   readonly metrics: Metrics
 }
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -60,8 +60,8 @@
     this.logDispatch(lease, details, nowMs)
     const remainingMs = routed.deadlineMs - nowMs
     const { call, signal } = routed
-    const { codec, log } = context
-    const result = await attempt({ call, instance, codec, log, remainingMs, signal, ...rest })
+    const { codec, log, responseBudget } = context
+    const result = await attempt({ call, instance, codec, log, responseBudget, remainingMs, signal, ...rest })
     context.metrics.observeMs('instance', performance.now() - nowMs)
     lease.release()
     this.usedInstanceIds.add(instance.description.id)
--- a/request/turn/src/eventstream.ts
+++ b/request/turn/src/eventstream.ts
@@ -8,6 +8,9 @@
   readonly data: string | null
 }
 
+/// An instance may send bytes without end that never complete an event.
+const maxEventBytes = 256 * 1024
+
 /// Splits a `text/event-stream` body into complete events.
 export class EventStreamParser {
   private buffered: Buffer = Buffer.alloc(0)
@@ -17,6 +20,7 @@
     return this.buffered.length > 0
   }
 
+  /// Throws if an event gets too large.
   push (chunk: Buffer): StreamEvent[] {
     this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk])
     const events: StreamEvent[] = []
@@ -24,6 +28,7 @@
       events.push(parseEvent(this.buffered.subarray(0, end)))
       this.buffered = this.buffered.subarray(end)
     }
+    if (this.buffered.length > maxEventBytes) throw new Error(`an event is larger than ${maxEventBytes} bytes`)
     return events
   }
 }
