Admission: the expected wait includes the passes through the event loop after the start

A new program was admitted while the loop was behind, as long as few calls waited for their start; it then ended late, and so did the others. The expected wait now adds the mean delay of the loop for each pass that the call still has to make.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -2,6 +2,7 @@
 import type { Call } from '#request/call'
 import { RouteKind } from '#version/configuration'
 import type { Route } from '#version/configuration'
+import type { LoopBacklog } from '#process/clock'
 import { RecentPrograms } from './recentprograms.js'
 
 interface WaitingCall {
@@ -10,6 +11,13 @@
   readonly isAborted: () => boolean
 }
 
+/// How often a call waits for the event loop after its start: to connect, for its response, and for turns also for the
+/// replies of storage.
+const loopPassesByKind: Readonly<Record<RouteKind, number>> = {
+  streaming: 6,
+  idempotent: 3,
+  'non-idempotent': 3
+}
 /// Share of its remaining time that a call may be expected to wait for its start.
 const maxWaitShare = 0.5
 /// A new program may be expected to wait for this share of the latency target of its first turn.
@@ -42,6 +50,8 @@
   private lastStartAtMs = 0
   private startIntervalMs = initialStartIntervalMs
 
+  constructor (private readonly backlog: LoopBacklog) {}
+
   get waiting (): number {
     return this.queues.reduce((sum, queue) => sum + queue.length, 0)
   }
@@ -62,7 +72,8 @@
     const isNewProgram = this.isNewProgram(call, route)
     const rank = isNewProgram ? 1 + Math.max(0, Math.floor(route.priority)) : 0
     const maxWaitMs = isNewProgram ? route.targetLatencyMs * newProgramWaitShare : remainingMs * maxWaitShare
-    const expectedWaitMs = this.countAhead(rank) * this.startIntervalMs
+    const expectedWaitMs = this.countAhead(rank) * this.startIntervalMs +
+      loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (expectedWaitMs > maxWaitMs) return Promise.reject(createBusyError(expectedWaitMs))
     if (call.program !== null) this.programs.add(call.program.id)
     this.countIteration()
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -16,12 +16,14 @@
 }
 
 let admission: Admission
+let backlog: { currentDelayMs: number, meanDelayMs: number }
 let started: string[]
 let refused: RefusedError[]
 let controller: AbortController
 
 beforeEach(() => {
-  admission = new Admission()
+  backlog = { currentDelayMs: 0, meanDelayMs: 0 }
+  admission = new Admission(backlog)
   started = []
   refused = []
   controller = new AbortController()
@@ -114,3 +116,16 @@
   expect(started).toEqual(['first', 'next'])
   expect(refused.map(error => error.refusal)).toEqual([Refusal.timedOut])
 })
+
+test.each([
+  ['an event loop on time', 2, []],
+  ['an event loop that is behind', 60, ['new']],
+  ['an event loop that is far behind', 400, ['new', 'turn', 'tool']]
+])('with %s, those calls are refused that would end too late', async (_, meanDelayMs, expected) => {
+  backlog.meanDelayMs = meanDelayMs
+  admit('new', { programId: 'p1' })
+  admit('turn', { programId: 'p2', previousTurnId: 't' })
+  admit('tool', { programId: 'p3', kind: RouteKind.idempotent })
+  await iterate(8)
+  expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
+})
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -91,7 +91,7 @@
       connect: address => new LedgerConnectionPool(address),
       onStaleView: () => this.readView()
     }, log)
-    const admission = new Admission()
+    const admission = new Admission(backlog)
     this.context = {
       codec: platform.headers,
       admission,
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -64,6 +64,9 @@
   }
 }
 
+/// An event loop that is never behind.
+const idleLoop = { currentDelayMs: 0, meanDelayMs: 0 }
+
 /// The response as the caller received it.
 export interface CallResult {
   readonly status: number
@@ -100,7 +103,7 @@
     const routes = new RouteTable(parseConfiguration({ name: 'main', revision: 1, spec: createConfiguration(1), status: null }))
     const context = {
       codec: platformHeaders,
-      admission: new Admission(),
+      admission: new Admission(idleLoop),
       placement: new Placement(this.registry, 'z', noopLog),
       ledger: this.ledger,
       cache: new ChainCache(1000),
