A turn near the end of its budget waits for all members instead of reading the account again

Callers saw each later turn of a program wait for two rounds of storage, on a busy entry two more passes through its event loop, and the entry and all members did the work of two. Cause: budgets are two to eight times a turn's maximum (on Tunda's grown site 1,178 to 1,767 for 589), so nearly every turn but the first counts as near the end, where concurrent turns that each see one of the others could exceed it. The replies of the remaining members to the reservation are on their way anyway: with all of them no cycle of three is possible, as each pair has one order at a member that both reached. Only if a member has not replied 25 ms after the quorum is the account read again.

--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -5,7 +5,7 @@
 import { InstanceClient } from '#connection/upstream'
 import { ResponseBudget } from '#request/forward'
 import { ChainCache } from '#request/turn'
-import type { TurnLedger } from '#request/turn'
+import type { ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
 import { serveExchange } from '#process/entry'
@@ -28,9 +28,10 @@
     for (const record of records) this.records.set(`${record.kind}/${record.id}`, record)
   }
 
-  async reserve (reservation: LedgerRecord): Promise<ReturnType<typeof mergeAccountEntries>[]> {
+  async reserve (reservation: LedgerRecord): Promise<ReservedAccount> {
     await this.append([reservation])
-    return await this.readAccount(reservation.programId)
+    const entries = await this.readAccount(reservation.programId)
+    return { entries, readComplete: async () => entries }
   }
 
   async readAccount (accountProgramId: string): Promise<ReturnType<typeof mergeAccountEntries>[]> {
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,5 +1,6 @@
 import { PeerError } from '#connection/rpc'
 import type { AccountEntry, AppendReply, LedgerPeer, LedgerRecord, Member, Standing, View } from '#connection/rpc'
+import type { ReservedAccount } from '#request/turn'
 import { sleep } from '#process/clock'
 import { mergeAccountEntries } from '#process/ledger'
 import { Events, formatError } from '#process/log'
@@ -29,6 +30,16 @@
 /// Interval at which members that are down are probed.
 const probeIntervalMs = 200
 
+/// The replies to an append, which may still arrive after there is a quorum.
+interface Collection {
+  /// By disk id.
+  readonly replies: ReadonlyMap<string, AppendReply>
+  /// Rejects with `QuorumError`.
+  readonly quorum: Promise<void>
+  /// Resolves when every member has replied, or is given up.
+  readonly allSettled: Promise<void>
+}
+
 interface PeerState {
   member: Member
   readonly peer: LedgerPeer
@@ -81,35 +92,44 @@
   /// timeout, even while too few storage instances seem to be up.
   async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void> {
     await this.collect(records, '', timeoutMs, replies =>
-      countVoters(replies.keys(), this.quorums.appendVoters) >= this.quorums.appendQuorum)
+      countVoters(replies.keys(), this.quorums.appendVoters) >= this.quorums.appendQuorum).quorum
   }
 
-  /// Appends a reservation and resolves, once it is committed, to the program's complete account.
-  async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]> {
-    return await this.appendAndReadAccount([reservation], reservation.programId, timeoutMs, this.quorums.appendQuorum)
+  /// Appends a reservation and resolves, once it is committed, to the program's account.
+  async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount> {
+    const { version } = this.view
+    const { replies, quorum, allSettled } =
+      this.appendAndReadAccount([reservation], reservation.programId, timeoutMs, this.quorums.appendQuorum)
+    await quorum
+    return {
+      entries: mergeAccounts(replies),
+      readComplete: async maxWaitMs => {
+        await Promise.race([allSettled, sleep(maxWaitMs)])
+        const isComplete = this.view.version === version &&
+          this.view.members.every(member => replies.has(member.diskId))
+        return isComplete ? mergeAccounts(replies) : null
+      }
+    }
   }
 
-  /// Resolves to a program's complete account: all that was reserved and settled before the request.
+  /// Resolves to a program's account: all that was reserved and settled before the request.
   async readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]> {
-    return await this.appendAndReadAccount([], programId, timeoutMs, 0)
+    const { replies, quorum } = this.appendAndReadAccount([], programId, timeoutMs, 0)
+    await quorum
+    return mergeAccounts(replies)
   }
 
-  private async appendAndReadAccount (
+  private appendAndReadAccount (
     records: readonly LedgerRecord[],
     programId: string,
     timeoutMs: number,
     requiredAppends: number
-  ): Promise<AccountEntry[]> {
+  ): Collection {
     this.assertAvailable()
-    const replies = await this.collect(records, programId, timeoutMs, replies => {
+    return this.collect(records, programId, timeoutMs, replies => {
       return countVoters(replies.keys(), this.quorums.appendVoters) >= requiredAppends &&
         countVoters(replies.keys(), this.quorums.readVoters) >= this.quorums.accountQuorum
     })
-    const account = new Map<string, AccountEntry>()
-    for (const reply of replies.values()) {
-      for (const entry of reply.account) account.set(entry.id, mergeAccountEntries(account.get(entry.id), entry))
-    }
-    return [...account.values()]
   }
 
   /// Resolves to a turn's complete chain, oldest first, or to null once a quorum
@@ -134,7 +154,9 @@
       chain !== null || countVoters(absent, this.quorums.readVoters) >= this.quorums.absenceQuorum
     const nearest = query(candidates[0]!)
     await Promise.race([nearest, sleep(hedgeDelayMs)])
-    if (!isDone()) await this.sendToAll(state => state === candidates[0] ? nearest : query(state), isDone, deadlineMs)
+    if (!isDone()) {
+      await this.sendToAll(state => state === candidates[0] ? nearest : query(state), isDone, deadlineMs).done
+    }
     if (chain !== null) return chain
     if (countVoters(absent, this.quorums.readVoters) >= this.quorums.absenceQuorum) return null
     this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent: absent.size, viewVersion: this.view.version })
@@ -146,15 +168,15 @@
     for (const { peer } of this.peers) peer.close()
   }
 
-  /// Sends an append to all members, with retries, and resolves once the replies
-  /// form a quorum. Without records it only reads the account of program
-  /// `accountOf`. Requests to slower members go on in the background.
-  private async collect (
+  /// Sends an append to all members, with retries. Without records it only reads
+  /// the account of program `accountOf`. Requests to slower members go on once
+  /// there is a quorum.
+  private collect (
     records: readonly LedgerRecord[],
     accountOf: string,
     timeoutMs: number,
     hasQuorum: (replies: ReadonlyMap<string, AppendReply>) => boolean
-  ): Promise<ReadonlyMap<string, AppendReply>> {
+  ): Collection {
     const deadlineMs = performance.now() + timeoutMs
     const replies = new Map<string, AppendReply>()
     const request = { viewVersion: this.view.version, records: [...records], accountOf }
@@ -164,25 +186,31 @@
       )
       if (reply !== null) replies.set(reply.standing!.diskId, reply)
     }
-    await this.sendToAll(send, () => hasQuorum(replies), deadlineMs)
-    if (hasQuorum(replies)) return replies
-    this.log.event(Events.quorumMissed, {
-      of: 'append',
-      ids: records.map(record => record.id),
-      answered: replies.size,
-      viewVersion: this.view.version
+    const { done, allSettled } = this.sendToAll(send, () => hasQuorum(replies), deadlineMs)
+    const quorum = done.then(() => {
+      if (hasQuorum(replies)) return
+      this.log.event(Events.quorumMissed, {
+        of: 'append',
+        ids: records.map(record => record.id),
+        answered: replies.size,
+        viewVersion: this.view.version
+      })
+      throw new QuorumError(`too few replies for a quorum: ${replies.size} storage instances replied in time`)
     })
-    throw new QuorumError(`too few replies for a quorum: ${replies.size} storage instances replied in time`)
+    return { replies, quorum, allSettled }
   }
 
   /// Calls `send` for every member, including those that a newer view in a reply
-  /// adds. Resolves when `isDone` holds, all have finished, or at the deadline.
+  /// adds. `done` resolves when `isDone` holds, all have finished, or at the
+  /// deadline; `allSettled` when all have finished.
   private sendToAll (
     send: (state: PeerState) => Promise<void>,
     isDone: () => boolean,
     deadlineMs: number
-  ): Promise<void> {
-    return new Promise(resolve => {
+  ): { readonly done: Promise<void>, readonly allSettled: Promise<void> } {
+    let resolveAllSettled = (): void => {}
+    const allSettled = new Promise<void>(resolve => { resolveAllSettled = resolve })
+    const done = new Promise<void>(resolve => {
       const contacted = new Set<PeerState>()
       const timer = setTimeout(resolve, Math.max(0, deadlineMs - performance.now()))
       let inFlight = 0
@@ -197,6 +225,7 @@
       const onSettled = (): void => {
         inFlight--
         if (!isDone()) sendToNew()
+        if (inFlight === 0) resolveAllSettled()
         if (!isDone() && inFlight > 0) return
         clearTimeout(timer)
         resolve()
@@ -204,6 +233,7 @@
       sendToNew()
       if (inFlight === 0) onSettled()
     })
+    return { done, allSettled }
   }
 
   /// Sends a request to one member and retries it until a reply comes. Resolves
@@ -286,6 +316,14 @@
   }
 }
 
+function mergeAccounts (replies: ReadonlyMap<string, AppendReply>): AccountEntry[] {
+  const account = new Map<string, AccountEntry>()
+  for (const reply of replies.values()) {
+    for (const entry of reply.account) account.set(entry.id, mergeAccountEntries(account.get(entry.id), entry))
+  }
+  return [...account.values()]
+}
+
 function countVoters (diskIds: Iterable<string>, voters: ReadonlySet<string>): number {
   let count = 0
   for (const diskId of diskIds) if (voters.has(diskId)) count++
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -40,10 +40,19 @@
 }
 
 test('a reservation resolves to the account of its program', async () => {
-  const account = await quorum.reserve(createRecord(RecordKind.reservation, 'r1'), 900)
+  const account = (await quorum.reserve(createRecord(RecordKind.reservation, 'r1'), 900)).entries
   expect(account).toEqual([{ id: 'r1', reserved: 10, spent: 0, settled: false }])
 })
 
+test('the account of a reservation is complete once all members have replied, and not while one is down', async () => {
+  const account = await quorum.reserve(createRecord(RecordKind.reservation, 'r1'), 900)
+  expect((await account.readComplete(500))?.map(entry => entry.id)).toEqual(['r1'])
+  servers[0]!.close()
+  const incomplete = await quorum.reserve(createRecord(RecordKind.reservation, 'r2'), 900)
+  expect(incomplete.entries.map(entry => entry.id).sort()).toEqual(['r1', 'r2'])
+  expect(await incomplete.readComplete(50)).toBeNull()
+})
+
 test('a committed turn is found, a turn that was never appended is ruled out', async () => {
   await quorum.append([createRecord(RecordKind.turn, 't1')], 900)
   expect((await quorum.findChain('t1', 900))?.map(turn => turn.id)).toEqual(['t1'])
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -6,13 +6,23 @@
   /// Resolves once the records are committed.
   append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void>
   /// Resolves, once the reservation is committed, to the account of its program.
-  reserve (reservation: LedgerRecord, timeoutMs: number): Promise<AccountEntry[]>
+  reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount>
   /// Resolves to all reservations and settlements that were stored before the read began.
   readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]>
   /// Resolves to the turn's chain, oldest first; null if the turn is certainly not stored.
   findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null>
 }
 
+/// The account of a program, as read together with the append of a reservation.
+export interface ReservedAccount {
+  /// All reservations and settlements that were stored before the append began.
+  readonly entries: readonly AccountEntry[]
+  /// Waits up to `maxWaitMs` for the replies of the other members. Resolves to what all members report, or to null if
+  /// one has not replied by then. Of several reservations with such an account, the one that a member stored last sees
+  /// all others.
+  readComplete (maxWaitMs: number): Promise<readonly AccountEntry[] | null>
+}
+
 /// Creates a record of any kind. Fields that only some kinds use are left empty.
 export function createRecord (kind: number, id: string, programId: string, retentionMs: number): LedgerRecord {
   return {
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -7,7 +7,7 @@
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
 import { createRecord } from './ledger.js'
-import type { TurnLedger } from './ledger.js'
+import type { ReservedAccount, TurnLedger } from './ledger.js'
 
 const reserveTimeoutMs = 900
 /// Assumed maximum of turns of one program that reserve within one round trip and so may miss each other's records.
@@ -15,6 +15,8 @@
 /// Limit and interval for reading the account again until the turns that must give up their reservation have done so.
 const maxReads = 4
 const rereadIntervalMs = 25
+/// How long a turn near the end of its budget waits for the last members to reply, before it reads the account again.
+const maxStragglerWaitMs = 25
 const settleTimeoutMs = 1500
 const settleRetryDelayMs = 400
 const maxSettleAttempts = 8
@@ -51,11 +53,12 @@
     if (call.program === null || budget === null) return null
     const retentionMs = Math.max(route.retentionMs, minAccountRetentionMs)
     const reservation = new TokenReservation(ledger, log, call.id, call.program.id, retentionMs)
-    const entries = await reservation.reserve(maxTokens)
+    const account = await reservation.reserve(maxTokens)
+    const { entries } = account
     const otherSpentTokens = countTokens(entries.filter(entry => entry.settled), call.id)
     let otherTokens = countTokens(entries, call.id)
     const mayExceedBudget = otherTokens > 0 && otherTokens + maxConcurrentTurns * maxTokens > budget
-    if (mayExceedBudget && otherSpentTokens < budget) otherTokens = await reservation.recountOthers(budget)
+    if (mayExceedBudget && otherSpentTokens < budget) otherTokens = await reservation.recountOthers(account, budget)
     reservation.hasOtherTurns = otherTokens > 0
     if (otherTokens > 0 && otherTokens >= budget) {
       reservation.settle(0)
@@ -88,7 +91,7 @@
     this.isSettled = true
   }
 
-  private async reserve (maxTokens: number): Promise<AccountEntry[]> {
+  private async reserve (maxTokens: number): Promise<ReservedAccount> {
     const record = {
       ...createRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
       tokens: maxTokens
@@ -99,9 +102,13 @@
   /// Counts the tokens of other turns again once this turn's reservation is stored.
   ///
   /// Concurrent reservations may miss each other when they are made. Of those
-  /// that read the account again, the last one to be stored sees all others. If
-  /// they exceed the budget together, those with the highest ids are given up.
-  private async recountOthers (budget: number): Promise<number> {
+  /// whose account is complete, or that read it again, the last one to be stored
+  /// sees all others. If they exceed the budget together, those with the highest
+  /// ids are given up.
+  private async recountOthers (account: ReservedAccount, budget: number): Promise<number> {
+    const complete = await account.readComplete(maxStragglerWaitMs)
+    const completeTokens = complete === null ? budget : countTokens(complete, this.callId)
+    if (completeTokens < budget) return completeTokens
     for (let reads = 1; ; reads++) {
       const entries = await this.readAccount()
       const otherTokens = countTokens(entries, this.callId)
@@ -115,9 +122,9 @@
     return await this.refuseOnError(this.ledger.readAccount(this.programId, reserveTimeoutMs))
   }
 
-  private async refuseOnError (entries: Promise<AccountEntry[]>): Promise<AccountEntry[]> {
+  private async refuseOnError<Account> (account: Promise<Account>): Promise<Account> {
     try {
-      return await entries
+      return await account
     } catch (error) {
       this.settle(0)
       throw new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), ledgerRetryAfterMs)
--- /dev/null
+++ b/request/turn/test/tokenreservation.test.ts
@@ -0,0 +1,41 @@
+import { expect, test } from 'vitest'
+import type { AccountEntry } from '#connection/rpc'
+import { TokenReservation } from '#request/turn'
+import type { TurnLedger } from '#request/turn'
+import type { Route } from '#version/configuration'
+import { noopLog } from '#process/log'
+import { createCall } from '#standin/call'
+
+const tokenBudget = 1200
+const maxTurnTokens = 600
+const route = { retentionMs: 60_000 } as Route
+
+function settled (id: string, spent: number): AccountEntry {
+  return { id, reserved: maxTurnTokens, spent, settled: true }
+}
+
+/// Reserves for a turn whose program has spent `spent` tokens. Resolves to how often its account was read again.
+async function countReads (spent: number, allReplied: boolean): Promise<number> {
+  const entries = [settled('earlier', spent)]
+  let reads = 0
+  const ledger: TurnLedger = {
+    append: async () => {},
+    reserve: async () => ({ entries, readComplete: async () => allReplied ? entries : null }),
+    readAccount: async () => {
+      reads++
+      return entries
+    },
+    findChain: async () => null
+  }
+  const call = createCall('c', { program: { id: 'p', sessionId: 's', remainingMs: 4000, tokenBudget } })
+  await TokenReservation.acquire(call, route, maxTurnTokens, ledger, noopLog)
+  return reads
+}
+
+test.each([
+  ['all members replied: the account is complete', 400, true, 0],
+  ['a member has not replied', 400, false, 1],
+  ['the program has spent nothing', 0, false, 0]
+])('the account is read again only if it may lack a concurrent turn: %s', async (_, spent, allReplied, expected) => {
+  expect(await countReads(spent, allReplied)).toBe(expected)
+})
