--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -5,6 +5,8 @@
 
 /// The operations of a storage instance. Tests substitute a fake.
 export interface LedgerPeer {
+  /// Connects, so that the first request needn't wait for it.
+  open (): void
   append (request: AppendRequest, timeoutMs: number): Promise<AppendReply>
   findChain (request: FindChainRequest, timeoutMs: number): Promise<FindChainReply>
   digest (request: DigestRequest, timeoutMs: number): Promise<DigestReply>
@@ -89,6 +91,10 @@
     return (await this.sendRequest({ fetch: request }, timeoutMs)).fetch!
   }
 
+  open (): void {
+    if (!this.isClosed) this.stream ??= this.connect()
+  }
+
   close (): void {
     this.isClosed = true
     this.tearDown('closed')
--- a/connection/rpc/src/connectionpool.ts
+++ b/connection/rpc/src/connectionpool.ts
@@ -32,6 +32,10 @@
     return this.nextConnection.fetch(request, timeoutMs)
   }
 
+  open (): void {
+    for (const connection of this.connections) connection.open()
+  }
+
   close (): void {
     for (const connection of this.connections) connection.close()
   }
--- a/demo/src/load.ts
+++ b/demo/src/load.ts
@@ -11,6 +11,8 @@
 
 const programsPerSecond = Number(process.env.LOAD_PROGRAMS_PER_S ?? 10)
 const durationS = Number(process.env.LOAD_DURATION_S ?? 20)
+/// Between the start of the processes and the first program.
+const idleS = Number(process.env.LOAD_IDLE_S ?? 0)
 const turns = Number(process.env.LOAD_TURNS ?? 4)
 const firstInputBytes = Number(process.env.LOAD_FIRST_INPUT_BYTES ?? 13_000)
 const nodeArguments = (process.env.LOAD_NODE_ARGUMENTS ?? '').split(' ').filter(argument => argument !== '')
@@ -60,6 +62,8 @@
 
 async function main (): Promise<number> {
   await system.start()
+  await sleep(idleS * 1000)
+  process.stdout.write(`CPU time before the first program: entries ${sumCpuMs(system.entries)} ms\n`)
   const entries = system.entries.map(node => node.callersAddress)
   const startedAtMs = performance.now()
   const running = new Set<Promise<unknown>>()
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -73,7 +73,9 @@
     this.peers = view.members.map(member => {
       const existing = previousPeers.find(state => isSamePeer(state.member, member))
       if (existing !== undefined) return Object.assign(existing, { member })
-      return { member, peer: this.options.connect(member.address), isDown: false }
+      const peer = this.options.connect(member.address)
+      peer.open()
+      return { member, peer, isDown: false }
     })
     for (const old of previousPeers) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
     this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
--- a/process/storage/test/cluster.ts
+++ b/process/storage/test/cluster.ts
@@ -286,6 +286,7 @@
       findChain: request => send(ledger => ledger.findChain(request)),
       digest: request => send(ledger => ledger.digest(request)),
       fetch: request => send(ledger => ledger.fetch(request)),
+      open: () => {},
       close: () => {}
     }
   }
