Informational responses without end no longer keep the event loop busy until the call's deadline

endlessresponse.test.ts failed in 2 of 9 runs with 'other side closed': four connections that sent 103 responses without end took so much of the event loop that a call to another instance met its deadline. An attempt fails with the eleventh informational response, and its connection is closed.

--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -38,6 +38,8 @@
 
 const connectTimeoutMs = 400
 const idleTimeoutMs = 4000
+/// Responses with a status below 200 that may precede a response; with more it fails.
+const maxInformationalResponses = 10
 /// A larger response fails, and its connection is closed.
 const maxResponseBytes = 8 * 1024 * 1024
 // Subtracted from the idle timeout that an instance announces, so that no
@@ -97,6 +99,7 @@
   private controller: Dispatcher.DispatchController | null = null
   private isAborted = false
   private isDone = false
+  private informationalCount = 0
 
   constructor (private readonly handler: ResponseHandler, private readonly resetState: ResetState) {}
 
@@ -112,8 +115,14 @@
     else this.isSent = true
   }
 
-  onResponseStart (_: Dispatcher.DispatchController, status: number, headers: ResponseHead['headers']): void {
-    if (status >= 200 && !this.isDone) this.handler.onHead({ status, headers })
+  onResponseStart (
+    controller: Dispatcher.DispatchController, status: number, headers: ResponseHead['headers']
+  ): void {
+    if (this.isDone) return
+    if (status >= 200) this.handler.onHead({ status, headers })
+    else if (++this.informationalCount > maxInformationalResponses) {
+      controller.abort(new UpstreamError(`more than ${maxInformationalResponses} informational responses`, true))
+    }
   }
 
   onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
