The event loop monitor keeps running while a process stops

An entry that had got SIGTERM at 27.52 s cut a stream 0.48 s after it was sent. The monitor now runs until the process exits, and reports no delay once it is stopped. The test failed before (2,960 instead of 0).

--- a/process/clock/src/loopmonitor.ts
+++ b/process/clock/src/loopmonitor.ts
@@ -41,16 +41,19 @@
   private reportedAtMs = performance.now()
   private reportedCpuMs = readCpuMs()
   private maxDelayMs = 0
+  private isStopped = false
   private readonly timer = setInterval(() => this.check(), checkIntervalMs)
 
   constructor (private readonly options: LoopMonitorOptions) {}
 
-  /// The delay of the last check, and the time by which the next one is overdue.
+  /// The delay of the last check, and the time by which the next one is overdue. 0 once the monitor is stopped.
   get currentDelayMs (): number {
+    if (this.isStopped) return 0
     return this.lastDelayMs + Math.max(0, performance.now() - this.checkedAtMs - checkIntervalMs)
   }
 
   stop (): void {
+    this.isStopped = true
     clearInterval(this.timer)
   }
 
--- a/process/clock/test/loopmonitor.test.ts
+++ b/process/clock/test/loopmonitor.test.ts
@@ -76,3 +76,11 @@
   checkAt(Array.from({ length: 60 }, (_, i) => 920 + i * 20))
   expect(monitor.meanDelayMs).toBeLessThan(10)
 })
+
+// Guards against calls cut off during a planned stop: the time since the last check counted as their wait.
+test('once the monitor is stopped, no event counts as delayed', () => {
+  checkAt([20])
+  monitor.stop()
+  nowMs = 3000
+  expect(monitor.currentDelayMs).toBe(0)
+})
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -75,7 +75,6 @@
   process.on('SIGHUP', () => validateSettings(settingsFile, log))
   process.once('SIGTERM', () => {
     log.event(Events.processStopping, { signal: 'SIGTERM', graceMs: settings.timing.stop_grace_ms })
-    loopMonitor.stop()
     running.stop().then(() => {
       log.event(Events.processStopped, {})
       log.flush()
