Admission: turns are refused sooner than tool calls, so that retries reach other entries

The platform picks an entry by a hash of the client; only retries reach others. A turn that would wait for longer than its latency target is now refused, and its caller told to come back soon (50 to 250 ms). Tool calls, which callers repeat once, go first and may wait for half of their time as before.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -5,6 +5,13 @@
 import type { LoopBacklog } from '#process/clock'
 import { RecentPrograms } from './recentprograms.js'
 
+interface CallClass {
+  /// 0 is the most urgent.
+  readonly rank: number
+  /// The call is refused if it is expected to wait longer.
+  readonly maxWaitMs: number
+}
+
 interface WaitingCall {
   readonly queuedAtMs: number
   readonly start: () => void
@@ -18,17 +25,20 @@
   idempotent: 3,
   'non-idempotent': 3
 }
-/// Share of its remaining time that a call may be expected to wait for its start.
+/// Share of its remaining time that a call of a running program may be expected to wait.
 const maxWaitShare = 0.5
-/// A new program may be expected to wait for this share of the latency target of its first turn.
+/// Shares of its latency target that a turn may be expected to wait. A caller sends a refused turn again, to another
+/// entry, which may have more capacity.
+const turnWaitShare = 1
 const newProgramWaitShare = 0.5
 /// While each iteration of the event loop accepts a connection, a call starts only in every n-th of them.
 const iterationsPerStartWhileAccepting = 8
 /// Weight of the latest interval in the mean interval between two starts.
 const meanWeight = 0.1
 const initialStartIntervalMs = 1
-const minRetryAfterMs = 150
-const maxRetryAfterMs = 1000
+/// Retries reach other entries, so callers needn't wait until this one is less busy.
+const minRetryAfterMs = 50
+const maxRetryAfterMs = 250
 /// Callers that were refused at the same time come back spread over this share of the delay, either way.
 const retryJitter = 0.4
 
@@ -41,7 +51,7 @@
 /// in few iterations, so that these are short.
 export class Admission {
   private readonly programs = new RecentPrograms()
-  /// By urgency: calls of running programs, then new programs by the priority of their routes.
+  /// By rank, the most urgent first.
   private readonly queues: WaitingCall[][] = []
   private isIterationCounted = false
   private hasStarted = false
@@ -69,9 +79,7 @@
     if (remainingMs <= 0) {
       return Promise.reject(createTimedOutError('the deadline had passed when the call was read'))
     }
-    const isNewProgram = this.isNewProgram(call, route)
-    const rank = isNewProgram ? 1 + Math.max(0, Math.floor(route.priority)) : 0
-    const maxWaitMs = isNewProgram ? route.targetLatencyMs * newProgramWaitShare : remainingMs * maxWaitShare
+    const { rank, maxWaitMs } = this.classify(call, route, remainingMs)
     const expectedWaitMs = this.countAhead(rank) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (expectedWaitMs > maxWaitMs) return Promise.reject(createBusyError(expectedWaitMs))
@@ -84,11 +92,22 @@
     return this.enqueue(rank, signal)
   }
 
+  /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
+  /// new programs by the priority of their routes.
+  private classify (call: Call, route: Route, remainingMs: number): CallClass {
+    const maxWaitMs = remainingMs * maxWaitShare
+    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs }
+    if (!this.isNewProgram(call)) {
+      return { rank: 1, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * turnWaitShare) }
+    }
+    const rank = 2 + Math.max(0, Math.floor(route.priority))
+    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * newProgramWaitShare) }
+  }
+
   /// A turn that continues no stored turn, of a program that this process has not seen lately. The program may have
   /// begun at another entry.
-  private isNewProgram (call: Call, route: Route): boolean {
-    return route.kind === RouteKind.streaming && call.previousTurnId === null &&
-      call.program !== null && !this.programs.has(call.program.id)
+  private isNewProgram (call: Call): boolean {
+    return call.previousTurnId === null && call.program !== null && !this.programs.has(call.program.id)
   }
 
   private countAhead (rank: number): number {
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -56,7 +56,7 @@
   expect(started).toEqual(['a', 'b', 'c', 'd'])
 })
 
-test('calls of running programs start before new programs, urgent programs before others', async () => {
+test('tool calls start before turns of running programs, these before new programs, urgent programs before others', async () => {
   admit('first', { programId: 'p0' })
   admit('new', { programId: 'p1', priority: 1 })
   admit('new and urgent', { programId: 'p2', priority: 0 })
@@ -64,7 +64,7 @@
   admit('tool', { programId: 'p4', kind: RouteKind.idempotent })
   admit('known', { programId: 'p0' })
   await iterate(8)
-  expect(started).toEqual(['first', 'turn', 'tool', 'known', 'new and urgent', 'new'])
+  expect(started).toEqual(['first', 'tool', 'turn', 'known', 'new and urgent', 'new'])
 })
 
 test('while each iteration accepts a connection, a call starts in every eighth of them only', async () => {
@@ -119,7 +119,8 @@
 
 test.each([
   ['an event loop on time', 2, []],
-  ['an event loop that is behind', 60, ['new']],
+  ['an event loop that is behind', 25, ['new']],
+  ['an event loop that is further behind', 60, ['new', 'turn']],
   ['an event loop that is far behind', 400, ['new', 'turn', 'tool']]
 ])('with %s, those calls are refused that would end too late', async (_, meanDelayMs, expected) => {
   backlog.meanDelayMs = meanDelayMs
