Settlements of finished turns are appended together, each 100 ms

Each turn of a route without history made every storage instance store its settlement in a request of its own: a third of the ledger's messages. They need not be there at once: until then the reservation counts in full. Records of 100 ms now share an append; a stopping entry waits for the last ones.

--- a/process/clock/src/loopmonitor.ts
+++ b/process/clock/src/loopmonitor.ts
@@ -1,4 +1,4 @@
-const checkIntervalMs = 20
+const checkIntervalMs = 50
 /// A timer this late means that the process was frozen or badly overloaded.
 const stallThresholdMs = 250
 const reportIntervalMs = 2000
@@ -33,7 +33,7 @@
   readonly meanDelayMs: number
 }
 
-/// Measures how far the event loop is behind: how late a timer fires that is due every 20 ms.
+/// Measures how far the event loop is behind: how late a timer fires that is due every 50 ms.
 export class LoopMonitor implements LoopBacklog {
   meanDelayMs = 0
   private lastDelayMs = 0
--- a/process/clock/test/loopmonitor.test.ts
+++ b/process/clock/test/loopmonitor.test.ts
@@ -32,36 +32,36 @@
 function checkAt (timesMs: readonly number[]): void {
   for (const atMs of timesMs) {
     nowMs = atMs
-    vi.advanceTimersByTime(20)
+    vi.advanceTimersByTime(50)
   }
 }
 
 test.each([
-  ['timers on time', [20, 40, 60], []],
+  ['timers on time', [50, 100, 150], []],
   ['a busy event loop', [150, 300, 450], []],
-  ['a process frozen for 3 s', [20, 3040, 3060], [3000]]
+  ['a process frozen for 3 s', [50, 3100, 3150], [3000]]
 ])('reports only stalls: %s', (_, checkTimesMs, expected) => {
   checkAt(checkTimesMs)
   expect(stalls).toEqual(expected)
 })
 
 test('measures how late each timer is, and reports the largest delay of an interval', () => {
-  checkAt([20, 160, 180, 2300])
+  checkAt([50, 220, 270, 2420])
   expect(delays).toEqual([0, 120, 0, 2100])
-  expect(loads.map(load => [load.maxDelayMs, load.intervalMs])).toEqual([[2100, 2300]])
+  expect(loads.map(load => [load.maxDelayMs, load.intervalMs])).toEqual([[2100, 2420]])
 })
 
 test('an interval with timers on time is not reported', () => {
-  checkAt(Array.from({ length: 120 }, (_, i) => (i + 1) * 20))
+  checkAt(Array.from({ length: 50 }, (_, i) => (i + 1) * 50))
   expect(loads).toEqual([])
 })
 
 test.each([
-  ['on time', [20], 30, 0],
-  ['within a long iteration, the next check is overdue', [20], 140, 100],
-  ['after a long iteration', [20, 140], 150, 100],
-  ['in the second of two long iterations', [20, 140], 200, 140],
-  ['once timers are on time again', [20, 140, 160], 170, 0]
+  ['on time', [50], 80, 0],
+  ['within a long iteration, the next check is overdue', [50], 200, 100],
+  ['after a long iteration', [50, 200], 210, 100],
+  ['in the second of two long iterations', [50, 200], 290, 140],
+  ['once timers are on time again', [50, 200, 250], 270, 0]
 ])('an event handled %s may have waited for the delay so far', (_, checkTimesMs, atMs, expected) => {
   checkAt(checkTimesMs)
   nowMs = atMs
@@ -69,17 +69,17 @@
 })
 
 test('the mean delay rises within a few long iterations and falls again', () => {
-  checkAt([20])
+  checkAt([50])
   expect(monitor.meanDelayMs).toBe(0)
-  checkAt([240, 460, 680, 900])
+  checkAt([300, 550, 800, 1050])
   expect(monitor.meanDelayMs).toBeGreaterThan(150)
-  checkAt(Array.from({ length: 60 }, (_, i) => 920 + i * 20))
+  checkAt(Array.from({ length: 60 }, (_, i) => 1100 + i * 50))
   expect(monitor.meanDelayMs).toBeLessThan(10)
 })
 
 // Guards against calls cut off during a planned stop: the time since the last check counted as their wait.
 test('once the monitor is stopped, no event counts as delayed', () => {
-  checkAt([20])
+  checkAt([50])
   monitor.stop()
   nowMs = 3000
   expect(monitor.currentDelayMs).toBe(0)
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -56,6 +56,8 @@
 /// In-flight calls must end this long before the end of the stop grace period.
 const stopMarginMs = 700
 const drainPollIntervalMs = 50
+/// For the settlements of the last calls.
+const flushTimeoutMs = 300
 
 /// The entry role: accepts calls, routes and queues them, and streams the responses of upstream instances back.
 export class Entry implements EntryState {
@@ -143,6 +145,7 @@
     await Promise.race([closing, sleep(Math.max(0, deadlineMs - performance.now()))])
     for (const stop of this.stopCallbacks) stop()
     await Promise.race([Promise.all(this.closeCallbacks.map(close => close())), sleep(drainPollIntervalMs)])
+    await Promise.race([this.quorum.flush(), sleep(flushTimeoutMs)])
     this.quorum.close()
   }
 
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -28,6 +28,10 @@
     for (const record of records) this.records.set(`${record.kind}/${record.id}`, record)
   }
 
+  async appendSoon (record: LedgerRecord): Promise<void> {
+    await this.append([record])
+  }
+
   async reserve (reservation: LedgerRecord): Promise<ReservedAccount> {
     await this.append([reservation])
     const entries = await this.readAccount(reservation.programId)
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -24,6 +24,9 @@
 }
 
 const attemptTimeoutMs = 400
+/// How long records are collected that need not be committed at once.
+const batchDelayMs = 100
+const batchTimeoutMs = 1500
 const retryDelayMs = 40
 /// A chain query goes to the nearest member first, and to the others if there is no reply within this time.
 const hedgeDelayMs = 40
@@ -40,6 +43,12 @@
   readonly allSettled: Promise<void>
 }
 
+/// Records that are appended together.
+interface Batch {
+  readonly records: LedgerRecord[]
+  readonly committed: Promise<void>
+}
+
 interface PeerState {
   member: Member
   readonly peer: LedgerPeer
@@ -56,6 +65,7 @@
   private quorums: Quorums = computeQuorums(emptyView, 0)
   private peers: PeerState[] = []
   private probeTimer: ReturnType<typeof setInterval> | null = null
+  private batch: Batch | null = null
 
   constructor (private readonly options: QuorumOptions, private readonly log: EventLog) {}
 
@@ -97,6 +107,27 @@
       countVoters(replies.keys(), this.quorums.appendVoters) >= this.quorums.appendQuorum).quorum
   }
 
+  /// Appends the record after `batchDelayMs`, together with all others of that time, and resolves once it is committed.
+  appendSoon (record: LedgerRecord): Promise<void> {
+    if (this.batch === null) {
+      const records: LedgerRecord[] = []
+      const committed = sleep(batchDelayMs).then(() => {
+        this.batch = null
+        return this.append(records, batchTimeoutMs)
+      })
+      this.batch = { records, committed }
+    }
+    this.batch.records.push(record)
+    return this.batch.committed
+  }
+
+  /// Resolves when the records of `appendSoon` have been committed, or could not be.
+  async flush (): Promise<void> {
+    await this.batch?.committed.catch(() => {
+      // The caller of appendSoon handles the error.
+    })
+  }
+
   /// Appends a reservation and resolves, once it is committed, to the program's account.
   async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount> {
     const { version } = this.view
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -1,7 +1,7 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
 import type { LedgerRecord, View } from '#connection/rpc'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
@@ -108,3 +108,19 @@
   expect(staleReports).toBeGreaterThan(0)
   staleQuorum.close()
 })
+
+test('records that are appended soon share one append, and are committed', async () => {
+  const append = vi.spyOn(quorum, 'append')
+  const ids = ['r1', 'r2', 'r3']
+  await Promise.all(ids.map(id => quorum.appendSoon(createRecord(RecordKind.settlement, id, { tokens: 7 }))))
+  expect(append).toHaveBeenCalledTimes(1)
+  const account = await quorum.readAccount('p', 900)
+  expect(account.map(entry => [entry.id, entry.spent]).sort()).toEqual(ids.map(id => [id, 7]))
+})
+
+test('flush waits for records that are appended soon', async () => {
+  let isCommitted = false
+  quorum.appendSoon(createRecord(RecordKind.settlement, 'r1')).then(() => { isCommitted = true }, () => {})
+  await quorum.flush()
+  expect(isCommitted).toBe(true)
+})
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -5,6 +5,8 @@
 export interface TurnLedger {
   /// Resolves once the records are committed.
   append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void>
+  /// Appends the record a little later, together with others, and resolves once it is committed.
+  appendSoon (record: LedgerRecord): Promise<void>
   /// Resolves, once the reservation is committed, to the account of its program.
   reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount>
   /// Resolves to all reservations and settlements that were stored before the read began.
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -1,5 +1,5 @@
 import { RecordKind } from '#connection/rpc'
-import type { AccountEntry } from '#connection/rpc'
+import type { AccountEntry, LedgerRecord } from '#connection/rpc'
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import type { Call } from '#request/call'
 import type { Route } from '#version/configuration'
@@ -24,6 +24,8 @@
 /// Records of an account are retained for at least this time, also if the route retains its turns for less.
 const minAccountRetentionMs = 60_000
 
+type AppendRecord = (record: LedgerRecord) => Promise<void>
+
 /// The tokens that a turn has reserved from its program's budget.
 export class TokenReservation {
   /// Whether other turns of the program have spent or reserved tokens.
@@ -61,7 +63,7 @@
     if (mayExceedBudget && otherSpentTokens < budget) otherTokens = await reservation.recountOthers(account, budget)
     reservation.hasOtherTurns = otherTokens > 0
     if (otherTokens > 0 && otherTokens >= budget) {
-      reservation.settle(0)
+      reservation.giveUp()
       throw new RefusedError(
         Refusal.budgetSpent,
         Verdict.notRun,
@@ -74,9 +76,18 @@
   /// Replaces the reservation by the tokens delivered to the caller. Runs in
   /// the background; until it is done the whole reservation counts as spent.
   settle (tokens: number): void {
+    this.startSettlement(tokens, record => this.ledger.appendSoon(record))
+  }
+
+  /// Settles a reservation that was not used, at once, since concurrent turns may be waiting for it.
+  private giveUp (): void {
+    this.startSettlement(0, record => this.ledger.append([record], settleTimeoutMs))
+  }
+
+  private startSettlement (tokens: number, append: AppendRecord): void {
     if (this.isSettled) return
     this.isSettled = true
-    this.writeSettlement(tokens).catch((error: unknown) => {
+    this.writeSettlement(tokens, append).catch((error: unknown) => {
       this.log.event(Events.settleAbandoned, {
         callId: this.callId,
         programId: this.programId,
@@ -126,16 +137,16 @@
     try {
       return await account
     } catch (error) {
-      this.settle(0)
+      this.giveUp()
       throw new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), ledgerRetryAfterMs)
     }
   }
 
-  private async writeSettlement (tokens: number): Promise<void> {
+  private async writeSettlement (tokens: number, append: AppendRecord): Promise<void> {
     const record = { ...createRecord(RecordKind.settlement, this.callId, this.programId, this.retentionMs), tokens }
     for (let attempts = 1; ; attempts++) {
       try {
-        await this.ledger.append([record], settleTimeoutMs)
+        await append(record)
         return
       } catch (error) {
         if (attempts >= maxSettleAttempts) throw error
--- a/request/turn/test/tokenreservation.test.ts
+++ b/request/turn/test/tokenreservation.test.ts
@@ -20,6 +20,7 @@
   let reads = 0
   const ledger: TurnLedger = {
     append: async () => {},
+    appendSoon: async () => {},
     reserve: async () => ({ entries, readComplete: async () => allReplied ? entries : null }),
     readAccount: async () => {
       reads++
