--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -14,7 +14,9 @@
 
 interface WaitingCall {
   readonly queuedAtMs: number
+  readonly maxWaitMs: number
   readonly start: () => void
+  readonly refuse: (error: RefusedError) => void
   readonly isAborted: () => boolean
 }
 
@@ -89,7 +91,7 @@
       this.recordStart()
       return Promise.resolve()
     }
-    return this.enqueue(rank, signal)
+    return this.enqueue(rank, maxWaitMs, signal)
   }
 
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
@@ -114,10 +116,12 @@
     return this.queues.slice(0, rank + 1).reduce((sum, queue) => sum + (queue?.length ?? 0), 0)
   }
 
-  private enqueue (rank: number, signal: AbortSignal): Promise<void> {
+  private enqueue (rank: number, maxWaitMs: number, signal: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
       while (this.queues.length <= rank) this.queues.push([])
-      this.queues[rank]!.push({ queuedAtMs: performance.now(), start: resolve, isAborted: () => signal.aborted })
+      const queuedAtMs = performance.now()
+      const isAborted = (): boolean => signal.aborted
+      this.queues[rank]!.push({ queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted })
       signal.addEventListener('abort', () => {
         reject(createTimedOutError('caller disconnected or deadline passed before the call started'))
       }, { once: true })
@@ -145,6 +149,7 @@
   /// Starts the next call, if none has started in this iteration.
   private endIteration (): void {
     this.iterationsSinceStart++
+    this.refuseExpired(performance.now())
     if (this.mayStart) this.startNext()
     this.isIterationCounted = this.hasStarted = this.hasAccepted = false
     // An iteration that does not block, in which the next call starts.
@@ -160,6 +165,16 @@
     next.start()
   }
 
+  /// Refuses calls that have waited for too long, since more urgent ones came meanwhile.
+  private refuseExpired (nowMs: number): void {
+    for (const queue of this.queues) {
+      while (queue.length > 0 && nowMs - queue[0]!.queuedAtMs > queue[0]!.maxWaitMs) {
+        const { queuedAtMs, refuse } = queue.shift()!
+        refuse(createBusyError(nowMs - queuedAtMs))
+      }
+    }
+  }
+
   private dequeue (): WaitingCall | undefined {
     for (const queue of this.queues) {
       while (queue.length > 0) {
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -38,8 +38,10 @@
     : { id: programId, sessionId: programId, remainingMs: 5000, tokenBudget: null }
   const call = { id, program, previousTurnId } as Call
   const route = { kind, priority, targetLatencyMs } as Route
+  // Calls that a test leaves in the queue must not be recorded in the next one.
+  const [ownStarted, ownRefused] = [started, refused]
   admission.admit(call, route, performance.now() + remainingMs, controller.signal)
-    .then(() => started.push(id), (error: RefusedError) => refused.push(error))
+    .then(() => ownStarted.push(id), (error: RefusedError) => ownRefused.push(error))
 }
 
 async function iterate (times: number): Promise<void> {
@@ -100,6 +102,19 @@
   expect(started).toContain('tool')
 })
 
+test('a new program is refused once it has waited for too long, although the calls before it came later', async () => {
+  admit('first')
+  admit('new', { programId: 'p1', targetLatencyMs: 40 })
+  const startedAtMs = performance.now()
+  for (let i = 0; performance.now() - startedAtMs < 60; i++) {
+    admit(`tool ${i}`, { kind: RouteKind.idempotent })
+    admit(`more ${i}`, { kind: RouteKind.idempotent })
+    await nextIteration()
+  }
+  expect(refused.map(error => error.refusal)).toEqual([Refusal.busy])
+  expect(started).not.toContain('new')
+})
+
 test('a call whose deadline passed before it was read is refused as not run', async () => {
   admit('late', { remainingMs: -1 })
   await iterate(1)
