--- a/process/storage/src/copier.ts
+++ b/process/storage/src/copier.ts
@@ -45,13 +45,12 @@
     while (missing.length > 0) {
       const batch = missing.slice(0, fetchBatchSize)
       const { records } = await this.peer.fetch({ keys: batch }, requestTimeoutMs)
-      // Records that have expired at the peer in the meantime need not be copied.
-      if (records.length === 0) return copied
       await this.ledger.persist(records)
       copied += records.length
       const isPartial = records.length < batch.length
       const remaining = batch.filter(key => this.ledger.records.get(key) === undefined)
       missing = missing.slice(fetchBatchSize)
+      // Without any record of a batch, all of it has expired at the peer in the meantime and need not be copied.
       if (isPartial && remaining.length < batch.length) missing = remaining.concat(missing)
     }
     return copied
--- /dev/null
+++ b/process/storage/test/copier.test.ts
@@ -0,0 +1,43 @@
+import { expect, test } from 'vitest'
+import type { LedgerPeer, LedgerRecord, Standing } from '#connection/rpc'
+import { Disk, Ledger, RecordKind, recordKey } from '#process/ledger'
+import { noopLog } from '#process/log'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { PeerCopier } from '../src/copier.js'
+
+const standing: Standing = { diskId: 'peer', viewVersion: 1, newerView: undefined }
+
+function createTurn (id: string): LedgerRecord {
+  return {
+    kind: RecordKind.turn,
+    id,
+    programId: 'p',
+    tokens: 1,
+    previousId: '',
+    input: Buffer.from('in'),
+    output: Buffer.from('out'),
+    recordedAtMs: Date.now(),
+    retentionMs: 60_000,
+    instanceId: ''
+  }
+}
+
+// Guards against committed records that a replaced disk lacks although the copy counts as complete.
+test('records that expired at the peer after they were listed do not end the copy of the others', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'copier-'))
+  const { disk, contents } = Disk.open(folder, noopLog)
+  const ledger = new Ledger(disk, contents)
+  const expiredKeys = Array.from({ length: 250 }, (_, i) => `${RecordKind.turn}/expired${i}`)
+  const turns = Array.from({ length: 300 }, (_, i) => createTurn(`t${i}`))
+  const turnByKey = new Map(turns.map(turn => [recordKey(turn), turn]))
+  const peer = {
+    digest: async () => ({ standing, keys: [...expiredKeys, ...turnByKey.keys()], nextCursor: 550, atEnd: true, epoch: 'e' }),
+    fetch: async ({ keys }: { keys: string[] }) => ({ standing, records: keys.flatMap(key => turnByKey.get(key) ?? []) })
+  } as unknown as LedgerPeer
+  const { copied } = await new PeerCopier(peer, ledger).runPass(1)
+  expect(copied).toBe(300)
+  disk.close()
+  rmSync(folder, { recursive: true })
+})
