--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -3,6 +3,7 @@
 import { emptyView } from '#process/membership'
 import type { Disk, DiskContents } from './disk.js'
 import { RecordIndex, recordKey } from './records.js'
+import type { IndexedRecord } from './records.js'
 
 /// A fetch reply ends with the record that takes it beyond this size.
 const maxFetchReplyBytes = 2 * 1024 * 1024
@@ -19,10 +20,10 @@
   private view: View = emptyView
   /// Syncs in flight by record key: a repeated append waits for the first one.
   private readonly pendingSyncs = new Map<string, Promise<unknown>>()
-  /// Set once `persist` fails to write. The contents of the disk are uncertain from
-  /// then on, so later appends are rejected.
+  /// Set once a write fails. The contents of the disk are uncertain from then on,
+  /// so later appends are rejected.
   private failure: Error | null = null
-  /// Called when `persist` fails to write to the disk.
+  /// Called when a write to the disk fails.
   onFailure: (error: Error) => void = () => {}
 
   constructor (private readonly disk: Disk, contents: DiskContents) {
@@ -75,16 +76,11 @@
     const added = records.flatMap(record => this.records.add(record) ?? [])
     const pending = records.flatMap(record => this.pendingSyncs.get(recordKey(record)) ?? [])
     if (added.length > 0) {
-      const synced = this.disk.append(added.map(indexed => indexed.record))
+      const synced = this.write(added)
       const keys = added.map(indexed => recordKey(indexed.record))
       for (const key of keys) this.pendingSyncs.set(key, synced)
       try {
-        const segment = await synced
-        for (const indexed of added) indexed.segment = segment
-      } catch (error) {
-        this.failure = error as Error
-        this.onFailure(this.failure)
-        throw error
+        await synced
       } finally {
         for (const key of keys) this.pendingSyncs.delete(key)
       }
@@ -100,12 +96,23 @@
     const oldest = this.disk.oldestSegment
     const liveRecords = [...this.records.recordsInSegment(oldest)]
     if (liveRecords.length > 0) {
-      const segment = await this.disk.append(liveRecords.map(indexed => indexed.record))
-      for (const indexed of liveRecords) indexed.segment = segment
+      await this.write(liveRecords)
     }
     this.disk.dropSegment(oldest)
   }
 
+  /// Writes records to the disk, and resolves once they are synced.
+  private async write (indexedRecords: readonly IndexedRecord[]): Promise<void> {
+    try {
+      const segment = await this.disk.append(indexedRecords.map(indexed => indexed.record))
+      for (const indexed of indexedRecords) indexed.segment = segment
+    } catch (error) {
+      this.failure = error as Error
+      this.onFailure(this.failure)
+      throw error
+    }
+  }
+
   private createStanding (callerViewVersion: number): Standing {
     return {
       diskId: this.diskId,
--- a/process/ledger/test/disk.test.ts
+++ b/process/ledger/test/disk.test.ts
@@ -1,7 +1,7 @@
 import { appendFileSync, mkdtempSync, readdirSync, rmSync, statSync, truncateSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { LedgerRecord } from '#connection/rpc'
 import { Disk, Ledger, RecordKind, RecordIndex, encodeFrame, decodeFrames } from '#process/ledger'
 import { noopLog } from '#process/log'
@@ -94,3 +94,18 @@
     { id: 'r2', reserved: 100, spent: 0, settled: false }
   ])
 })
+
+// Guards against acknowledged records that follow a torn frame: the next start does not read them.
+test('after a failed write of a compaction, appends are rejected and the failure is reported', async () => {
+  const { disk, contents } = Disk.open(folder, noopLog)
+  const ledger = new Ledger(disk, contents)
+  let reported: Error | null = null
+  ledger.onFailure = error => { reported = error }
+  await ledger.persist([createRecord(RecordKind.turn, 't1', { recordedAtMs: Date.now() })])
+  vi.spyOn(disk, 'segmentCount', 'get').mockReturnValue(9)
+  vi.spyOn(disk, 'append').mockRejectedValueOnce(new Error('no space'))
+  vi.spyOn(disk, 'oldestSegment', 'get').mockReturnValue(ledger.records.get('3/t1')!.segment)
+  await expect(ledger.compact(Date.now())).rejects.toThrow('no space')
+  expect(reported).toEqual(new Error('no space'))
+  await expect(ledger.persist([createRecord(RecordKind.turn, 't2')])).rejects.toThrow('no space')
+})
--- a/process/storage/test/copier.test.ts
+++ b/process/storage/test/copier.test.ts
@@ -1,10 +1,10 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { expect, test } from 'vitest'
 import type { LedgerPeer, LedgerRecord, Standing } from '#connection/rpc'
 import { Disk, Ledger, RecordKind, recordKey } from '#process/ledger'
 import { noopLog } from '#process/log'
-import { mkdtempSync, rmSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
 import { PeerCopier } from '../src/copier.js'
 
 const standing: Standing = { diskId: 'peer', viewVersion: 1, newerView: undefined }
@@ -32,8 +32,9 @@
   const expiredKeys = Array.from({ length: 250 }, (_, i) => `${RecordKind.turn}/expired${i}`)
   const turns = Array.from({ length: 300 }, (_, i) => createTurn(`t${i}`))
   const turnByKey = new Map(turns.map(turn => [recordKey(turn), turn]))
+  const keys = [...expiredKeys, ...turnByKey.keys()]
   const peer = {
-    digest: async () => ({ standing, keys: [...expiredKeys, ...turnByKey.keys()], nextCursor: 550, atEnd: true, epoch: 'e' }),
+    digest: async () => ({ standing, keys, nextCursor: keys.length, atEnd: true, epoch: 'e' }),
     fetch: async ({ keys }: { keys: string[] }) => ({ standing, records: keys.flatMap(key => turnByKey.get(key) ?? []) })
   } as unknown as LedgerPeer
   const { copied } = await new PeerCopier(peer, ledger).runPass(1)
