--- a/process/storage/test/copier.test.ts
+++ b/process/storage/test/copier.test.ts
@@ -35,7 +35,9 @@
   const keys = [...expiredKeys, ...turnByKey.keys()]
   const peer = {
     digest: async () => ({ standing, keys, nextCursor: keys.length, atEnd: true, epoch: 'e' }),
-    fetch: async ({ keys }: { keys: string[] }) => ({ standing, records: keys.flatMap(key => turnByKey.get(key) ?? []) })
+    fetch: async (request: { keys: string[] }) => {
+      return { standing, records: request.keys.flatMap(key => turnByKey.get(key) ?? []) }
+    }
   } as unknown as LedgerPeer
   const { copied } = await new PeerCopier(peer, ledger).runPass(1)
   expect(copied).toBe(300)
