Admission: a busy entry refuses programs by a hash of their ids, so that entries agree

Retries and many later turns reach other entries, which don't know that a program is running if its route keeps no history, and chose again. Now the share of programs that an entry doesn't serve grows while turns are expected to wait for more than 0.8 of their latency target, and falls slowly; which programs these are follows from their ids, so entries that are about equally busy choose the same. Urgent routes lose fewer. Their callers are told to come back in 0.5 to 1.1 s, those of a call that would only wait too long here in 70 to 170 ms.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -4,6 +4,7 @@
 import type { Route } from '#version/configuration'
 import type { LoopBacklog } from '#process/clock'
 import { RecentPrograms } from './recentprograms.js'
+import { Shedding } from './shedding.js'
 
 interface CallClass {
   /// 0 is the most urgent.
@@ -32,15 +33,18 @@
 /// Shares of its latency target that a turn may be expected to wait. A caller sends a refused turn again, to another
 /// entry, which may have more capacity.
 const turnWaitShare = 1
-const newProgramWaitShare = 0.5
+const newProgramWaitShare = 1
+/// Of turns of running programs; those of new programs have higher ranks.
+const turnRank = 1
 /// While each iteration of the event loop accepts a connection, a call starts only in every n-th of them.
 const iterationsPerStartWhileAccepting = 8
 /// Weight of the latest interval in the mean interval between two starts.
 const meanWeight = 0.1
 const initialStartIntervalMs = 1
 /// Retries reach other entries, so callers needn't wait until this one is less busy.
-const minRetryAfterMs = 50
-const maxRetryAfterMs = 250
+const busyRetryAfterMs = 120
+/// Other entries that are as busy don't serve the program either.
+const shedRetryAfterMs = 800
 /// Callers that were refused at the same time come back spread over this share of the delay, either way.
 const retryJitter = 0.4
 
@@ -53,6 +57,7 @@
 /// in few iterations, so that these are short.
 export class Admission {
   private readonly programs = new RecentPrograms()
+  private readonly shedding = new Shedding()
   /// By rank, the most urgent first.
   private readonly queues: WaitingCall[][] = []
   private isIterationCounted = false
@@ -64,6 +69,11 @@
 
   constructor (private readonly backlog: LoopBacklog) {}
 
+  /// Share of the programs that are refused at their start.
+  get shedShare (): number {
+    return this.shedding.shedShare
+  }
+
   get waiting (): number {
     return this.queues.reduce((sum, queue) => sum + queue.length, 0)
   }
@@ -84,7 +94,11 @@
     const { rank, maxWaitMs } = this.classify(call, route, remainingMs)
     const expectedWaitMs = this.countAhead(rank) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
+    if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
     if (expectedWaitMs > maxWaitMs) return Promise.reject(createBusyError(expectedWaitMs))
+    if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
+      return Promise.reject(createShedError(this.shedShare))
+    }
     if (call.program !== null) this.programs.add(call.program.id)
     this.countIteration()
     if (this.mayStart && this.waiting === 0) {
@@ -100,9 +114,9 @@
     const maxWaitMs = remainingMs * maxWaitShare
     if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs }
     if (!this.isNewProgram(call)) {
-      return { rank: 1, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * turnWaitShare) }
+      return { rank: turnRank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * turnWaitShare) }
     }
-    const rank = 2 + Math.max(0, Math.floor(route.priority))
+    const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
     return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * newProgramWaitShare) }
   }
 
@@ -190,13 +204,24 @@
   return new RefusedError(Refusal.timedOut, Verdict.notRun, message)
 }
 
-function createBusyError (expectedWaitMs: number): RefusedError {
-  const spread = 1 + (Math.random() * 2 - 1) * retryJitter
-  const retryAfterMs = Math.min(Math.max(expectedWaitMs, minRetryAfterMs), maxRetryAfterMs) * spread
+function createBusyError (waitMs: number): RefusedError {
   return new RefusedError(
     Refusal.busy,
     Verdict.notRun,
-    `this process is busy: the call would wait for ${Math.round(expectedWaitMs)} ms`,
-    Math.round(retryAfterMs)
+    `this process is busy: the call would wait for ${Math.round(waitMs)} ms`,
+    addJitter(busyRetryAfterMs)
   )
 }
+
+function createShedError (shedShare: number): RefusedError {
+  return new RefusedError(
+    Refusal.busy,
+    Verdict.notRun,
+    `this process is busy: ${Math.round(shedShare * 100)} % of new programs are not served`,
+    addJitter(shedRetryAfterMs)
+  )
+}
+
+function addJitter (retryAfterMs: number): number {
+  return Math.round(retryAfterMs * (1 + (Math.random() * 2 - 1) * retryJitter))
+}
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -111,6 +111,7 @@
       onMalformed: code => log.event(Events.requestMalformed, { code })
     })
     metrics.addGauge('calls_under_way', () => this.callsInFlight)
+    metrics.addGauge('programs_shed_share', () => admission.shedShare)
     metrics.addGauge('calls_not_started', () => admission.waiting)
     metrics.addGauge('calls_waiting', () => placement.queueLength)
   }
