A stream has 2 MiB at the most

Four streams of 8 MiB are 2.8 million events to parse. Found too, and open: an idempotent call gives up on a silent instance even if no other instance is left to try.

--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -19,6 +19,8 @@
 /// instance. A program that is refused early can be started later; one that
 /// completes too late uses capacity but has no value.
 const newProgramWaitShare = 0.1
+/// A larger stream fails. An instance may send events without end, each of which takes time to parse.
+const maxStreamBytes = 2 * 1024 * 1024
 const lineFeed = Buffer.from('\n')
 
 /// Serves a call whose response is an event stream. Rejects with `RefusedError`.
@@ -73,6 +75,7 @@
   private parser = new EventStreamParser()
   private lastEventId: number
   private eventCount = 0
+  private receivedBytes = 0
   private instanceId = ''
 
   constructor (
@@ -160,6 +163,8 @@
   }
 
   onData (chunk: Buffer): void {
+    this.receivedBytes += chunk.length
+    if (this.receivedBytes > maxStreamBytes) throw new Error(`the stream is larger than ${maxStreamBytes} bytes`)
     const accepted: Buffer[] = []
     try {
       for (const event of this.parser.push(chunk)) {
