Small events without end leave the event loop to other calls; a call with one instance left waits for it

For each event the rest of the chunk was searched for a second kind of line end: 64 KiB for each of 5,461 events. The search now ends at the event, events are parsed as they are taken, and a stream has 10,000 at the most.

--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -205,3 +205,11 @@
     expect(Number(headers['deadline-ms'])).toBeLessThanOrEqual(1500 - delayMs)
   }
 })
+
+test('an idempotent call waits for a slow instance if no other one is left', async () => {
+  entry.registry.onChanges([{ name: 'tools-1', object: null }])
+  injectFault(tools, UpstreamFault.silent)
+  const startedAtMs = performance.now()
+  expect((await call('/check/1', {}, 'GET')).status).toBe(504)
+  expect(performance.now() - startedAtMs).toBeGreaterThan(1400)
+})
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -69,6 +69,12 @@
     return this.enqueue(request, nowMs, signal)
   }
 
+  /// Whether the service has a ready instance other than the excluded ones.
+  hasInstance (service: string, excluded: ReadonlySet<string>): boolean {
+    for (const { description } of this.registry.readyInstances(service)) if (!excluded.has(description.id)) return true
+    return false
+  }
+
   /// Assigns queued calls to instances with free capacity. Refuses those that
   /// have waited for too long and those without an instance left to try.
   processQueue (): void {
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -71,6 +71,13 @@
     return result
   }
 
+  /// Whether the call may be sent to another instance if its attempt at this one fails.
+  hasAlternative ({ instance }: InstanceLease): boolean {
+    const { route, serviceName } = this.routed
+    if (this.sentCount + 1 >= route.maxInstances) return false
+    return this.context.placement.hasInstance(serviceName, new Set([...this.usedInstanceIds, instance.description.id]))
+  }
+
   /// Whether the call may be retried on another instance, given the result of its last attempt. A call that may have
   /// run is retried only if `mayRunTwice`.
   mayRetry (result: AttemptResult, mayRunTwice: boolean): boolean {
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -21,6 +21,7 @@
 const newProgramWaitShare = 0.1
 /// A larger stream fails. An instance may send events without end, each of which takes time to parse.
 const maxStreamBytes = 2 * 1024 * 1024
+const maxStreamEvents = 10_000
 const lineFeed = Buffer.from('\n')
 
 /// Serves a call whose response is an event stream. Rejects with `RefusedError`.
@@ -76,6 +77,7 @@
   private lastEventId: number
   private eventCount = 0
   private receivedBytes = 0
+  private receivedEvents = 0
   private instanceId = ''
 
   constructor (
@@ -183,6 +185,7 @@
 
   /// Counts an event before it is sent to the caller; throws if it isn't the next one.
   private accept (event: StreamEvent): void {
+    if (++this.receivedEvents > maxStreamEvents) throw new Error(`the stream has more than ${maxStreamEvents} events`)
     if (event.id >= 0) {
       if (this.lastEventId >= 0 && event.id !== this.lastEventId + 1) {
         throw new Error(`event ${event.id} does not follow event ${this.lastEventId}`)
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -24,7 +24,7 @@
   while (true) {
     const lease = await acquireLease(routed, dispatcher, lastResponse !== null)
     if (lease === null) break
-    const hasAlternative = isIdempotent && dispatcher.sentCount + 1 < route.maxInstances
+    const hasAlternative = isIdempotent && dispatcher.hasAlternative(lease)
     const idleTimeoutMs = hasAlternative
       ? Math.max(minIdleTimeoutMs, route.targetLatencyMs * idleTimeoutFactor)
       : 0
--- a/request/turn/src/eventstream.ts
+++ b/request/turn/src/eventstream.ts
@@ -20,22 +20,22 @@
     return this.buffered.length > 0
   }
 
-  /// Throws if an event gets too large.
-  push (chunk: Buffer): StreamEvent[] {
+  /// Yields the events that the chunk completes. Throws if an event gets too large.
+  * push (chunk: Buffer): Generator<StreamEvent> {
     this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk])
-    const events: StreamEvent[] = []
     for (let end = findEventEnd(this.buffered); end >= 0; end = findEventEnd(this.buffered)) {
-      events.push(parseEvent(this.buffered.subarray(0, end)))
+      const event = parseEvent(this.buffered.subarray(0, end))
       this.buffered = this.buffered.subarray(end)
+      yield event
     }
     if (this.buffered.length > maxEventBytes) throw new Error(`an event is larger than ${maxEventBytes} bytes`)
-    return events
   }
 }
 
 function findEventEnd (bytes: Buffer): number {
   const lfIndex = bytes.indexOf('\n\n')
-  const crlfIndex = bytes.indexOf('\r\n\r\n')
+  // Not searched beyond the event's end: the rest of a chunk may hold thousands of events.
+  const crlfIndex = (lfIndex < 0 ? bytes : bytes.subarray(0, lfIndex)).indexOf('\r\n\r\n')
   if (lfIndex < 0 && crlfIndex < 0) return -1
   return crlfIndex < 0 || (lfIndex >= 0 && lfIndex < crlfIndex) ? lfIndex + 2 : crlfIndex + 4
 }
