--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -30,10 +30,6 @@
 }
 /// Share of its remaining time that a call of a running program may be expected to wait.
 const maxWaitShare = 0.5
-/// Shares of its latency target that a turn may be expected to wait. A caller sends a refused turn again, to another
-/// entry, which may have more capacity.
-const turnWaitShare = 1
-const newProgramWaitShare = 1
 /// Of turns of running programs; those of new programs have higher ranks.
 const turnRank = 1
 /// While each iteration of the event loop accepts a connection, a call starts only in every n-th of them.
@@ -111,13 +107,12 @@
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
   /// new programs by the priority of their routes.
   private classify (call: Call, route: Route, remainingMs: number): CallClass {
-    const maxWaitMs = remainingMs * maxWaitShare
-    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs }
-    if (!this.isNewProgram(call)) {
-      return { rank: turnRank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * turnWaitShare) }
-    }
-    const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
-    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs * newProgramWaitShare) }
+    const maxCallWaitMs = remainingMs * maxWaitShare
+    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs: maxCallWaitMs }
+    // A caller sends a refused turn again, to another entry, which may have more capacity.
+    const maxWaitMs = Math.min(maxCallWaitMs, route.targetLatencyMs)
+    if (!this.isNewProgram(call)) return { rank: turnRank, maxWaitMs }
+    return { rank: turnRank + 1 + Math.max(0, Math.floor(route.priority)), maxWaitMs }
   }
 
   /// A turn that continues no stored turn, of a program that this process has not seen lately. The program may have
--- a/process/admission/src/shedding.ts
+++ b/process/admission/src/shedding.ts
@@ -4,8 +4,8 @@
 const targetWaitShare = 0.8
 const updateIntervalMs = 200
 /// Change of the shed share per update while turns wait for longer than that, and while they don't.
-const increase = 0.05
-const decrease = 0.02
+const shareIncrease = 0.05
+const shareDecrease = 0.02
 const maxShedShare = 0.95
 /// Weight of the latest turn in the mean.
 const meanWeight = 0.1
@@ -28,7 +28,7 @@
     const updates = Math.floor((performance.now() - this.updatedAtMs) / updateIntervalMs)
     if (updates === 0) return
     this.updatedAtMs = performance.now()
-    const change = this.meanWaitShare > targetWaitShare ? increase : -decrease * updates
+    const change = this.meanWaitShare > targetWaitShare ? shareIncrease : -shareDecrease * updates
     this.shedShare = Math.min(Math.max(this.shedShare + change, 0), maxShedShare)
   }
 
--- a/request/forward/src/responsebudget.ts
+++ b/request/forward/src/responsebudget.ts
@@ -1,7 +1,7 @@
+/// Of all responses together.
 const maxBytes = 32 * 1024 * 1024
 /// Not counted of each response, so that ordinary responses go on while large ones use up the budget.
 const freeBytesPerResponse = 64 * 1024
-
 /// Of a chunk in memory, beside its bytes. A chunk may have a single byte.
 const chunkOverheadBytes = 128
 
