--- a/review/common.ts
+++ b/review/common.ts
@@ -90,6 +90,8 @@
       ...(tokenBudget === undefined ? {} : { 'token-budget': String(tokenBudget) }),
       ...(previousTurnId === null ? {} : { 'previous-turn': previousTurnId })
     }
+    const after = previousTurnId === null ? '' : ` after ${previousTurnId}`
+    this.write(`the client sends ${id} ${path}${after} to ${entry.name}`)
     let status = 0
     let events = 0
     try {
@@ -106,8 +108,7 @@
     } catch {
       // The answer is not complete.
     }
-    const after = previousTurnId === null ? '' : ` after ${previousTurnId}`
-    this.write(`${entry.name} answers ${id} ${path}${after}: ${status === 0 ? 'not complete' : status}, ${events} events`)
+    this.write(`${entry.name} answers ${id}: ${status === 0 ? 'not complete' : status}, ${events} events`)
     return { id, entry, status, events, endedAtMs: performance.now() }
   }
 
@@ -176,6 +177,10 @@
     process.exit(outcome)
   }
   setTimeout(() => { finish(Outcome.notRun) }, maxRunMs)
+  process.once('uncaughtException', error => {
+    run.say(`the case could not run: ${error.stack}`)
+    finish(Outcome.notRun)
+  })
   for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => { finish(Outcome.notRun) })
   play(run).catch((error: unknown) => {
     run.say(`the case could not run: ${error instanceof Error ? error.stack : String(error)}`)
