--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -5,7 +5,7 @@
 // Another writer puts an entry into the list of workers whose address is no address of a worker. Then a worker leaves
 // without notice: its entry is removed, and it serves on for a while.
 
-const address = 'node.12:8080'
+const address = '127.0.0.0x100:8080'
 const entry = {
   service: 'tools', zone: 'north', version: 'v1', slots: 6, state: 'ready', cold_remaining_ms: 0, seq: 1
 }
