A failure at one object of the store is not taken for an outage; addresses are those that can be connected to

Cause: another writer's entry had the address 127.0.0.0x100:8080. isAddress took it for a host name, the client of the instance put it into a URL and threw, and the watch took the exception for an outage of the store: it listed again and failed at the same entry each time, before the removals.

Ruled out: an outage (no store-lost line; other kinds were followed on), the grace for entries that are missing after an outage (the removal never came).

Change: isAddress accepts what a URL leaves as it is; the platform's list of workers needs a numeric unicast address, since it looks up no names, so the six new odd entries are left out. Watches deliver objects one at a time and catch what a handler throws, for all five kinds; object-failed (new) names the object. A configuration that came into force is no longer logged as rejected if something fails after that.

--- a/connection/address/src/index.ts
+++ b/connection/address/src/index.ts
@@ -1,1 +1,1 @@
-export { isAddress, splitAddress } from './address.js'
+export { isAddress, isUnicastAddress, splitAddress } from './address.js'
--- a/connection/store/src/watch.ts
+++ b/connection/store/src/watch.ts
@@ -1,15 +1,10 @@
 import { sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
+import { deliverChanges, deliverListing } from './handler.js'
+import type { WatchHandler } from './handler.js'
 import { HistoryGoneError } from './store.js'
-import type { Freshness, ObjectStore, StoreChange, StoreListing, StoredObject } from './store.js'
-
-/// Receives the objects of a kind and their changes.
-export interface WatchHandler {
-  /// Receives all objects. `wasInterrupted` is true if the store was unavailable before.
-  onListing (listing: StoreListing, wasInterrupted: boolean): void
-  onChanges (changes: readonly StoreChange[]): void
-}
+import type { Freshness, ObjectStore, StoreChange, StoreChanges } from './store.js'
 
 export interface WatchOptions {
   readonly kind: string
@@ -27,8 +22,8 @@
 const firstRetryMs = 150
 const defaultMaxRetryMs = 600
 
-/// Watches a kind of objects: lists them, then waits for changes. After a failure it lists them again, since an
-/// interrupted watch may have missed changes.
+/// Watches a kind of objects: lists them, then waits for changes. After a failure of the store it lists them again,
+/// since an interrupted watch may have missed changes. A failure of the handler is logged and has no part in that.
 export class ObjectWatch {
   private revision = 0
   private changeRevision = 0
@@ -124,39 +119,47 @@
     this.recordResponse()
     this.revision = listing.revision
     this.changeRevision = Math.max(this.changeRevision, latest)
-    this.handler.onListing(listing, wasInterrupted)
+    deliverListing(this.handler, listing, wasInterrupted, this.reportFailure)
     if (hasNews) onLateNews?.()
   }
 
   private async followChanges (): Promise<void> {
-    const { store, options, handler, revision } = this
+    const { store, options, revision } = this
     const controller = new AbortController()
     const isRefreshed = this.isRefresh
     this.isRefresh = false
     this.waiting = controller
+    let received: StoreChanges
     try {
-      const { changes, revision: latest } =
-        await store.waitForChanges(options.kind, revision, {
-          waitMs: options.getWaitMs(),
-          signal: controller.signal,
-          freshness: options.freshness
-        })
-      this.waiting = null
-      this.recordResponse()
-      this.revision = Math.max(revision, latest)
-      if (changes.length === 0 || this.isStopped) return
-      this.changeRevision = Math.max(revision + 1, ...changes.map(change => change.revision))
-      handler.onChanges(changes)
-      if (isRefreshed) options.onLateNews?.()
+      received = await store.waitForChanges(options.kind, revision, {
+        waitMs: options.getWaitMs(),
+        signal: controller.signal,
+        freshness: options.freshness
+      })
     } catch (error) {
       if (!this.isRefresh || this.isStopped) throw error
       return
     } finally {
       this.waiting = null
     }
+    this.recordResponse()
+    this.revision = Math.max(revision, received.revision)
+    if (received.changes.length === 0 || this.isStopped) return
+    this.handleChanges(received.changes, revision)
+    if (isRefreshed) options.onLateNews?.()
     await sleep(options.pauseMs)
   }
 
+  private handleChanges (changes: readonly StoreChange[], revision: number): void {
+    this.changeRevision = Math.max(revision + 1, ...changes.map(change => change.revision))
+    deliverChanges(this.handler, changes, this.reportFailure)
+  }
+
+  private readonly reportFailure = (name: string, error: unknown): void => {
+    const { stack } = error as Partial<Error>
+    this.log.event(Events.objectFailed, { kind: this.kind, name, error: formatError(error), stack })
+  }
+
   private recordResponse (): void {
     this.isAvailable = true
     this.lastResponseAtMs = performance.now()
@@ -167,14 +170,3 @@
     this.endRetryDelay = null
   }
 }
-
-/// Returns a handler of one object of a kind. `onObject` receives it after each listing, null if it is absent, and
-/// after each change; its deletion is not reported.
-export function handleObject (name: string, onObject: (object: StoredObject | null) => void): WatchHandler {
-  return {
-    onListing: ({ objects }) => onObject(objects.find(object => object.name === name) ?? null),
-    onChanges: changes => {
-      for (const change of changes) if (change.name === name && change.object !== null) onObject(change.object)
-    }
-  }
-}
--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -5,6 +5,7 @@
 import { noopLog } from '#process/log'
 import type { InstanceLease, PlacementRequest } from '#process/placement'
 import { createCall } from '#standin/call'
+import { listObjects } from '#standin/store'
 import { EmulatedEngine } from './engine.js'
 import type { EngineProfile } from './engine.js'
 import type { TracedProgram, TracedTurn } from './trace.js'
@@ -161,7 +162,7 @@
       const id = `${service}-${i}`
       return { name: id, revision: 1, status: null, spec: { id, service, address: `10.0.0.${i + 1}:80`, zone: 'z', slots, isReady: true } }
     })
-    registry.onListing({ objects, revision: 1 }, false)
+    listObjects(registry, { objects, revision: 1 }, false)
     return registry
   }
 }
--- a/process/entry/src/activeconfiguration.ts
+++ b/process/entry/src/activeconfiguration.ts
@@ -30,16 +30,23 @@
 
   apply (object: StoredObject): void {
     if (object.revision <= this.revision) return
+    const table = this.parse(object)
+    if (table === null) return
+    this.revision = object.revision
+    this.table = table
+    const { version, routes } = table.configuration
+    this.log.event(Events.configurationApplied, { version, revision: object.revision, routes: routes.length })
+    this.options.onApplied(table.configuration)
+  }
+
+  /// Returns null if the object contains no valid configuration, or an older one.
+  private parse (object: StoredObject): RouteTable | null {
     try {
       const configuration = this.options.parse(object)
-      if (this.table !== null && configuration.version <= this.version) return
-      this.revision = object.revision
-      this.table = new RouteTable(configuration)
-      this.options.onApplied(configuration)
-      const { version, routes } = configuration
-      this.log.event(Events.configurationApplied, { version, revision: object.revision, routes: routes.length })
+      return this.table !== null && configuration.version <= this.version ? null : new RouteTable(configuration)
     } catch (error) {
       this.log.event(Events.configurationRejected, { revision: object.revision, error: formatError(error) })
+      return null
     }
   }
 }
--- a/process/entry/test/brokenstream.test.ts
+++ b/process/entry/test/brokenstream.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, test, vi } from 'vitest'
+import { listObjects } from '#standin/store'
 import { EntryHarness } from './harness.js'
 import { receiveRaw } from './rawcaller.js'
 import { RawUpstream } from './rawupstream.js'
@@ -57,7 +58,7 @@
     await busy.listen()
     vi.spyOn(busy.serviceTime, 'expectedMs', 'get').mockReturnValue(1000)
     const spec = { address: entries[0]!.relayAddress, zone: 'z', processors: 1 }
-    busy.directory.onListing({ objects: [{ name: 'entry-1', revision: 1, spec, status: null }], revision: 1 })
+    listObjects(busy.directory, { objects: [{ name: 'entry-1', revision: 1, spec, status: null }], revision: 1 })
     busy.directory.recordReport({ name: 'entry-1', expectedMs: 1, configVersion: 1, isReady: true, isQuery: false, askersProcessors: 0 })
     const bytes = await receiveRaw(busy.address, '/query/1')
     expect(bytes.slice(bytes.indexOf('\r\n\r\n') + 4)).toBe(inChunk(started))
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -21,6 +21,7 @@
 import type { RelayOrigin } from '#process/relay'
 import { platformHeaders, parseConfiguration, parseInstance } from '#platform'
 import { createConfiguration } from '#standin/system'
+import { listObjects } from '#standin/store'
 
 /// An in-memory ledger that can be made unavailable.
 export class FakeLedger implements TurnLedger {
@@ -126,7 +127,7 @@
       const spec = { service: id.split('-')[0], address, zone: 'z', slots: 8, state: 'ready' }
       return { name: id, revision: 1, spec, status: null }
     })
-    this.registry.onListing({ objects, revision: 1 }, false)
+    listObjects(this.registry, { objects, revision: 1 }, false)
     this.placement = new Placement(this.registry, 'z', noopLog)
     const context = {
       codec: platformHeaders,
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { sleep } from '#process/clock'
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
+import { listObjects } from '#standin/store'
 import { EntryHarness } from './harness.js'
 
 /// A call takes so long at the busy entry that it relays all connections.
@@ -40,7 +41,7 @@
 /// Lists an entry at the busy one, as if it had sent a report.
 function listEntry (address: string, configVersion = 1): void {
   const spec = { address, zone: 'z', processors: 1 }
-  busy.directory.onListing({ objects: [{ name: 'entry-1', revision: 1, spec, status: null }], revision: 1 })
+  listObjects(busy.directory, { objects: [{ name: 'entry-1', revision: 1, spec, status: null }], revision: 1 })
   busy.directory.recordReport({ name: 'entry-1', expectedMs: 1, configVersion, isReady: true, isQuery: false, askersProcessors: 0 })
 }
 
@@ -125,7 +126,7 @@
 
   test('connections that it relays are not relayed again', async () => {
     vi.spyOn(idle.serviceTime, 'expectedMs', 'get').mockReturnValue(busyMs)
-    idle.directory.onListing({ objects: [{ name: 'entry-2', revision: 1, spec: { address: busy.relayAddress, zone: 'z', processors: 1 }, status: null }], revision: 1 })
+    listObjects(idle.directory, { objects: [{ name: 'entry-2', revision: 1, spec: { address: busy.relayAddress, zone: 'z', processors: 1 }, status: null }], revision: 1 })
     idle.directory.recordReport({ name: 'entry-2', expectedMs: 1, configVersion: 1, isReady: true, isQuery: false, askersProcessors: 0 })
     const client = connectClient()
     for (let i = 0; i < 2; i++) await callOn(client)
--- a/process/entry/test/serve.test.ts
+++ b/process/entry/test/serve.test.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
+import { changeObjects } from '#standin/store'
 import { EntryHarness } from './harness.js'
 import type { CallResult } from './harness.js'
 
@@ -207,7 +208,7 @@
 })
 
 test('an idempotent call waits for a slow instance if no other one is left', async () => {
-  entry.registry.onChanges([{ name: 'tools-1', revision: 2, object: null }])
+  changeObjects(entry.registry, [{ name: 'tools-1', revision: 2, object: null }])
   injectFault(tools, UpstreamFault.silent)
   const startedAtMs = performance.now()
   expect((await call('/check/1', {}, 'GET')).status).toBe(504)
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -1,5 +1,5 @@
 import { ObjectKind } from '#connection/store'
-import type { WatchHandler, StoreChange, StoreListing, StoredObject } from '#connection/store'
+import type { StoredObject, WatchHandler } from '#connection/store'
 import type { InstanceClient } from '#connection/upstream'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
@@ -51,27 +51,11 @@
     }
   }
 
-  onListing (listing: StoreListing, wasInterrupted: boolean): void {
-    this.isListingReceived = true
-    const seen = new Set<string>()
-    for (const object of listing.objects) {
-      seen.add(object.name)
-      this.apply(object.name, object)
-    }
-    for (const id of [...this.byId.keys()]) {
-      if (seen.has(id)) continue
-      if (wasInterrupted) this.deferRemoval(id)
-      else this.remove(id, 'not listed')
-    }
-    this.options.onChange()
-  }
-
-  onChanges (changes: readonly StoreChange[]): void {
-    for (const { name, object } of changes) this.apply(name, object)
-    this.options.onChange()
+  get names (): Iterable<string> {
+    return this.byId.keys()
   }
 
-  private apply (id: string, object: StoredObject | null): void {
+  onObject (id: string, object: StoredObject | null): void {
     const description = object === null ? null : this.options.parseInstance(object)
     if (object !== null && description === null) {
       this.log.event(Events.instanceIgnored, { instanceId: id, kind: ObjectKind.instances, revision: object.revision })
@@ -81,6 +65,16 @@
     else this.upsert(description)
   }
 
+  onMissing (id: string, wasInterrupted: boolean): void {
+    if (wasInterrupted) this.deferRemoval(id)
+    else this.remove(id, 'not listed')
+  }
+
+  onUpdated (isListing: boolean): void {
+    this.isListingReceived ||= isListing
+    this.options.onChange()
+  }
+
   private upsert (description: InstanceDescription): void {
     const known = this.byId.get(description.id)
     if (known === undefined) return this.add(description)
--- a/process/instances/test/registry.test.ts
+++ b/process/instances/test/registry.test.ts
@@ -4,6 +4,7 @@
 import { InstanceRegistry } from '#process/instances'
 import { noopLog } from '#process/log'
 import { parseInstance } from '#platform'
+import { changeObjects, listObjects } from '#standin/store'
 
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => { vi.useRealTimers() })
@@ -27,34 +28,34 @@
 
 test('draining and deleted instances are not among the ready ones', () => {
   const registry = createRegistry()
-  registry.onListing({ objects: [createObject('a'), createObject('b'), createObject('c')], revision: 1 }, false)
-  registry.onChanges([{ name: 'a', revision: 2, object: createObject('a', { state: 'draining' }) }, { name: 'b', revision: 2, object: null }])
+  listObjects(registry, { objects: [createObject('a'), createObject('b'), createObject('c')], revision: 1 }, false)
+  changeObjects(registry, [{ name: 'a', revision: 2, object: createObject('a', { state: 'draining' }) }, { name: 'b', revision: 2, object: null }])
   expect(getReadyIds(registry)).toEqual(['c'])
 })
 
 test('an instance missing after a store outage is removed if it does not return within two seconds', () => {
   const registry = createRegistry()
-  registry.onListing({ objects: [createObject('a'), createObject('b')], revision: 1 }, false)
-  registry.onListing({ objects: [], revision: 2 }, true)
+  listObjects(registry, { objects: [createObject('a'), createObject('b')], revision: 1 }, false)
+  listObjects(registry, { objects: [], revision: 2 }, true)
   expect(getReadyIds(registry)).toEqual(['a', 'b'])
   vi.advanceTimersByTime(1500)
-  registry.onChanges([{ name: 'a', revision: 2, object: createObject('a') }])
+  changeObjects(registry, [{ name: 'a', revision: 2, object: createObject('a') }])
   vi.advanceTimersByTime(600)
   expect(getReadyIds(registry)).toEqual(['a'])
 })
 
 test('an instance missing from a listing is removed immediately if there was no outage', () => {
   const registry = createRegistry()
-  registry.onListing({ objects: [createObject('a')], revision: 1 }, false)
-  registry.onListing({ objects: [], revision: 2 }, false)
+  listObjects(registry, { objects: [createObject('a')], revision: 1 }, false)
+  listObjects(registry, { objects: [], revision: 2 }, false)
   expect(getReadyIds(registry)).toEqual([])
 })
 
 test('an instance is replaced when its address changes', () => {
   const registry = createRegistry()
-  registry.onListing({ objects: [createObject('a')], revision: 1 }, false)
+  listObjects(registry, { objects: [createObject('a')], revision: 1 }, false)
   const before = registry.get('a')
-  registry.onChanges([{ name: 'a', revision: 2, object: createObject('a', { address: '10.0.0.2:80' }) }])
+  changeObjects(registry, [{ name: 'a', revision: 2, object: createObject('a', { address: '10.0.0.2:80' }) }])
   expect(registry.get('a')).not.toBe(before)
   expect(before?.isRemoved).toBe(true)
 })
@@ -66,7 +67,7 @@
   ['slots that are not a number', { slots: 'four' }]
 ])('an object that another writer stored with %s is ignored, and other instances are still listed', (_, fields) => {
   const registry = createRegistry()
-  registry.onListing({ objects: [createObject('a', fields), createObject('b')], revision: 1 }, false)
+  listObjects(registry, { objects: [createObject('a', fields), createObject('b')], revision: 1 }, false)
   expect(getReadyIds(registry)).toEqual(['b'])
 })
 
@@ -85,17 +86,17 @@
   const registry = createRegistry()
   for (const fields of entries) {
     const isRemoved = Object.keys(fields).length === 0
-    registry.onChanges([{ name: 'a', revision: 2, object: isRemoved ? null : createObject('a', fields) }])
+    changeObjects(registry, [{ name: 'a', revision: 2, object: isRemoved ? null : createObject('a', fields) }])
   }
   expect(getReadyIds(registry)).toEqual(readyIds)
 })
 
 test('an instance that said that it will stop gets calls again once it has started again', () => {
   const registry = createRegistry()
-  registry.onChanges([{ name: 'a', revision: 2, object: createObject('a', { born: 1 }) }])
+  changeObjects(registry, [{ name: 'a', revision: 2, object: createObject('a', { born: 1 }) }])
   registry.get('a')!.isLeaving = true
-  registry.onChanges([{ name: 'a', revision: 2, object: createObject('a', { born: 1, slots: 5 }) }])
+  changeObjects(registry, [{ name: 'a', revision: 2, object: createObject('a', { born: 1, slots: 5 }) }])
   expect(getReadyIds(registry)).toEqual([])
-  registry.onChanges([{ name: 'a', revision: 2, object: createObject('a', { born: 2 }) }])
+  changeObjects(registry, [{ name: 'a', revision: 2, object: createObject('a', { born: 2 }) }])
   expect(getReadyIds(registry)).toEqual(['a'])
 })
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -41,6 +41,7 @@
   storeWriteFailed: { number: 403, name: 'store-write-failed', level: 'warn', maxLinesPerSecond: 2 },
   objectIgnored: { number: 404, name: 'object-ignored', level: 'warn', maxLinesPerSecond: 2 },
   storeCalls: { number: 405, name: 'store-calls', level: 'info', maxLinesPerSecond: 2 },
+  objectFailed: { number: 406, name: 'object-failed', level: 'error', maxLinesPerSecond: 5 },
   callDispatched: { number: 500, name: 'call-dispatched', level: 'info', maxLinesPerSecond: 300 },
   callFinished: { number: 501, name: 'call-finished', level: 'info', maxLinesPerSecond: 300 },
   callRefused: { number: 502, name: 'call-refused', level: 'warn', maxLinesPerSecond: 50 },
--- a/process/placement/test/affinity.test.ts
+++ b/process/placement/test/affinity.test.ts
@@ -7,6 +7,7 @@
 import type { PlacementRequest } from '#process/placement'
 import { parseInstance } from '#platform'
 import { createCall } from '#standin/call'
+import { listObjects } from '#standin/store'
 
 // Load pattern: calls about the same objects come again and again, through several entries, to few slots.
 
@@ -31,7 +32,7 @@
     const spec = { service: 's', address: `10.0.0.${i + 1}:80`, zone: 'z', slots, state: 'ready' }
     return { name, revision: 1, spec, status: null }
   })
-  entryRegistry.onListing({ objects, revision: 1 }, false)
+  listObjects(entryRegistry, { objects, revision: 1 }, false)
   return [entryRegistry, new Placement(entryRegistry, 'z', noopLog)]
 }
 
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -9,6 +9,7 @@
 import { RequestLimit } from '#process/requestlimit'
 import { parseInstance } from '#platform'
 import { createCall } from '#standin/call'
+import { listObjects } from '#standin/store'
 
 let registry: InstanceRegistry
 let placement: Placement
@@ -21,7 +22,7 @@
     const spec = { service: 's', address: `10.0.0.${i + 1}:80`, zone: `z${i}`, slots: 1, state: 'ready' }
     return { name, revision: 1, spec, status: null }
   })
-  registry.onListing({ objects, revision: 1 }, false)
+  listObjects(registry, { objects, revision: 1 }, false)
   placement = new Placement(registry, 'z0', noopLog)
 })
 
--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -1,4 +1,4 @@
-import type { StoreChange, StoreListing, StoredObject, WatchHandler } from '#connection/store'
+import type { StoredObject, WatchHandler } from '#connection/store'
 import { unitHash } from '#version/configuration'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
@@ -86,15 +86,37 @@
     return this.candidates
   }
 
-  onListing ({ objects }: StoreListing): void {
-    const listed = new Set(objects.map(object => object.name))
-    for (const object of objects) this.apply(object.name, object)
-    for (const name of [...this.byName.keys()]) if (!listed.has(name)) this.remove(name)
-    this.updateMembers()
+  get names (): Iterable<string> {
+    return this.byName.keys()
+  }
+
+  onObject (name: string, object: StoredObject | null): void {
+    const registration = object === null ? null : parseRegistration(object)
+    if (name === this.registration.name) return
+    const known = this.byName.get(name)
+    if (known !== undefined && isSameRegistration(known.registration, registration)) return
+    this.remove(name)
+    if (registration === null) return
+    this.byName.set(name, {
+      registration,
+      expectedMs: 0,
+      configVersion: 0,
+      isReady: false,
+      askersProcessors: 0,
+      askedTicks: Infinity,
+      ageTicks: Infinity,
+      unansweredQueries: 0,
+      avoidUntilMs: 0,
+      onSilence: new Set()
+    })
+    this.log.event(Events.entryListed, { entry: name, address: registration.address, zone: registration.zone })
+  }
+
+  onMissing (name: string): void {
+    this.remove(name)
   }
 
-  onChanges (changes: readonly StoreChange[]): void {
-    for (const { name, object } of changes) this.apply(name, object)
+  onUpdated (): void {
     this.updateMembers()
   }
 
@@ -215,28 +237,6 @@
       : entries.sort((a, b) => rank(a) - rank(b)).slice(0, maxCandidates)
   }
 
-  private apply (name: string, object: StoredObject | null): void {
-    const registration = object === null ? null : parseRegistration(object)
-    if (name === this.registration.name) return
-    const known = this.byName.get(name)
-    if (known !== undefined && isSameRegistration(known.registration, registration)) return
-    this.remove(name)
-    if (registration === null) return
-    this.byName.set(name, {
-      registration,
-      expectedMs: 0,
-      configVersion: 0,
-      isReady: false,
-      askersProcessors: 0,
-      askedTicks: Infinity,
-      ageTicks: Infinity,
-      unansweredQueries: 0,
-      avoidUntilMs: 0,
-      onSilence: new Set()
-    })
-    this.log.event(Events.entryListed, { entry: name, address: registration.address, zone: registration.zone })
-  }
-
   private remove (name: string): void {
     const entry = this.byName.get(name)
     this.byName.delete(name)
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -2,6 +2,7 @@
 import { noopLog } from '#process/log'
 import { EntryDirectory } from '#process/relay'
 import type { LoadReport } from '#process/relay'
+import { changeObjects, listObjects } from '#standin/store'
 
 /// How long a call takes here in most tests; connections are relayed to entries where it takes less than 83 ms.
 const ownMs = 100
@@ -17,7 +18,7 @@
 /// Lists an entry in zone `zone` and records a report of it.
 function addEntry (name: string, report: Partial<LoadReport> = {}, zone = 'a'): void {
   const spec = { address: `127.0.0.1:${name.length}`, zone, processors: 1 }
-  directory.onChanges([{ name, revision: 1, object: { name, revision: 1, spec, status: null } }])
+  changeObjects(directory, [{ name, revision: 1, object: { name, revision: 1, spec, status: null } }])
   const idle = { expectedMs: 5, configVersion: 1, isReady: true, isQuery: false, askersProcessors: 0 }
   directory.recordReport({ name, ...idle, ...report })
 }
@@ -41,9 +42,9 @@
   ['none with another version of the configuration', () => addEntry('e', { configVersion: 2 }), null],
   ['none that takes no calls', () => addEntry('e', { isReady: false }), null],
   ['not this entry itself', () => addEntry('own'), null],
-  ['none that is not listed any more', () => { addEntry('e'); directory.onListing({ objects: [], revision: 2 }) }, null],
+  ['none that is not listed any more', () => { addEntry('e'); listObjects(directory, { objects: [], revision: 2 }) }, null],
   ['none that was listed but never heard', () => {
-    directory.onChanges([{ name: 'e', revision: 2, object: { name: 'e', revision: 1, spec: { address: '127.0.0.1:1', zone: 'a', processors: 1 }, status: null } }])
+    changeObjects(directory, [{ name: 'e', revision: 2, object: { name: 'e', revision: 1, spec: { address: '127.0.0.1:1', zone: 'a', processors: 1 }, status: null } }])
   }, null],
   ['none that has left four queries unanswered', () => { addEntry('e'); tick(6) }, null],
   ['one that has left three unanswered', () => { addEntry('e'); tick(5) }, 'e'],
@@ -59,7 +60,7 @@
 test('an object of another writer is no entry', () => {
   const valid = { address: '127.0.0.1:1', zone: 'a', processors: 1 }
   for (const spec of [null, {}, { ...valid, address: 5 }, { ...valid, address: '127.0.0.1' }, { ...valid, processors: 0 }]) {
-    directory.onChanges([{ name: 'e', revision: 2, object: { name: 'e', revision: 1, spec, status: null } }])
+    changeObjects(directory, [{ name: 'e', revision: 2, object: { name: 'e', revision: 1, spec, status: null } }])
   }
   expect(directory.entries).toEqual([])
 })
@@ -95,7 +96,7 @@
   addEntry('e')
   const onSilence = vi.fn()
   directory.entries[0]!.onSilence.add(onSilence)
-  directory.onListing({ objects: [], revision: 2 })
+  listObjects(directory, { objects: [], revision: 2 })
   expect(onSilence).toHaveBeenCalledTimes(1)
 })
 
@@ -110,7 +111,7 @@
 test.each<[string, () => void, number, number]>([
   ['an idle entry asks nobody', () => addEntry('e'), idleMs, 0],
   ['a busy one asks those that it has not heard of', () => {
-    directory.onChanges([{ name: 'e', revision: 2, object: { name: 'e', revision: 1, spec: { address: '127.0.0.1:1', zone: 'a', processors: 1 }, status: null } }])
+    changeObjects(directory, [{ name: 'e', revision: 2, object: { name: 'e', revision: 1, spec: { address: '127.0.0.1:1', zone: 'a', processors: 1 }, status: null } }])
   }, ownMs, 1],
   ['not those that it has just heard of', () => addEntry('e'), ownMs, 0],
   ['those of some time ago again', () => { addEntry('e'); tick(2, idleMs) }, ownMs, 1],
@@ -129,7 +130,7 @@
 test('an entry of a large system knows 24 others', () => {
   for (let i = 0; i < 380; i++) {
     const name = `entry-${i}`
-    directory.onChanges([{ name, revision: 1, object: { name, revision: 1, spec: { address: `127.0.0.1:${i + 1}`, zone: 'a', processors: 1 }, status: null } }])
+    changeObjects(directory, [{ name, revision: 1, object: { name, revision: 1, spec: { address: `127.0.0.1:${i + 1}`, zone: 'a', processors: 1 }, status: null } }])
   }
   expect(new Set(tick(1)).size).toBe(24)
 })
@@ -140,9 +141,9 @@
   ['of the same size', 1, 10],
   ['that has as many processors as all of them', 10, 100]
 ])('ten busy entries relay to an idle one %s together what it can serve', (_, processors, expectedShare) => {
-  directory.onListing({ objects: [], revision: 1 })
+  listObjects(directory, { objects: [], revision: 1 })
   const spec = { address: '127.0.0.1:7', zone: 'a', processors }
-  directory.onChanges([{ name: 'e', revision: 1, object: { name: 'e', revision: 1, spec, status: null } }])
+  changeObjects(directory, [{ name: 'e', revision: 1, object: { name: 'e', revision: 1, spec, status: null } }])
   const report = { expectedMs: idleMs, configVersion: 1, isReady: true, isQuery: false }
   directory.recordReport({ name: 'e', ...report, askersProcessors: 10 })
   const relayed = Array.from({ length: 1000 }, (__, i) => choose(`connection-${i}`)).filter(choice => choice === 'e')
--- a/process/requestlimit/test/requestlimits.test.ts
+++ b/process/requestlimit/test/requestlimits.test.ts
@@ -6,6 +6,7 @@
 import { RequestLimits } from '#process/requestlimit'
 import type { Sharer, Sharers } from '#process/requestlimit'
 import { parseInstance } from '#platform'
+import { listObjects } from '#standin/store'
 
 const sharer = (name: string): Sharer => ({ name, processors: 1 })
 
@@ -16,7 +17,7 @@
   const connect = ({ address }: { address: string }): InstanceClient => new InstanceClient(address, 4)
   const registry = new InstanceRegistry({ parseInstance, connect, onChange: () => {} }, noopLog)
   const spec = { service: 's', address: '10.0.0.1:80', zone: 'z', slots: 1, state: 'ready' }
-  registry.onListing({ objects: [{ name: 'a', revision: 1, spec, status: null }], revision: 1 }, false)
+  listObjects(registry, { objects: [{ name: 'a', revision: 1, spec, status: null }], revision: 1 }, false)
   instance = registry.get('a')!
   return () => { vi.restoreAllMocks() }
 })
--- a/process/revisions/test/fleet.ts
+++ b/process/revisions/test/fleet.ts
@@ -126,8 +126,9 @@
       getMaxRetryMs: () => this.gossip.maxRetryMs,
       onLateNews: () => this.gossip.announceNews()
     }, {
-      onListing: ({ objects }) => { for (const object of objects) this.names.add(object.name) },
-      onChanges: changes => { for (const change of changes) this.names.add(change.name) }
+      names: [],
+      onObject: changedName => this.names.add(changedName),
+      onMissing: () => {}
     }, noopLog)
     this.gossip.add(this.watch)
     this.timer = setInterval(() => this.gossip.tick(), gossipTickMs)
--- a/process/storage/src/retirements.ts
+++ b/process/storage/src/retirements.ts
@@ -1,6 +1,6 @@
 import type { View } from '#connection/rpc'
 import { ObjectKind } from '#connection/store'
-import type { ObjectStore, StoreChange, StoreListing, WatchHandler } from '#connection/store'
+import type { ObjectStore, StoredObject, WatchHandler } from '#connection/store'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
 
@@ -34,18 +34,23 @@
     return this.statusByName.has(name)
   }
 
-  onListing ({ objects }: StoreListing): void {
-    this.hasListing = true
-    this.statusByName.clear()
-    for (const object of objects) this.statusByName.set(object.name, object.status)
-    this.onListed()
+  get names (): Iterable<string> {
+    return this.statusByName.keys()
   }
 
-  onChanges (changes: readonly StoreChange[]): void {
-    for (const { name, object } of changes) {
-      if (object === null) this.statusByName.delete(name)
-      else this.statusByName.set(name, object.status)
-    }
+  onObject (name: string, object: StoredObject | null): void {
+    if (object === null) this.statusByName.delete(name)
+    else this.statusByName.set(name, object.status)
+  }
+
+  onMissing (name: string): void {
+    this.statusByName.delete(name)
+  }
+
+  onUpdated (isListing: boolean): void {
+    if (!isListing) return
+    this.hasListing = true
+    this.onListed()
   }
 
   /// Writes the state of each retirement, unless it is there already. Should be called by one member only.
