An entry stays within its machine's memory: bodies, prompts, responses and what callers have not read

Cause here: nothing knew the machine's memory. Responses and the cache had fixed sizes, bodies of requests, prompts and unread responses none; a chunk of 8 bytes was kept as a view that takes some 200; status texts and chunk extensions without end were read until the deadline, unseen by any limit; and undici makes an error for each header field beyond its limit.

Change: node.memory_mb, divided by process/memory; chunks are copied into blocks; a meter closes connections that read more than a response consists of. Ruled out for the header lines: the client and instance of the test (they were in another process, the entry used 1.4 s of processor time).

--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net'
 import type { RequestHead } from '#connection/header'
 import { Refusal, RefusedError, Verdict } from '#request/call'
+import type { RequestMemory } from '#request/call'
+import { ByteCollector } from '#process/memory'
 
 /// One request of a caller and the response to it.
 export class Exchange {
@@ -34,6 +36,16 @@
     return this.response.writableEnded || this.response.destroyed
   }
 
+  /// The bytes of the response that the caller has not read yet.
+  get pendingBytes (): number {
+    return this.response.writableLength
+  }
+
+  /// Calls `listener` when the response has been sent or its connection is closed.
+  onClose (listener: () => void): void {
+    this.response.once('close', listener)
+  }
+
   /// Calls `listener` if the connection closes before the response is complete: the caller disconnected, or `abort`
   /// was called.
   onDisconnect (listener: () => void): void {
@@ -42,26 +54,35 @@
     })
   }
 
-  /// Rejects with `RefusedError` if the body is too large or incomplete.
-  readBody (maxBytes: number): Promise<Buffer> {
+  /// Rejects with `RefusedError` if the body is too large or incomplete, or there is no memory for it.
+  readBody (maxBytes: number, memory: RequestMemory): Promise<Buffer> {
     const { request } = this
     if (Number(request.headers['content-length'] ?? 0) > maxBytes) return Promise.reject(bodyTooLargeError(maxBytes))
     return new Promise((resolve, reject) => {
-      const chunks: Buffer[] = []
+      const body = new ByteCollector()
       let receivedBytes = 0
-      request.on('data', (chunk: Buffer) => {
+      const onData = (chunk: Buffer): void => {
         receivedBytes += chunk.length
-        if (receivedBytes > maxBytes) reject(bodyTooLargeError(maxBytes))
-        else chunks.push(chunk)
-      })
+        try {
+          if (receivedBytes > maxBytes) throw bodyTooLargeError(maxBytes)
+          memory.assertAdd(chunk.length)
+          body.add(chunk)
+        } catch (error) {
+          // The rest is read and dropped.
+          request.off('data', onData)
+          request.resume()
+          reject(error)
+        }
+      }
       const onIncomplete = (): void => reject(
         new RefusedError(Refusal.invalid, Verdict.notRun, 'the request body is incomplete')
       )
+      request.on('data', onData)
       request.once('error', onIncomplete)
       request.once('close', onIncomplete)
       request.once('end', () => {
         request.off('close', onIncomplete)
-        resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
+        resolve(body.toBuffer())
       })
     })
   }
--- a/connection/front/test/server.test.ts
+++ b/connection/front/test/server.test.ts
@@ -2,10 +2,13 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { FrontServer } from '#connection/front'
 import { sleep } from '#process/clock'
+import { MemoryBudget } from '#process/memory'
+import { RequestMemory } from '#request/call'
 
 let front: FrontServer
 let address: [string, number]
 const received: string[] = []
+const memory = new RequestMemory(new MemoryBudget(1_000_000, 0).open())
 /// How long before it was read each request may have arrived.
 const agesMs: number[] = []
 
@@ -16,7 +19,7 @@
     serve: async exchange => {
       const { method, path } = exchange.head
       agesMs.push(performance.now() - exchange.arrivedAtMs)
-      const body = await exchange.readBody(1000).catch(() => null)
+      const body = await exchange.readBody(1000, memory).catch(() => null)
       if (body === null) return exchange.abort()
       received.push(`${method} ${path} ${body.length}`)
       exchange.respond(200, {}, Buffer.from('ok'), false)
--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -1,4 +1,5 @@
-import { Pool, createResetAwareConnector } from './pool.js'
+import type { ConnectionMeter } from './connectionmeter.js'
+import { Pool, createConnector } from './pool.js'
 import type { Dispatcher } from './pool.js'
 import { findResponseHeadProblem } from '#connection/header'
 import type { ResponseHead } from '#connection/header'
@@ -41,6 +42,8 @@
 const idleTimeoutMs = 4000
 /// Responses with a status below 200 that may precede a response; with more it fails.
 const maxInformationalResponses = 10
+/// undici creates an error for each header field beyond its limit. The connection's meter ends a larger head before.
+const maxHeadBytes = 1024 * 1024
 /// A larger response fails, and its connection is closed.
 const maxResponseBytes = 8 * 1024 * 1024
 // Subtracted from the idle timeout that an instance announces, so that no
@@ -50,13 +53,18 @@
 /// A pool of connections to one instance, each with one request at a time.
 export class InstanceClient {
   private readonly pool: Pool
-  private readonly resetState: ResetState = { isResetting: false }
+  private readonly state: ParsedConnection = { isResetting: false, meter: null }
 
   constructor (address: string, maxConnections: number) {
     this.pool = new Pool(`http://${address}`, {
       connections: maxConnections,
       pipelining: 1,
-      connect: createResetAwareConnector(connectTimeoutMs, () => this.recordReset()),
+      connect: createConnector({
+        timeoutMs: connectTimeoutMs,
+        onReset: () => this.recordReset(),
+        onRead: meter => { this.state.meter = meter }
+      }),
+      maxHeaderSize: maxHeadBytes,
       headersTimeout: 0,
       bodyTimeout: 0,
       maxResponseSize: maxResponseBytes,
@@ -66,7 +74,7 @@
   }
 
   send (request: UpstreamRequest, handler: ResponseHandler): InFlightRequest {
-    const dispatched = new DispatchedRequest(handler, this.resetState)
+    const dispatched = new DispatchedRequest(handler, this.state)
     this.pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -77,9 +85,9 @@
   }
 
   private recordReset (): void {
-    this.resetState.isResetting = true
+    this.state.isResetting = true
     // undici reports the end of the response within the same event.
-    process.nextTick(() => { this.resetState.isResetting = false })
+    process.nextTick(() => { this.state.isResetting = false })
   }
 
   close (): void {
@@ -89,10 +97,12 @@
   }
 }
 
-/// Shared by the requests of a client. `isResetting` is set while undici handles
-/// the end of a connection that was reset.
-interface ResetState {
+/// What undici is handling now. Shared by the requests of a client.
+interface ParsedConnection {
+  /// Set while undici handles the end of a connection that was reset.
   isResetting: boolean
+  /// Of the connection whose bytes were parsed last: while a head is reported, the one that it came on.
+  meter: ConnectionMeter | null
 }
 
 class DispatchedRequest implements Dispatcher.DispatchHandler, InFlightRequest {
@@ -101,8 +111,10 @@
   private isAborted = false
   private isDone = false
   private informationalCount = 0
+  /// Of the connection that the response comes on.
+  private meter: ConnectionMeter | null = null
 
-  constructor (private readonly handler: ResponseHandler, private readonly resetState: ResetState) {}
+  constructor (private readonly handler: ResponseHandler, private readonly connection: ParsedConnection) {}
 
   abort (): void {
     this.isAborted = true
@@ -122,20 +134,25 @@
     if (this.isDone) return
     const problem = findResponseHeadProblem(status, headers)
     if (problem !== null) return controller.abort(new UpstreamError(`invalid response: ${problem}`, true))
-    if (status >= 200) this.handler.onHead({ status, headers })
-    else if (++this.informationalCount > maxInformationalResponses) {
+    if (status >= 200) {
+      this.meter = this.connection.meter
+      this.meter?.countHead()
+      this.handler.onHead({ status, headers })
+    } else if (++this.informationalCount > maxInformationalResponses) {
       controller.abort(new UpstreamError(`more than ${maxInformationalResponses} informational responses`, true))
     }
   }
 
   onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.meter?.countBody(chunk.length)
     if (!this.isDone) this.handler.onData(chunk)
   }
 
   onResponseEnd (): void {
+    this.meter?.restart()
     if (this.isDone) return
     this.isDone = true
-    if (this.resetState.isResetting) this.handler.onError(new UpstreamError('connection reset during response', true))
+    if (this.connection.isResetting) this.handler.onError(new UpstreamError('connection reset during response', true))
     else this.handler.onEnd()
   }
 
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -104,6 +104,7 @@
     name: settings.node.name,
     zone: settings.node.zone,
     processors: countProcessors(settings),
+    memoryMb: settings.node.memory_mb ?? null,
     callersAddress: settings.listen.callers!,
     relayAddress: `${settings.node.ip}:${settings.listen.peer_port}`,
     readinessAddress: settings.listen.readiness!,
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -1,5 +1,4 @@
 import { ChainCache } from '#request/turn'
-import { ResponseBudget } from '#request/forward'
 import type { ForwardContext } from '#request/forward'
 import { FrontServer, serveStatus } from '#connection/front'
 import type { Exchange } from '#connection/front'
@@ -17,6 +16,7 @@
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
+import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
 import { LedgerQuorum } from '#process/quorum'
 import { RequestLimits } from '#process/requestlimit'
@@ -33,6 +33,8 @@
   readonly zone: string
   /// How many processors the process has, or which share of one.
   readonly processors: number
+  /// The memory that the process may use; null if it has no limit.
+  readonly memoryMb: number | null
   readonly callersAddress: string
   /// HOST:PORT for connections that other entries relay, over TCP, and load reports, over UDP.
   readonly relayAddress: string
@@ -58,7 +60,8 @@
 const configurationWatch = { kind: ObjectKind.configuration, pauseMs: 100 }
 /// Changes of instances come in numbers when instances are started or replaced.
 const instanceWatch = { kind: ObjectKind.instances, pauseMs: 500 }
-const chainCacheBytes = 24 * 1024 * 1024
+/// Of each message that is held, so much is not counted as memory.
+const freeBytesPerMessage = 64 * 1024
 const defaultMaxConnections = 32
 /// Fraction of an instance's connections that one entry may use.
 const connectionShare = 0.25
@@ -106,6 +109,7 @@
     }, log)
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
     const admission = new Admission(backlog)
+    const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
       onConnection: () => admission.countConnection(),
@@ -131,8 +135,9 @@
       limits: new RequestLimits(this.peers.directory, log),
       serviceTime: this.peers.serviceTime,
       ledger: this.quorum,
-      cache: new ChainCache(chainCacheBytes),
-      responseBudget: new ResponseBudget(),
+      cache: new ChainCache(plan.cacheBytes),
+      requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage),
+      responseMemory: new MemoryBudget(plan.responseBytes, freeBytesPerMessage),
       log,
       metrics
     }
@@ -213,7 +218,7 @@
   }
 
   private addGauges (metrics: Metrics): void {
-    const { admission, placement } = this.context
+    const { admission, placement, requestMemory, responseMemory } = this.context
     const { relay, serviceTime } = this.peers
     metrics.addGauge('calls_under_way', () => this.drain.count)
     metrics.addGauge('programs_shed_share', () => admission.shedShare)
@@ -221,6 +226,8 @@
     metrics.addGauge('connections_relayed', () => relay.count)
     metrics.addGauge('call_expected_ms', () => Math.round(serviceTime.expectedMs))
     metrics.addGauge('instances_limited', () => this.registry.limitedCount)
+    metrics.addGauge('request_memory_bytes', () => requestMemory.usedBytes)
+    metrics.addGauge('response_memory_bytes', () => responseMemory.usedBytes)
     metrics.addGauge('calls_waiting', () => placement.queueLength)
   }
 }
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -1,4 +1,4 @@
-import { InvalidCallError, Refusal, RefusedError, Verdict } from '#request/call'
+import { InvalidCallError, Refusal, RefusedError, RequestMemory, Verdict } from '#request/call'
 import type { Call } from '#request/call'
 import { AbortReason, serveStream, serveUnary } from '#request/forward'
 import type { CallerResponse, ForwardContext, RoutedCall } from '#request/forward'
@@ -7,6 +7,7 @@
 import { RouteKind, pickTarget } from '#version/configuration'
 import type { RouteTable } from '#version/configuration'
 import { Events, formatError } from '#process/log'
+import type { MemoryShare } from '#process/memory'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import type { CallDrain } from './calldrain.js'
@@ -37,9 +38,11 @@
   'non-idempotent': serveUnary
 }
 
-type Routing = Omit<RoutedCall, 'body'>
+type Routing = Omit<RoutedCall, 'body' | 'memory'>
 
 const defaultMaxBodyBytes = 1024 * 1024
+/// Less of a response that waits for its caller is not counted as memory.
+const minCountedBytes = 64 * 1024
 const noConfigurationRetryMs = 300
 const otherVersionRetryMs = 20
 
@@ -50,6 +53,7 @@
   const receivedAtMs = exchange.arrivedAtMs
   exchange.onDisconnect(() => controller.abort(AbortReason.callerDisconnected))
   const response = new ExchangeResponse(exchange, context, state, origin)
+  const memory = new RequestMemory(context.requestMemory.open())
   let call: Call | null = null
   let timer: ReturnType<typeof setTimeout> | null = null
   try {
@@ -61,7 +65,7 @@
     timer = setTimeout(() => controller.abort(AbortReason.deadline), routing.deadlineMs - performance.now())
     await context.admission.admit(call, routing.route, routing.deadlineMs, controller.signal)
     context.serviceTime.countCall(CallCost.served)
-    const routed = { ...routing, body: await exchange.readBody(maxBodyBytes) }
+    const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
     await serveByKind[routed.route.kind](routed, response, context)
     recordCompletion(call, receivedAtMs, response, controller.signal, context)
@@ -69,6 +73,7 @@
     handleError(error, call, response, receivedAtMs, controller.signal, context)
   } finally {
     if (timer !== null) clearTimeout(timer)
+    memory.close()
   }
 }
 
@@ -175,6 +180,8 @@
 class ExchangeResponse implements CallerResponse {
   status = 0
   bytes = 0
+  /// What waits for the caller, if that is much.
+  private memory: MemoryShare | null = null
 
   constructor (
     private readonly exchange: Exchange,
@@ -204,6 +211,7 @@
     this.status = head.status
     this.bytes = body.length
     this.exchange.respond(head.status, this.codec.filterResponseHeaders(head), body, this.isLast)
+    this.countPending()
   }
 
   startResponse (head: ResponseHead): void {
@@ -214,6 +222,7 @@
   write (bytes: Buffer): void {
     this.bytes += bytes.length
     this.exchange.write(bytes)
+    this.countPending()
   }
 
   end (): void {
@@ -224,6 +233,20 @@
     this.exchange.abort()
   }
 
+  /// Counts what the caller has not read yet as memory. A response is broken off if there is none left.
+  private countPending (): void {
+    const { pendingBytes } = this.exchange
+    if (this.memory === null) {
+      if (pendingBytes < minCountedBytes) return
+      const memory = this.memory = this.context.responseMemory.open()
+      this.exchange.onClose(() => memory.close())
+    }
+    if (this.memory.set(pendingBytes)) return
+    const reason = `the caller reads too slowly for the memory that is left: ${pendingBytes} bytes wait`
+    this.context.log.event(Events.answerBroken, { relayedBy: this.relayedBy, reason, bytes: this.bytes })
+    this.abort()
+  }
+
   refuse (refused: RefusedError, call: Call | null): void {
     this.status = refused.status
     const headers: Record<string, string> = {
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -5,7 +5,6 @@
 import type { Exchange } from '#connection/front'
 import type { LedgerRecord } from '#connection/rpc'
 import { InstanceClient } from '#connection/upstream'
-import { ResponseBudget } from '#request/forward'
 import { ChainCache } from '#request/turn'
 import type { ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
@@ -15,6 +14,7 @@
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
 import { Metrics } from '#process/metrics'
+import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
 import { RequestLimits } from '#process/requestlimit'
 import { ConnectionRelay, EntryDirectory, ServiceTime, readOrigin } from '#process/relay'
@@ -76,6 +76,9 @@
 }
 
 const stopGraceMs = 4000
+const freeBytesPerMessage = 64 * 1024
+/// As without a limit.
+const plan = planMemory(null)
 
 /// An event loop that is never behind.
 const idleLoop = { currentDelayMs: 0, meanDelayMs: 0 }
@@ -137,7 +140,8 @@
       serviceTime: this.serviceTime,
       ledger: this.ledger,
       cache: new ChainCache(1000),
-      responseBudget: new ResponseBudget(),
+      requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage),
+      responseMemory: new MemoryBudget(plan.responseBytes, freeBytesPerMessage),
       log: noopLog,
       metrics: new Metrics()
     }
--- a/process/settings/src/settings.ts
+++ b/process/settings/src/settings.ts
@@ -24,6 +24,8 @@
     /// The share of a processor that the process gets, and how many times as fast as one its processor is.
     processor_share: z.optional(z.number().check(z.positive())),
     processor_speed: z.optional(z.number().check(z.positive())),
+    /// The memory that the process may use.
+    memory_mb: z.optional(z.number().check(z.positive())),
     /// Number of disks that may be lost at the same time without data loss.
     tolerated_losses: count
   }),
--- a/request/call/src/index.ts
+++ b/request/call/src/index.ts
@@ -1,4 +1,5 @@
 export { InvalidCallError } from './call.js'
 export type { Call, PrefixPart, ProgramRef, TokenUsage } from './call.js'
 export { Refusal, RefusedError } from './refusal.js'
+export { RequestMemory } from './requestmemory.js'
 export { Verdict } from './verdict.js'
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -6,8 +6,9 @@
 import { Events, errorMessage } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Instance } from '#process/instances'
+import { ByteCollector } from '#process/memory'
+import type { MemoryBudget, MemoryShare } from '#process/memory'
 import type { RequestLimits } from '#process/requestlimit'
-import type { ResponseBudget, ResponseShare } from './responsebudget.js'
 
 /// How an attempt to run a call on an instance ended.
 export type AttemptResult =
@@ -48,9 +49,11 @@
   /// The attempt fails if it makes no progress for this long: no data, or no whole event of a stream; 0 for no limit.
   readonly idleTimeoutMs: number
   readonly log: EventLog
-  readonly responseBudget: ResponseBudget
+  readonly responseMemory: MemoryBudget
 }
 
+/// Of the work for a chunk, which may have a single byte, as bytes of memory.
+const chunkOverheadBytes = 128
 /// Misdirected Request: the instance is not the expected one and did not run the call.
 const statusMisdirected = 421
 
@@ -62,16 +65,16 @@
 }
 
 class Attempt implements ResponseHandler {
-  private readonly chunks: Buffer[] = []
+  private readonly body = new ByteCollector()
   private head: ResponseHead | null = null
   private isStream = false
   private inFlight: InFlightRequest | null = null
   private idleTimer: ReturnType<typeof setTimeout> | null = null
   private isFinished = false
-  private readonly share: ResponseShare
+  private readonly memory: MemoryShare
 
   constructor (private readonly request: AttemptRequest, private readonly resolve: (result: AttemptResult) => void) {
-    this.share = request.responseBudget.open()
+    this.memory = request.responseMemory.open()
   }
 
   start (): void {
@@ -112,10 +115,10 @@
 
   onData (chunk: Buffer): void {
     if (this.isFinished) return
-    if (!this.share.add(chunk)) return this.fail('the responses being received take too much memory')
+    if (!this.memory.add(chunk.length + chunkOverheadBytes)) return this.fail('the responses that are held take too much memory')
     if (!this.isStream) {
       this.restartIdleTimer()
-      this.chunks.push(chunk)
+      this.body.add(chunk)
       return
     }
     try {
@@ -128,7 +131,7 @@
   onEnd (): void {
     if (this.isFinished) return
     if (this.head === null) this.fail('response ended before its head')
-    else if (!this.isStream) this.finish({ kind: 'answer', head: this.head, body: Buffer.concat(this.chunks) })
+    else if (!this.isStream) this.finish({ kind: 'answer', head: this.head, body: this.body.toBuffer() })
     else if (this.request.listener!.isComplete()) this.finish({ kind: 'stream-ended' })
     else this.fail('stream ended within an event')
   }
@@ -182,7 +185,7 @@
     if (this.isFinished) return
     this.isFinished = true
     if (this.idleTimer !== null) clearTimeout(this.idleTimer)
-    this.share.close()
+    this.memory.close()
     this.request.signal.removeEventListener('abort', this.onAbort)
     this.resolve(result)
   }
--- a/request/forward/src/context.ts
+++ b/request/forward/src/context.ts
@@ -1,14 +1,14 @@
 import type { ResponseHead, HeaderCodec } from '#connection/header'
-import type { Call } from '#request/call'
+import type { Call, RequestMemory } from '#request/call'
 import type { ChainCache, TurnLedger } from '#request/turn'
 import type { Route, Service } from '#version/configuration'
 import type { Admission } from '#process/admission'
 import type { EventLog } from '#process/log'
+import type { MemoryBudget } from '#process/memory'
 import type { Metrics } from '#process/metrics'
 import type { Placement } from '#process/placement'
 import type { ServiceTime } from '#process/relay'
 import type { RequestLimits } from '#process/requestlimit'
-import type { ResponseBudget } from './responsebudget.js'
 
 /// Components of the process that forwarding uses.
 export interface ForwardContext {
@@ -19,7 +19,10 @@
   readonly serviceTime: ServiceTime
   readonly ledger: TurnLedger
   readonly cache: ChainCache
-  readonly responseBudget: ResponseBudget
+  /// For the bodies of requests and for prompts.
+  readonly requestMemory: MemoryBudget
+  /// For responses, until callers have read them.
+  readonly responseMemory: MemoryBudget
   readonly log: EventLog
   readonly metrics: Metrics
 }
@@ -33,6 +36,8 @@
   readonly serviceName: string
   readonly configVersion: number
   readonly body: Buffer
+  /// What the call's body and prompt take of the memory for requests.
+  readonly memory: RequestMemory
   /// When the caller's or the route's timeout ends, whichever is earlier; on the monotonic clock of
   /// `performance.now()`.
   readonly deadlineMs: number
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -64,8 +64,8 @@
     if (remainingMs <= 0) return this.giveUp(lease)
     this.logDispatch(lease, details, nowMs)
     const { call, signal } = routed
-    const { codec, limits, log, responseBudget } = context
-    const result = await attempt({ call, instance, codec, limits, log, responseBudget, remainingMs, signal, ...rest })
+    const { codec, limits, log, responseMemory } = context
+    const result = await attempt({ call, instance, codec, limits, log, responseMemory, remainingMs, signal, ...rest })
     context.metrics.observeMs('instance', performance.now() - nowMs)
     if (isHandled(result)) this.recordHandling(lease)
     lease.release()
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -1,10 +1,11 @@
 import type { ResponseHead } from '#connection/header'
 import type { LedgerRecord } from '#connection/rpc'
 import { Refusal, RefusedError, Verdict } from '#request/call'
-import { EventStreamParser, TokenReservation, buildPrompt, readHistory, createTurnRecord } from '#request/turn'
+import { EventStreamParser, TokenReservation, buildPrompt, createTurnRecord, getPromptLength, readHistory } from '#request/turn'
 import type { StreamEvent } from '#request/turn'
 import { Events, formatError } from '#process/log'
 import { recordCachedParts } from '#process/instances'
+import { ByteCollector } from '#process/memory'
 import type { InstanceLease } from '#process/placement'
 import type { AttemptResult, StreamListener } from './attempt.js'
 import type { CallerResponse, ForwardContext, RoutedCall } from './context.js'
@@ -22,7 +23,6 @@
 /// A larger stream fails. An instance may send events without end, each of which takes time to parse.
 const maxStreamBytes = 2 * 1024 * 1024
 const maxStreamEvents = 10_000
-const lineFeed = Buffer.from('\n')
 
 /// Serves a call whose response is an event stream. Rejects with `RefusedError`.
 /// A response that has started by then must be aborted by the function's caller.
@@ -39,13 +39,15 @@
   const storageMs = performance.now() - startedAtMs
   context.metrics.observeMs('storage', storageMs)
   const isFirstTurn = reservation !== null && !reservation.hasOtherTurns && history.length === 0
-  const turn = new StreamedTurn(routed, response, context, history, isFirstTurn, tokensPerEvent, storageMs)
+  let turn: StreamedTurn | null = null
   try {
+    if (history.length > 0) routed.memory.assertAdd(getPromptLength(history, routed.body))
+    turn = new StreamedTurn(routed, response, context, history, isFirstTurn, tokensPerEvent, storageMs)
     const isStream = await turn.run()
     if (isStream && route.keepsHistory) await turn.store(reservation)
     turn.end()
   } finally {
-    reservation?.settle(turn.deliveredTokens)
+    reservation?.settle(turn?.deliveredTokens ?? 0)
   }
 }
 
@@ -70,7 +72,7 @@
 
 /// Serves one turn on one instance after another until its stream is complete.
 class StreamedTurn implements StreamListener {
-  private readonly output: Buffer[] = []
+  private readonly output = new ByteCollector()
   private readonly prompt: Buffer
   private readonly dispatcher: CallDispatcher
   private parser = new EventStreamParser()
@@ -134,7 +136,7 @@
   async store (reservation: TokenReservation | null): Promise<void> {
     const { routed, context, response } = this
     if (!response.hasStarted) return
-    const output = Buffer.concat(this.output)
+    const output = this.output.toBuffer()
     const record = createTurnRecord(
       routed.call,
       routed.route,
@@ -196,7 +198,7 @@
     }
     if (event.data === null) return
     this.eventCount++
-    if (this.routed.route.keepsHistory) this.output.push(Buffer.from(event.data), lineFeed)
+    if (this.routed.route.keepsHistory) this.output.add(Buffer.from(`${event.data}\n`))
   }
 
   private async acquireLease (): Promise<InstanceLease> {
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -43,6 +43,11 @@
   return Buffer.concat([...history.flatMap(turn => [turn.input, turn.output]), input])
 }
 
+/// The length of the prompt that `buildPrompt` returns.
+export function getPromptLength (history: readonly LedgerRecord[], input: Buffer): number {
+  return history.reduce((sum, turn) => sum + turn.input.length + turn.output.length, input.length)
+}
+
 export function createTurnRecord (
   call: Call,
   route: Route,
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -19,6 +19,8 @@
   readonly services: number
   /// Routes of the configuration that get no calls.
   readonly idleRoutes?: number
+  /// The memory that each process may use; without it there is no limit.
+  readonly memoryMb?: number
   /// Inserted before the arguments of `command`, for the Node.js runtime.
   readonly nodeArguments?: readonly string[]
 }
@@ -157,6 +159,7 @@
 zone = "${node.zone}"
 ip = "127.0.0.1"
 first_start = ${this.isFirstStart}
+${this.options.memoryMb === undefined ? '' : `memory_mb = ${this.options.memoryMb}`}
 tolerated_losses = ${toleratedLosses}
 [listen]
 callers = "${node.callersAddress}"
