--- /dev/null
+++ b/demo/src/plannedsoak.ts
@@ -0,0 +1,24 @@
+import { runSoak } from '#standin/soak'
+
+// Runs the soak of planned work with one seed after the other: npm run soak:planned -- [FIRST_SEED [SEEDS [SECONDS]]]
+// With TROUBLE=1 processes and the store fail too. Prints what broke a rule; with LINES=1 the entries' log lines, too.
+
+const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
+const graceMs = 8000
+
+let findingCount = 0
+for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
+  const { attempts, statuses, disturbances, findings, lines } = await runSoak({
+    command: [process.execPath, 'target/chicorynotchd.cjs'],
+    seed,
+    durationMs: durationS * 1000,
+    callers: Number(process.env.CALLERS ?? 60),
+    graceMs,
+    hasTrouble: process.env.TROUBLE === '1'
+  })
+  findingCount += findings.length
+  process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, ${disturbances.length} disturbances, ${findings.length} findings\n`)
+  for (const { rule, text } of findings) process.stdout.write(`  ${rule}: ${text}\n`)
+  if (process.env.LINES === '1') for (const line of lines) process.stdout.write(`    ${line}\n`)
+}
+process.exit(findingCount === 0 ? 0 : 1)
--- /dev/null
+++ b/standin/soak/src/index.ts
@@ -0,0 +1,2 @@
+export { runSoak } from './soak.js'
+export type { SoakOptions, SoakReport } from './soak.js'
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -19,6 +19,8 @@
   readonly services: number
   /// Routes of the configuration that get no calls.
   readonly idleRoutes?: number
+  /// Time between SIGTERM and SIGKILL.
+  readonly stopGraceMs?: number
   /// The memory that each process may use; without it there is no limit.
   readonly memoryMb?: number
   /// Inserted before the arguments of `command`, for the Node.js runtime.
@@ -42,6 +44,7 @@
 
 const zones = ['north', 'south', 'east']
 const heartbeatMs = 1200
+const defaultStopGraceMs = 4000
 const startTimeoutMs = 15_000
 const toleratedLosses = 1
 
@@ -173,7 +176,7 @@
 data_dir = "${node.dataDir}"
 disk_mb = 100
 [timing]
-stop_grace_ms = 4000
+stop_grace_ms = ${this.options.stopGraceMs ?? defaultStopGraceMs}
 drain_ms = 2000
 catch_up_ms = 4900
 heartbeat_ms = ${heartbeatMs}
--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -62,6 +62,10 @@
   resetAfterMs = 20
   /// Called when a request starts to execute.
   onRun: (request: ExecutedRequest) => void = () => {}
+  /// Called when the response to an executed request was sent, or its connection closed before.
+  onDone: (request: ExecutedRequest) => void = () => {}
+  /// Delay after an event of a stream.
+  getEventIntervalMs: (request: ExecutedRequest, eventId: number) => number = () => this.options.eventIntervalMs
   private readonly server: Server
 
   constructor (readonly options: UpstreamOptions) {
@@ -97,7 +101,10 @@
     }
     const executed = { callId, method, path, headers, body: Buffer.concat(chunks).toString('utf8') }
     this.executedRequests.push(executed)
-    response.on('close', () => { if (!response.writableFinished) this.abortedCount++ })
+    response.on('close', () => {
+      if (!response.writableFinished) this.abortedCount++
+      this.onDone(executed)
+    })
     this.onRun(executed)
     if (this.fault === UpstreamFault.silent) return
     if (this.fault === UpstreamFault.late) await sleep(lateMs)
@@ -172,7 +179,7 @@
         return
       }
       response.write(event)
-      await sleep(this.options.eventIntervalMs)
+      await sleep(this.getEventIntervalMs(executed, id))
     }
     response.end()
   }
