Silence alone doesn't end an attempt: another instance is leased first

Cause: a stream without an event for 900 ms was aborted, and only then another instance looked for. If that one paused too, or none had capacity, a sound stream was lost. Calls that may be repeated had the same order.

Ruled out: the stop (the cuts came without one, too), storage (streams without history were cut), the instances (they were at work when they were cut).

Change: on silence the entry leases another instance that has capacity now; the attempt is aborted only then, and if nothing has come meanwhile. Else it goes on until the deadline.

--- a/process/entry/test/stalledstream.test.ts
+++ b/process/entry/test/stalledstream.test.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net'
-import { afterEach, expect, test } from 'vitest'
+import { afterEach, expect, test, vi } from 'vitest'
 import type { EntryHarness } from './harness.js'
 import { receiveRaw } from './rawcaller.js'
 import { RawUpstream } from './rawupstream.js'
@@ -63,3 +63,43 @@
   expect(bytes).toContain(event(4))
   expect(upstream.callIds.length).toBe(1)
 })
+
+/// Writes four events, with a pause before the last two, after those that the caller has received.
+function writeWithPause (socket: Socket, firstEvent: number, pauseMs: number): void {
+  const events = [1, 2, 3, 4].filter(number => number >= firstEvent)
+  for (const number of events.filter(number => number < 3)) socket.write(event(number))
+  setTimeout(() => {
+    if (!socket.destroyed) socket.end([3, 4].map(event).join(''))
+  }, pauseMs)
+}
+
+/// As if other entries used the instances that have no call of this one.
+function reportOthers (othersRunning: number): void {
+  for (const instance of entry.registry.readyInstances('models')) {
+    if (instance.running > 0) continue
+    instance.othersRunning = othersRunning
+    instance.loadReportedAtMs = performance.now()
+  }
+}
+
+// Guards against LOST: sound streams that paused were cut after two instances had been silent for 900 ms each, or after
+// the first if no other one had capacity. Silence is no reason to end an answer sooner.
+test.each([
+  ['both instances pause', ['models-0', 'models-1'], 0],
+  ['there is one instance', ['models-0'], 0],
+  ['the other instance has no capacity', ['models-0', 'models-1'], 1000]
+])('a resumable stream with a pause of 1.2 s is not cut: %s', async (_, ids, othersRunning) => {
+  upstream = new RawUpstream((id, number, socket) => {
+    socket.write(head(id))
+    const isResumed = number > 0
+    writeWithPause(socket, isResumed ? 3 : 1, 1200)
+  })
+  entry = await upstream.startEntry(ids)
+  const pending = receiveRaw(entry.address, '/query/1', 'a1', 4000)
+  await vi.waitFor(() => expect(upstream.callIds.length).toBe(1))
+  const reports = setInterval(() => reportOthers(othersRunning), 20)
+  const bytes = await pending
+  clearInterval(reports)
+  for (const number of [1, 2, 3, 4]) expect(bytes.split(event(number)).length).toBe(2)
+  expect(upstream.callIds.length).toBe(othersRunning > 0 ? 1 : ids.length)
+})
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -46,8 +46,12 @@
   readonly listener: StreamListener | null
   /// Aborts the attempt; its reason becomes that of the result.
   readonly signal: AbortSignal
-  /// The attempt fails if it makes no progress for this long: no data, or no whole event of a stream; 0 for no limit.
+  /// If the attempt makes no progress for this long, no data or no whole event of a stream, `findAlternative` is
+  /// called; 0 for never.
   readonly idleTimeoutMs: number
+  /// Resolves to whether the call can go on elsewhere at once. Only then the attempt fails: silence alone is no reason
+  /// to end it. `isIdle` tells whether it is still without progress.
+  readonly findAlternative: (isIdle: () => boolean) => Promise<boolean>
   readonly log: EventLog
   readonly responseMemory: MemoryBudget
 }
@@ -71,6 +75,9 @@
   private inFlight: InFlightRequest | null = null
   private idleTimer: ReturnType<typeof setTimeout> | null = null
   private isFinished = false
+  private isSuspected = false
+  /// Increases with each progress.
+  private progress = 0
   private readonly memory: MemoryShare
 
   constructor (private readonly request: AttemptRequest, private readonly resolve: (result: AttemptResult) => void) {
@@ -174,11 +181,19 @@
   private restartIdleTimer (): void {
     const { idleTimeoutMs } = this.request
     if (idleTimeoutMs === 0) return
+    this.progress++
     if (this.idleTimer !== null) clearTimeout(this.idleTimer)
-    this.idleTimer = setTimeout(() => {
-      this.markSuspected('silent')
-      this.fail(`no progress for ${idleTimeoutMs} ms`)
-    }, idleTimeoutMs)
+    this.idleTimer = setTimeout(() => { this.handleIdle() }, idleTimeoutMs)
+  }
+
+  private async handleIdle (): Promise<void> {
+    const { progress } = this
+    if (!this.isSuspected) this.markSuspected('silent')
+    this.isSuspected = true
+    const isFound = await this.request.findAlternative(() => !this.isFinished && this.progress === progress)
+    if (this.isFinished) return
+    if (isFound) this.fail(`no progress for ${this.request.idleTimeoutMs} ms`)
+    else if (this.progress === progress) this.restartIdleTimer()
   }
 
   private finish (result: AttemptResult): void {
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -7,7 +7,7 @@
 import { AbortReason } from './context.js'
 import type { ForwardContext, RoutedCall } from './context.js'
 
-/// The fields of a placement request that depend on the kind of call.
+/// The fields of a placement request that depend on the kind of call, or of its attempt.
 export interface LeaseOptions {
   readonly previousInstanceId: string | null
   readonly isContinuing: boolean
@@ -24,6 +24,8 @@
   readonly details: Readonly<Record<string, unknown>>
 }
 
+/// For a call that is in flight elsewhere meanwhile.
+const alternativeOptions: LeaseOptions = { previousInstanceId: null, isContinuing: true, maxWaitMs: 0 }
 /// Limit on attempts of which nothing was sent. They don't count toward the route's `maxInstances`.
 const maxUnsentAttempts = 4
 const upstreamFailedRetryAfterMs = 100
@@ -35,11 +37,25 @@
   mayHaveRun = false
   private unsentCount = 0
   private readonly usedInstanceIds = new Set<string>()
+  /// Leased while the call is in flight at an instance that makes no progress, for its next attempt.
+  private alternative: InstanceLease | null = null
 
   constructor (private readonly routed: RoutedCall, private readonly context: ForwardContext) {}
 
   /// Rejects with `RefusedError` if no instance can take the call in time.
   acquireLease (options: LeaseOptions): Promise<InstanceLease> {
+    const { alternative } = this
+    this.alternative = null
+    return alternative === null ? this.requestLease(options, this.usedInstanceIds) : Promise.resolve(alternative)
+  }
+
+  /// Must be called when the call has ended.
+  close (): void {
+    this.alternative?.release()
+    this.alternative = null
+  }
+
+  private requestLease (options: LeaseOptions, excluded: ReadonlySet<string>): Promise<InstanceLease> {
     const { call, serviceName, service, route, deadlineMs, signal } = this.routed
     return this.context.placement.acquire({
       call,
@@ -48,7 +64,7 @@
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
       affinityKey: this.affinityKey,
-      excluded: this.usedInstanceIds,
+      excluded,
       deadlineMs,
       ...options
     }, signal)
@@ -65,7 +81,9 @@
     this.logDispatch(lease, details, nowMs)
     const { call, signal } = routed
     const { codec, limits, log, responseMemory } = context
-    const result = await attempt({ call, instance, codec, limits, log, responseMemory, remainingMs, signal, ...rest })
+    const findAlternative = (isIdle: () => boolean): Promise<boolean> => this.findAlternative(lease, isIdle)
+    const services = { codec, limits, log, responseMemory }
+    const result = await attempt({ call, instance, ...services, remainingMs, signal, findAlternative, ...rest })
     context.metrics.observeMs('instance', performance.now() - nowMs)
     if (isHandled(result)) this.recordHandling(lease)
     lease.release()
@@ -95,6 +113,24 @@
     if (affinityKey !== null) recordHandledObject(instance, affinityKey, performance.now())
   }
 
+  /// Leases another instance that has capacity now, unless `isNeeded` is false by then. Never rejects.
+  private async findAlternative (current: InstanceLease, isNeeded: () => boolean): Promise<boolean> {
+    if (!this.hasAlternative(current)) return false
+    const excluded = new Set([...this.usedInstanceIds, current.instance.description.id])
+    try {
+      const lease = await this.requestLease(alternativeOptions, excluded)
+      if (!isNeeded()) {
+        lease.release()
+        return false
+      }
+      this.alternative = lease
+      return true
+    } catch (error) {
+      if (error instanceof RefusedError) return false
+      throw error
+    }
+  }
+
   /// Whether the call may be sent to another instance if its attempt at this one fails.
   hasAlternative ({ instance }: InstanceLease): boolean {
     const { route, serviceName } = this.routed
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -12,7 +12,7 @@
 import { CallDispatcher, getReason, getVerdict } from './dispatcher.js'
 
 const storeTurnTimeoutMs = 1500
-/// A resumable stream that completes no event for this long is resumed on another instance.
+/// A resumable stream that completes no event for this long is resumed on another instance, if one has capacity.
 const streamIdleTimeoutMs = 900
 /// Share of its remaining time that a turn of a running program may wait for an instance.
 const maxWaitShare = 0.25
@@ -47,6 +47,7 @@
     if (isStream && route.keepsHistory) await turn.store(reservation)
     turn.end()
   } finally {
+    turn?.close()
     reservation?.settle(turn?.deliveredTokens ?? 0)
   }
 }
@@ -161,6 +162,10 @@
     if (this.response.hasStarted) this.response.end()
   }
 
+  close (): void {
+    this.dispatcher.close()
+  }
+
   onHead (head: ResponseHead): void {
     this.parser = new EventStreamParser()
     if (!this.response.hasStarted) this.response.startResponse(head)
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -5,7 +5,8 @@
 import type { CallerResponse, ForwardContext, RoutedCall } from './context.js'
 import { CallDispatcher, getReason, getVerdict } from './dispatcher.js'
 
-/// An idempotent call that receives no data for this multiple of its latency target is retried on another instance.
+/// An idempotent call that receives no data for this multiple of its latency target is retried on another instance, if
+/// one has capacity.
 const idleTimeoutFactor = 4
 const minIdleTimeoutMs = 250
 /// Share of its remaining time that a call may wait for an instance before it is refused.
@@ -19,15 +20,13 @@
 ): Promise<void> {
   const { call, route } = routed
   const isIdempotent = route.kind === RouteKind.idempotent
+  const idleTimeoutMs = isIdempotent ? Math.max(minIdleTimeoutMs, route.targetLatencyMs * idleTimeoutFactor) : 0
   const dispatcher = new CallDispatcher(routed, context)
   let lastResponse: Extract<AttemptResult, { kind: 'answer' }> | null = null
   while (true) {
     const lease = await acquireLease(routed, dispatcher, lastResponse !== null)
     if (lease === null) break
     const hasAlternative = isIdempotent && dispatcher.hasAlternative(lease)
-    const idleTimeoutMs = hasAlternative
-      ? Math.max(minIdleTimeoutMs, route.targetLatencyMs * idleTimeoutFactor)
-      : 0
     const { body } = routed
     const result = await dispatcher.send(lease, {
       body,
@@ -50,6 +49,7 @@
       sent: dispatcher.sentCount
     })
   }
+  dispatcher.close()
   if (lastResponse !== null) response.respond(lastResponse.head, lastResponse.body)
   else throw dispatcher.toError(getVerdict(dispatcher.mayHaveRun), null)
 }
