A relayed connection that is drained ends between two requests, not within an upload that pauses

Cause: when the configuration changes, or at a stop, an entry half-closes relayed connections that are between two requests. It took one on which the caller had sent nothing for 30 ms for such a one, also within a body.

Change: RequestTracker follows heads, lengths and chunks in the bytes that are relayed. A connection that is drained before the relay is connected is served here; it was closed with the first request unread.

--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -166,6 +166,29 @@
     expect([client.received().match(/^id: /gm)?.length, busy.relay.count]).toEqual([eventCount, 0])
   })
 
+  // Guards against answers of 400 to sound requests: a change of the configuration cut the connection within a body.
+  test.each(['content-length: 11', 'transfer-encoding: chunked'])('drained while a body with %s pauses: the call is served', async field => {
+    const client = connectClient()
+    await callOn(client)
+    const isChunked = field.startsWith('transfer')
+    client.socket.write(formatCall('/charge/1', 'a2').replace('content-length: 0', field) + (isChunked ? '5\r\nhello\r\n' : 'hello'))
+    await sleep(20)
+    busy.relay.drain()
+    await sleep(300)
+    client.socket.write(isChunked ? '6\r\n world\r\n0\r\n\r\n' : ' world')
+    await vi.waitFor(() => expect(client.ended()).toBe('closed'))
+    expect(client.received().match(/HTTP\/1\.1 \d+/g)).toEqual(['HTTP/1.1 200', 'HTTP/1.1 200'])
+    expect(upstreams[3]!.executedRequests[1]!.body).toBe('hello world')
+  })
+
+  test('drained before the other entry is reached: the call is served here', async () => {
+    const client = connectClient()
+    client.socket.write(formatCall('/charge/1', 'a1'))
+    await vi.waitFor(() => expect(busy.relay.count).toBe(1))
+    busy.relay.drain()
+    await vi.waitFor(() => expect(countResponses(client)).toBe(1))
+  })
+
   test('drained while no call is under way: the connection closes soon', async () => {
     const client = connectClient()
     await callOn(client)
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -73,6 +73,7 @@
         directory.recordFailure(entry)
         serve()
       },
+      onCancelled: serve,
       onEnd: reason => {
         this.connections.delete(connection)
         if (reason === null) return
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -4,6 +4,7 @@
 import type { OtherEntry } from './directory.js'
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
+import { RequestTracker } from './requesttracker.js'
 
 export interface RelayedConnectionOptions {
   readonly caller: Socket
@@ -13,15 +14,13 @@
   readonly onChunk: () => void
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
   readonly onUnreachable: (reason: string) => void
+  /// Called if the connection was drained before the other entry was reached; nothing has been read then, either.
+  readonly onCancelled: () => void
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
 }
 
 const connectTimeoutMs = 300
-/// If the caller has sent something, and the other entry nothing since, it may still be within a request. If it sends
-/// nothing for so long, it isn't.
-const quietMs = 30
-const quietCheckMs = 10
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
@@ -32,9 +31,7 @@
   private isConnected = false
   private isEnded = false
   private isDraining = false
-  private lastChunkAtMs = performance.now()
-  /// Whether the last chunk was the caller's.
-  private isCallerLast = false
+  private readonly requests = new RequestTracker()
 
   constructor (private readonly options: RelayedConnectionOptions) {
     const { caller, entry } = options
@@ -54,6 +51,7 @@
     if (this.isDraining) return
     this.isDraining = true
     if (this.isConnected) this.endBetweenRequests()
+    else this.cancel()
   }
 
   /// Breaks the connection, so that the caller can't take a response for complete that isn't.
@@ -64,6 +62,14 @@
     this.finish(reason)
   }
 
+  /// Before the other entry is connected, nothing of the caller's bytes has been read.
+  private cancel (): void {
+    if (this.isEnded) return
+    this.finish(null)
+    this.peer.destroy()
+    this.options.onCancelled()
+  }
+
   private start (): void {
     const { caller, entry, origin, onChunk } = this.options
     const { peer } = this
@@ -72,10 +78,10 @@
     entry.onSilence.add(this.onSilence)
     peer.write(formatOrigin(origin))
     caller.on('data', (chunk: Buffer) => {
-      this.lastChunkAtMs = performance.now()
-      this.isCallerLast = true
       onChunk()
+      this.requests.add(chunk)
       if (!peer.write(chunk)) caller.pause()
+      if (this.isDraining) this.endBetweenRequests()
     })
     caller.on('drain', () => peer.resume())
     caller.on('end', this.onCallerGone)
@@ -86,24 +92,17 @@
       if (peer.remoteAddress === undefined && !this.isDraining) this.abort('the entry reset the connection')
       else this.endCaller()
     })
-    if (this.isDraining) this.endBetweenRequests()
   }
 
   /// Returns whether to read on.
   private readonly onPeerData = (length: number): boolean => {
     this.options.onChunk()
-    this.isCallerLast = false
-    const mayGoOn = this.options.caller.write(Buffer.from(readBuffer.subarray(0, length)))
-    if (this.isDraining) this.endBetweenRequests()
-    return mayGoOn
+    return this.options.caller.write(Buffer.from(readBuffer.subarray(0, length)))
   }
 
+  /// Within a request, its rest ends the connection.
   private endBetweenRequests (): void {
-    if (this.isEnded || this.peer.writableEnded) return
-    if (this.isCallerLast && performance.now() - this.lastChunkAtMs < quietMs) {
-      setTimeout(() => this.endBetweenRequests(), quietCheckMs)
-      return
-    }
+    if (this.isEnded || this.peer.writableEnded || !this.requests.isBetweenRequests) return
     this.options.caller.pause()
     this.peer.end()
   }
