A changed registration of an entry doesn't cut the connections that are relayed to it

Cause: SIGHUP with another processor share makes an entry write its registration anew. The others replaced what they knew of it, and told each connection to it that the entry had fallen silent (relay-failed), as for one that is missing from a listing, which may be seconds old.

Change: the processors change in place; connections to an entry that is listed no more, or at another address, go on while it answers, and silence ends them.

Tests: directory.test.ts. "an entry that is listed no more is reported to each connection to it" asked for the cut, so it is replaced: connections go on while the entry answers, in three cases, end when it is silent, and it gets no new ones.

--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -8,7 +8,8 @@
 
 /// Another entry of the system, and what is known of it.
 export interface OtherEntry {
-  readonly registration: Registration
+  /// Its processors may change; with another address it is another entry.
+  registration: Registration
   /// How long a call is expected to take there, as it last said.
   expectedMs: number
   configVersion: number
@@ -23,7 +24,7 @@
   unansweredQueries: number
   /// No connection is relayed to it until then, after one has failed. On the monotonic clock of `performance.now()`.
   avoidUntilMs: number
-  /// Called when the entry has fallen silent or is listed no more, for each connection that is relayed to it.
+  /// Called when the entry has fallen silent, for each connection that is relayed to it.
   readonly onSilence: Set<() => void>
 }
 
@@ -62,6 +63,8 @@
 /// Only an entry that is busy asks the others for reports.
 export class EntryDirectory implements WatchHandler {
   private readonly byName = new Map<string, OtherEntry>()
+  /// Entries that are listed no more, as long as connections are relayed to them.
+  private readonly departed = new Set<OtherEntry>()
   private candidates: readonly OtherEntry[] = []
   private registrations: readonly Registration[] | null = null
 
@@ -95,6 +98,10 @@
     if (name === this.registration.name) return
     const known = this.byName.get(name)
     if (known !== undefined && isSameRegistration(known.registration, registration)) return
+    if (known !== undefined && isSamePlace(known.registration, registration)) {
+      known.registration = registration!
+      return
+    }
     this.remove(name)
     if (registration === null) return
     this.byName.set(name, {
@@ -121,7 +128,7 @@
   }
 
   recordReport ({ name, expectedMs, configVersion, isReady, isQuery, askersProcessors }: LoadReport): void {
-    const entry = this.byName.get(name)
+    const entry = this.byName.get(name) ?? [...this.departed].find(({ registration }) => registration.name === name)
     if (entry === undefined) return
     if (isSilent(entry)) this.log.event(Events.entryHeard, { entry: name })
     Object.assign(entry, { expectedMs, configVersion, isReady, askersProcessors, ageTicks: 0, unansweredQueries: 0 })
@@ -135,7 +142,12 @@
       entry.ageTicks++
       entry.askedTicks++
     }
-    const asked = this.candidates.filter(entry => this.needsReport(entry, ownMs, configVersion))
+    for (const entry of this.departed) {
+      entry.ageTicks++
+      if (entry.onSilence.size === 0) this.departed.delete(entry)
+    }
+    const asked = [...this.candidates, ...this.departed]
+      .filter(entry => this.needsReport(entry, ownMs, configVersion))
     for (const entry of asked) this.countQuery(entry)
     return asked.map(entry => entry.registration.address)
   }
@@ -240,10 +252,15 @@
   private remove (name: string): void {
     const entry = this.byName.get(name)
     this.byName.delete(name)
-    for (const onSilence of [...entry?.onSilence ?? []]) onSilence()
+    // What is listed says nothing of whether the process runs.
+    if (entry !== undefined && entry.onSilence.size > 0) this.departed.add(entry)
   }
 }
 
+function isSamePlace (a: Registration, b: Registration | null): boolean {
+  return a.address === b?.address && a.zone === b.zone
+}
+
 function isSilent (entry: OtherEntry): boolean {
   return entry.unansweredQueries >= maxUnansweredQueries
 }
