A replaced disk that is retired before it has copied has no say in what is absent

Cause: a leaving member counts towards the absence quorum and as a source of copies, since it has served. A replacement that is retired while it joins has not, and lacks the records.

Change: hasCopied; such a member counts for neither.

Tests: history.test.ts, after 300 ms: reported absent before, not now (after 1.5 and 3 s it passed before, too); a row of view.test.ts, failed before.

--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -38,7 +38,7 @@
 export function computeQuorums (view: View, toleratedLosses: number): Quorums {
   const quorumMembers = view.members.filter(isQuorumMember)
   const appendMembers = quorumMembers.filter(member => member.state !== MemberState.leaving)
-  const readMembers = quorumMembers.filter(member => member.state !== MemberState.joining)
+  const readMembers = quorumMembers.filter(hasCopied)
   const appendQuorum = toleratedLosses + 1
   return {
     appendVoters: diskIds(appendMembers),
@@ -74,6 +74,11 @@
   return Math.max(1, view.members.filter(isQuorumMember).length - toleratedLosses)
 }
 
+/// Whether a member has served, so that it holds what it must: it neither joins, nor leaves before it has served.
+export function hasCopied ({ state, replacement }: Member): boolean {
+  return state === MemberState.serving || (state === MemberState.leaving && !replacement)
+}
+
 /// A joining member takes part in quorums only as the replacement of a lost disk.
 function isQuorumMember (member: Member): boolean {
   return member.state !== MemberState.joining || member.replacement
--- a/process/membership/test/view.test.ts
+++ b/process/membership/test/view.test.ts
@@ -26,6 +26,7 @@
     ['the replacement of a lost disk counts for appends only', replaced, 1, { appendVoters: 3, appendQuorum: 2, readVoters: 2, absenceQuorum: 2, accountQuorum: 2 }],
     ['a joining fourth member does not count', added, 1, { appendVoters: 3, appendQuorum: 2, readVoters: 3, absenceQuorum: 2, accountQuorum: 2 }],
     ['a leaving member of four counts for reads only', leaving, 1, { appendVoters: 3, appendQuorum: 2, readVoters: 4, absenceQuorum: 3, accountQuorum: 3 }],
+    ['the replacement of a lost disk that leaves counts for nothing', withLeaving(replaced, 'a'), 1, { appendVoters: 2, appendQuorum: 2, readVoters: 2, absenceQuorum: 2, accountQuorum: 2 }],
     ['nine serving members, two tolerated losses', createView(...'abcdefghi'), 2, { appendVoters: 9, appendQuorum: 3, readVoters: 9, absenceQuorum: 7, accountQuorum: 5 }]
   ])('%s', (_, view, losses, expected) => {
     const quorums = computeQuorums(view, losses)
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -2,7 +2,7 @@
 import type { Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { MemberState, emptyView } from '#process/membership'
+import { MemberState, emptyView, hasCopied } from '#process/membership'
 import { PeerCopier } from './copier.js'
 import type { CompletedPass } from './copier.js'
 
@@ -79,7 +79,7 @@
   holdsAllCommitted (requiredSources: number): boolean {
     const copied = [...this.peers.values()].filter(state => {
       const member = this.findMember(state)
-      return member !== undefined && member.state !== MemberState.joining && state.lastPass?.diskId === member.diskId
+      return member !== undefined && hasCopied(member) && state.lastPass?.diskId === member.diskId
     })
     return copied.length >= requiredSources
   }
--- a/process/storage/test/history.test.ts
+++ b/process/storage/test/history.test.ts
@@ -101,6 +101,26 @@
     expect(standby.ledger!.records.get(`3/${[...cluster.committed][0]}`)).toBeDefined()
   })
 
+  // Guards against LOST: a previous turn was answered 404, since a disk without records had a say in its absence.
+  test.each([300, 1500, 3000])('a replaced disk is retired after %i ms, and a turn whose holder is down is not absent', async ms => {
+    const [first, second, third] = cluster.nodes
+    cluster.kill(third!)
+    await cluster.appendTurn(false)
+    cluster.kill(first!)
+    cluster.kill(second!)
+    cluster.restart(third!, false)
+    cluster.restart(first!, true)
+    await cluster.advance(ms)
+    await cluster.retire(first!)
+    for (let i = 0; i < 10; i++) {
+      await cluster.advance(400)
+      expect(await cluster.findTurnsReportedAbsent()).toEqual([])
+    }
+    cluster.restart(second!, false)
+    await cluster.advance(recoveryWaitMs)
+    expect(await cluster.countFoundTurns()).toBe(1)
+  })
+
   test('all instances are killed, and one of them loses its disk', async () => {
     await cluster.appendTurn(false)
     for (const node of cluster.nodes) cluster.kill(node)
