A start of a storage process syncs what it reads before it acknowledges it again

Cause: a record that is present is acknowledged without a write, and a start reads what the kernel has, synced or not.

Change: the segment that was written last is synced when a disk is opened.

Not reproduced with real processes, which can't lose power here.

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -128,8 +128,19 @@
         this.log.event(Events.diskTailDropped, { segment, validBytes, bytes: bytes.length })
       }
     }
+    this.syncLatestSegment()
     return found
   }
+
+  /// The process that wrote it may have been killed before its last sync. Those before it were synced at earlier
+  /// starts.
+  private syncLatestSegment (): void {
+    const latest = this.segments[this.segments.length - 1]
+    if (latest === undefined) return
+    const file = openSync(join(this.folder, formatSegmentName(latest)), 'r+')
+    fdatasyncSync(file)
+    closeSync(file)
+  }
 }
 
 const noFile = -1
