--- a/process/entry/src/calldrain.ts
+++ b/process/entry/src/calldrain.ts
@@ -41,8 +41,8 @@
   }
 
   /// Throws `RefusedError` if the call may last until after the end of the stop, and the entry has stopped accepting
-  /// connections. A call that another entry relays is refused before that, too: its caller is connected to an entry that
-  /// goes on. `deadlineMs` is on the monotonic clock of `performance.now()`.
+  /// connections. A call that another entry relays is refused before that, too: its caller is connected to an entry
+  /// that goes on. `deadlineMs` is on the monotonic clock of `performance.now()`.
   assertMayStart (deadlineMs: number, isRelayed: boolean): void {
     const mayEnd = deadlineMs <= performance.now() + this.remainingMs
     if (mayEnd || (this.isAccepting && !isRelayed)) return
--- a/process/entry/test/calldrain.test.ts
+++ b/process/entry/test/calldrain.test.ts
@@ -26,7 +26,7 @@
 })
 
 // Guards against LOST: with 4 s of grace, calls were cut 700 ms before its end, which is before its last sixth.
-test.each([3000, 4000, 5000, 8000, 30_000])('a stop with %i ms of grace cuts calls in its last sixth, and in time', async graceMs => {
+test.each([3000, 4000, 5000, 8000, 30_000])('a stop with %i ms of grace cuts calls in its last sixth', async graceMs => {
   const drain = new CallDrain(graceMs)
   let abortedAtMs = -1
   const startedAtMs = performance.now()
