--- a/connection/upstream/src/pool.ts
+++ b/connection/upstream/src/pool.ts
@@ -4,7 +4,6 @@
 import buildConnector from 'undici/lib/core/connect.js'
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js'
 import PoolOfOrigin from 'undici/lib/dispatcher/pool.js'
-
 import { ConnectionMeter } from './connectionmeter.js'
 
 // undici's index also loads fetch, WebSocket, cookies and caches, which takes a
