--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -11,6 +11,8 @@
 /// no later than this after the signal.
 const lastGraceShare = 1 / 6
 const earlyRequestMs = 3000
+/// So many tries that reach no instance break the rule.
+const maxTriesInVain = 5
 /// A request that has used more of its time doesn't count beside a change of the configuration.
 const maxUsedShare = 0.7
 
@@ -28,6 +30,7 @@
   'lost around planned work': findLostInPlannedWork,
   'lost on a kept connection': findLostOnKeptConnection,
   'previous turn denied': findDeniedTurn,
+  'previous turn reaches no instance': findUnreachableTurn,
   'sound request denied': ({ status, isComplete, previousTurnId }) => {
     const isTurnUnknown = previousTurnId !== null && (status === 404 || status === 410)
     return isComplete && status >= 400 && status < 500 && ![402, 408, 421, 429].includes(status) && !isTurnUnknown
@@ -98,6 +101,19 @@
   return `answered ${status}, the previous turn ${previousTurnId} was answered whole ${Math.round(startedAtMs - previous.endedAtMs)} ms before`
 }
 
+/// The entries are asked in vain for the same turn, time after time, while nothing is wrong.
+function findUnreachableTurn (attempt: Attempt, observations: Observations): string | null {
+  const { id, previousTurnId, startedAtMs } = attempt
+  const { attempts, runs } = observations
+  if (previousTurnId === null || runs.has(id)) return null
+  const tries = attempts.filter(other => other.previousTurnId === previousTurnId && other.startedAtMs <= startedAtMs)
+  const isInVain = tries.slice(-maxTriesInVain).every(other => {
+    return !runs.has(other.id) && !hasUnplanned(other, observations)
+  })
+  if (tries.length < maxTriesInVain || !isInVain) return null
+  return `${maxTriesInVain} tries to go on from ${previousTurnId}`
+}
+
 function hasUnplanned ({ startedAtMs, endedAtMs }: Attempt, { disturbances }: Observations): boolean {
   return disturbances.some(({ kind, startMs, endMs }) => {
     return kind === 'unplanned' && startMs <= endedAtMs && endMs >= startedAtMs - contactMs
