--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -113,7 +113,7 @@
     if (affinityKey !== null) recordHandledObject(instance, affinityKey, performance.now())
   }
 
-  /// Leases another instance that has capacity now, unless `isNeeded` is false by then. Never rejects.
+  /// Leases another instance that has capacity now, unless `isNeeded` is false by then. Resolves to whether it has.
   private async findAlternative (current: InstanceLease, isNeeded: () => boolean): Promise<boolean> {
     if (!this.hasAlternative(current)) return false
     const excluded = new Set([...this.usedInstanceIds, current.instance.description.id])
