Stand-ins: build the daemon with its launcher and code cache for tests of real processes

Tests started the daemon from source or from a bundle without launcher, so what happens between a process's first code and its first line, and what the code cache does, no test could see. buildDaemon() makes the three files in a folder of the test's own, as npm run bundle does. No logic changed; nothing measured.

--- a/standin/system/src/index.ts
+++ b/standin/system/src/index.ts
@@ -1,3 +1,4 @@
+export { buildDaemon } from './build.js'
 export { findFreePorts } from './ports.js'
 export { StandinSystem, createConfiguration, tokensPerEvent } from './system.js'
 export type { SystemNode, SystemOptions } from './system.js'
