Run record: the next start says how a process ended that couldn't say so itself

Callers: nothing. Operators: a process that SIGKILL, a signal before it was ready, the runtime or want of memory ended left no line, so that its end looked like all other ends, and like none. Measured on with the real launcher, one run each, both roles: of 15 kinds of end, only SIGTERM to a process that runs left `process-stopped`; SIGKILL, SIGINT and SIGSEGV left nothing, not even `process-started`, whose line is buffered for up to 250 ms.

A process now keeps a file with its state, when it was last seen and its memory then, and the next start logs `previous-run-ended` from it: told to stop, exited by itself and why, ended in which state without a word, the machine started again (its boot id differs), or still running (its id and its start time are those of a living process). The file is replaced by a rename, not synced, follows no link and waits for no pipe; each error of it is ignored.

--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 import { Disk, Ledger } from '#process/ledger'
 import { Events, ProcessLog, formatError } from '#process/log'
 import { Metrics } from '#process/metrics'
+import { RunRecord, locateRunRecord } from '#process/runrecord'
 import { Role, SettingsFile } from '#process/settings'
 import type { Settings } from '#process/settings'
 import { MembershipController } from '#process/storage'
@@ -33,6 +34,7 @@
   readonly platform: ConnectedPlatform
   readonly log: ProcessLog
   readonly metrics: Metrics
+  readonly run: RunRecord
   readonly backlog: LoopBacklog
 }
 
@@ -52,6 +54,9 @@
   const { settings } = file
   const log = new ProcessLog(settings.node.name, settings.node.role)
   const metrics = new Metrics()
+  const run = RunRecord.open(locateRunRecord(settings), settings.node.memory_mb ?? null)
+  log.event(Events.previousRunEnded, { ...run.previous })
+  metrics.addGauge(`previous_run{how="${run.previous.how}"}`, () => 1)
   process.on('uncaughtException', error => {
     log.event(Events.unexpectedError, { where: 'process', error: formatError(error), stack: error.stack })
   })
@@ -70,11 +75,13 @@
     platform: connected,
     log,
     metrics,
+    run,
     backlog: loopMonitor
   })
   await serveStatus(`${settings.node.ip}:${settings.listen.metrics_port}`, {
     '/metrics': () => ({ status: 200, text: metrics.toText() })
   })
+  run.setReady()
   log.event(Events.processStarted, {
     role: settings.node.role,
     zone: settings.node.zone,
@@ -87,11 +94,14 @@
   }, log)
   process.once('SIGTERM', () => {
     log.event(Events.processStopping, { signal: 'SIGTERM', graceMs: file.settings.timing.stop_grace_ms })
+    run.setStopping('SIGTERM')
     running.stop().then(() => {
+      run.end('SIGTERM', 0)
       log.event(Events.processStopped, {})
       log.flush()
       process.exit(0)
     }, (error: unknown) => {
+      run.end(formatError(error), 1)
       log.event(Events.unexpectedError, { where: 'stop', error: formatError(error) })
       log.flush()
       process.exit(1)
@@ -123,7 +133,7 @@
   return (node.processor_share ?? 1) * (node.processor_speed ?? 1)
 }
 
-async function startStorage ({ settings, platform, log, metrics }: RoleContext): Promise<RunningRole> {
+async function startStorage ({ settings, platform, log, metrics, run }: RoleContext): Promise<RunningRole> {
   const { node, listen } = settings
   const { disk, contents } = Disk.open(settings.storage!.data_dir, log)
   const ledger = new Ledger(disk, contents)
@@ -142,7 +152,7 @@
   const compactionTimer = setInterval(() => {
     ledger.compact(Date.now()).catch((error: unknown) => log.event(Events.diskFailed, { error: formatError(error) }))
   }, compactionIntervalMs)
-  ledger.onFailure = error => exitAfterDiskFailure(log, error)
+  ledger.onFailure = error => exitAfterDiskFailure(log, run, error)
   metrics.addGauge('records', () => ledger.records.count)
   return {
     reload: () => {},
@@ -156,7 +166,8 @@
 }
 
 /// After a failed write the contents of the disk are unknown, so the process exits; the next start reads them again.
-function exitAfterDiskFailure (log: ProcessLog, error: Error): void {
+function exitAfterDiskFailure (log: ProcessLog, run: RunRecord, error: Error): void {
+  run.end(formatError(error), 1)
   log.event(Events.processStopped, { reason: formatError(error) })
   log.flush()
   process.exit(1)
--- /dev/null
+++ b/process/runrecord/src/index.ts
@@ -0,0 +1,5 @@
+export { locateRunRecord } from './location.js'
+export type { RunRecordSettings } from './location.js'
+export { PreviousEnd, RunState } from './previousrun.js'
+export type { PreviousRun } from './previousrun.js'
+export { RunRecord } from './runrecord.js'
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path'
 import { sleep } from '#process/clock'
 import { computeFullSize } from '#process/membership'
+import { locateRunRecord } from '#process/runrecord'
 import { StandinStore } from '#standin/store'
 import { StandinUpstream } from '#standin/upstream'
 import { findFreePorts } from './ports.js'
@@ -37,6 +38,7 @@
   readonly zone: string
   readonly peerPort: number
   readonly metricsPort: number
+  readonly runRecordFile: string
   process: ChildProcess
   /// Lines of standard output and standard error, also of earlier runs.
   readonly outputLines: string[]
@@ -102,6 +104,7 @@
     this.store.close()
     for (const upstream of [...this.engines, ...this.services]) upstream.close()
     await rm(this.folder, { recursive: true, force: true })
+    await Promise.all(this.nodes.map(node => rm(node.runRecordFile, { force: true })))
   }
 
   async waitUntilReady (): Promise<void> {
@@ -146,6 +149,9 @@
       dataDir,
       peerPort: peerPort!,
       metricsPort: metricsPort!,
+      runRecordFile: locateRunRecord({
+        node: { name, role }, listen: { peer_port: peerPort! }, storage: { data_dir: dataDir }
+      }),
       zone: zones[index % zones.length]!,
       outputLines: [] as string[],
       process: null as unknown as ChildProcess
