Log: a process neither waits for its standard output nor outlives its grace time for it

What callers saw: a process that had been told to stop did not end, and was killed at the end of its grace time, with what it still held.

Cause: the last lines were written by pino's destination, whose flushSync sleeps 100 ms and tries again after each error, without end: a full pipe, but also a full disk and a reader that had left. And while the process ran, a full pipe held a thread in write(2), which the exit of the process waits for.

Lines that are not taken are dropped and counted (lines-dropped of `output`).

--- a/process/log/src/log.ts
+++ b/process/log/src/log.ts
@@ -1,6 +1,7 @@
 import { pino } from 'pino'
 import { Events } from './catalogue.js'
 import type { EventKind } from './catalogue.js'
+import { LineOutput } from './lineoutput.js'
 
 /// The fields of an event's log line.
 export interface EventFields {
@@ -24,29 +25,20 @@
 }
 
 const rateWindowMs = 1000
-const maxBufferBytes = 256 * 1024
-/// Lines are buffered until they reach this size or the flush interval has passed.
-const minWriteBytes = 8 * 1024
-const flushIntervalMs = 250
 
 /// Writes events as JSON lines to standard output. Each kind is limited to a number of lines per second; excess lines
-/// are dropped, and their count is logged before the first event after that second. If standard output is not read,
-/// lines that exceed a bounded buffer are dropped.
+/// are dropped, and their count is logged before the first event after that second. So is the count of those that
+/// standard output didn't take; no event waits for it.
 export class ProcessLog implements EventLog {
   private readonly rateWindows = new Map<EventKind, RateWindow>()
-  private readonly output: ReturnType<typeof pino.destination>
+  private readonly output = new LineOutput()
   private readonly logger: ReturnType<typeof pino>
   private windowEndMs = 0
+  private reportedDroppedLines = 0
 
   constructor (node: string, role: string) {
-    this.output = pino.destination({
-      fd: 1,
-      sync: false,
-      minLength: minWriteBytes,
-      periodicFlush: flushIntervalMs,
-      maxLength: maxBufferBytes
-    })
     this.logger = pino({ base: { node, role } }, this.output)
+    process.once('exit', () => this.flush())
   }
 
   event (kind: EventKind, fields: EventFields = {}): void {
@@ -61,17 +53,14 @@
     this.write(kind, fields)
   }
 
-  /// Writes the buffered lines synchronously.
+  /// Writes the buffered lines as far as standard output takes them now.
   flush (): void {
-    try {
-      this.output.flushSync()
-    } catch {
-      // Standard output is closed, and there is no other place to report that.
-    }
+    this.output.flush()
   }
 
   private startRateWindows (nowMs: number): void {
     this.windowEndMs = nowMs + rateWindowMs
+    this.reportDroppedLines()
     for (const [kind, rateWindow] of this.rateWindows) {
       if (rateWindow.dropped > 0) this.write(Events.linesDropped, { dropped: rateWindow.dropped, of: kind.name })
       rateWindow.written = 0
@@ -79,6 +68,13 @@
     }
   }
 
+  private reportDroppedLines (): void {
+    const { droppedLines } = this.output
+    if (droppedLines === this.reportedDroppedLines) return
+    this.reportedDroppedLines = droppedLines
+    this.write(Events.linesDropped, { dropped: droppedLines, of: 'output' })
+  }
+
   private getRateWindow (kind: EventKind): RateWindow {
     let rateWindow = this.rateWindows.get(kind)
     if (rateWindow === undefined) this.rateWindows.set(kind, rateWindow = { written: 0, dropped: 0 })
