Entry: stop may be called twice, and before start has ended or begun

What callers saw: nothing yet. A process that is told to stop while it starts calls stop on a half-started entry, which was not made for that: an entry that is stopped before its start still opened its ports and registered, and a second stop closed its datagram socket again and rejected, so that the process ended with status 1.

start returns after the step that it is in once a stop has begun, and stop returns the promise of the first one.

--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -81,6 +81,7 @@
   private readonly peers: EntryPeers
   readonly drain: CallDrain
   private readonly context: ForwardContext
+  private stopped: Promise<void> | null = null
 
   constructor (
     private readonly options: EntryOptions,
@@ -144,7 +145,9 @@
     this.addGauges(metrics)
   }
 
+  /// Ends early, with what it has started, if the entry is stopped meanwhile or was before.
   async start (): Promise<void> {
+    if (this.drain.isStopping) return
     const { options, platform } = this
     const configurationHandler = handleObject(configurationObjectName, object => {
       if (object !== null) this.configuration.apply(object)
@@ -162,13 +165,20 @@
     this.closeCallbacks.push(await serveStatus(options.readinessAddress, {
       [options.readinessPath]: () => this.isReady ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' }
     }))
+    if (this.drain.isStopping) return
     await this.peers.start()
+    if (this.drain.isStopping) return
     await this.front.listen(options.callersAddress)
   }
 
   /// Accepts new connections for a while longer, then drains the calls in flight. Resolves when none is left, or
-  /// shortly before the grace period ends.
-  async stop (): Promise<void> {
+  /// shortly before the grace period ends. May be called again, and before `start` has ended.
+  stop (): Promise<void> {
+    this.stopped ??= this.stopOnce()
+    return this.stopped
+  }
+
+  private async stopOnce (): Promise<void> {
     const { drain, peers } = this
     await drain.start()
     const closing = Promise.all([this.front.close(), peers.closeFront()])
