Ledger: an append after the close is rejected, and is no failure of the disk

What callers saw: nothing yet. What a storage instance copies from a peer may arrive while it stops, after its disk was closed; the write then went to descriptor -1, counted as a failed disk, and the process would have ended with status 1 and without the rest of its stop.

Evidence: the new test failed, with a RangeError of the descriptor reported as a failure of the disk.

The disk knows that it is closed and rejects with DiskClosedError, which the ledger passes on. What was appended before the close is written and synced by it, and only then acknowledged, as before.

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -15,6 +15,11 @@
   readonly wasEmpty: boolean
 }
 
+/// An append came after the close.
+export class DiskClosedError extends Error {
+  override readonly name = 'DiskClosedError'
+}
+
 const identityFileName = 'identity'
 const segmentPattern = /^segment-(\d{8})$/
 const frameHeaderBytes = 8
@@ -32,6 +37,7 @@
   private writtenBytes = 0
   private segments: number[] = []
   private pending: Batch | null = null
+  private isClosed = false
 
   private constructor (private readonly folder: string, readonly diskId: string, private readonly log: EventLog) {}
 
@@ -63,13 +69,15 @@
   }
 
   /// Appends records, and resolves to the segment that holds them once they are synced.
-  append (records: readonly LedgerRecord[]): Promise<number> {
+  /// Rejects with `DiskClosedError` after the close.
+  async append (records: readonly LedgerRecord[]): Promise<number> {
+    if (this.isClosed) throw new DiskClosedError('the disk is closed')
     if (this.pending === null) {
       this.pending = createBatch()
       setImmediate(() => this.writePending())
     }
     for (const record of records) this.pending.frames.push(...encodeFrame(record))
-    return this.pending.synced
+    return await this.pending.synced
   }
 
   /// Removes a segment whose records are in another segment or have expired.
@@ -79,8 +87,10 @@
     this.log.event(Events.segmentDropped, { segment })
   }
 
+  /// Appends that wait are written before it. May be called again.
   close (): void {
     this.writePending()
+    this.isClosed = true
     if (this.file !== noFile) closeSync(this.file)
     this.file = noFile
   }
--- a/process/ledger/src/index.ts
+++ b/process/ledger/src/index.ts
@@ -1,4 +1,4 @@
-export { Disk, encodeFrame, decodeFrames } from './disk.js'
+export { Disk, DiskClosedError, encodeFrame, decodeFrames } from './disk.js'
 export type { DiskContents } from './disk.js'
 export { Ledger } from './ledger.js'
 export { RecordKind } from '#connection/rpc'
--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, LedgerHandler, LedgerRecord, Standing, View } from '#connection/rpc'
 import { emptyView } from '#process/membership'
+import { DiskClosedError } from './disk.js'
 import type { Disk, DiskContents } from './disk.js'
 import { RecordIndex, recordKey } from './records.js'
 import type { IndexedRecord } from './records.js'
@@ -107,6 +108,7 @@
       const segment = await this.disk.append(indexedRecords.map(indexed => indexed.record))
       for (const indexed of indexedRecords) indexed.segment = segment
     } catch (error) {
+      if (error instanceof DiskClosedError) throw error
       this.failure = error as Error
       this.onFailure(this.failure)
       throw error
