Entry: a response that has started isn't cut before its caller's time is over

Callers saw streams end without their last events, with time left: up to as much as the entry's event loop was behind when it read their request.

Cause: an entry takes a request to have waited as long as its event loop was behind (LoopBacklog.currentDelayMs, which also holds for 50 ms after a stall), so that overload doesn't hide in sockets. From that earliest moment it counted the deadline, at which it ended a call in any case. After a stall of 300 ms every request read in the next 50 ms ran to a deadline 300 ms too early.

The earliest deadline still decides about admission, queues, what instances are told and when a call without a response is answered 504. A response that has started is ended at the latest deadline, counted from when the request was read. A timer of a fraction of a millisecond is rounded up, as Node rounds it down.

--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -51,18 +51,19 @@
   { exchange, origin, controller }: ServedExchange, state: EntryState, context: ForwardContext
 ): Promise<void> {
   const receivedAtMs = exchange.arrivedAtMs
+  const readAtMs = performance.now()
   exchange.onDisconnect(() => controller.abort(AbortReason.callerDisconnected))
   const response = new ExchangeResponse(exchange, context, state, origin)
   const memory = new RequestMemory(context.requestMemory.open())
   let call: Call | null = null
-  let timer: ReturnType<typeof setTimeout> | null = null
+  let cancelDeadline = (): void => {}
   try {
     call = parseCall(exchange, context.codec, receivedAtMs)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
     if (origin !== null) assertSameVersion(origin, state)
-    const routing = routeCall(call, state, controller.signal)
+    const routing = routeCall(call, readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
-    timer = setTimeout(() => controller.abort(AbortReason.deadline), routing.deadlineMs - performance.now())
+    cancelDeadline = startDeadline(routing, response, controller)
     await context.admission.admit(call, routing.route, routing.deadlineMs, controller.signal)
     context.serviceTime.countCall(CallCost.served)
     const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
@@ -72,7 +73,7 @@
   } catch (error) {
     handleError(error, call, response, receivedAtMs, controller.signal, context)
   } finally {
-    if (timer !== null) clearTimeout(timer)
+    cancelDeadline()
     memory.close()
   }
 }
@@ -86,7 +87,7 @@
   }
 }
 
-function routeCall (call: Call, state: EntryState, signal: AbortSignal): Routing {
+function routeCall (call: Call, readAtMs: number, state: EntryState, signal: AbortSignal): Routing {
   const { routes } = state
   if (routes === null) {
     throw new RefusedError(Refusal.noConfiguration, Verdict.notRun, 'no configuration has been loaded yet', noConfigurationRetryMs)
@@ -94,17 +95,36 @@
   const route = routes.find(call.host, call.path)
   if (route === null) throw new RefusedError(Refusal.noRoute, Verdict.notRun, `no route in configuration version ${routes.configuration.version} matches the host and path`)
   const serviceName = pickTarget(route, call.program?.id ?? call.id)
+  const timeoutMs = Math.min(call.callerTimeoutMs, route.timeoutMs)
   return {
     call,
     route,
     serviceName,
     service: routes.configuration.services.get(serviceName) ?? null,
     configVersion: routes.configuration.version,
-    deadlineMs: call.receivedAtMs + Math.min(call.callerTimeoutMs, route.timeoutMs),
+    deadlineMs: call.receivedAtMs + timeoutMs,
+    lastDeadlineMs: Math.max(call.receivedAtMs, readAtMs) + timeoutMs,
     signal
   }
 }
 
+/// Ends the call at its deadline, but a response that has started only once the caller's time is over in any case.
+/// Returns a function that cancels this.
+function startDeadline (
+  { deadlineMs, lastDeadlineMs }: Routing, response: ExchangeResponse, controller: AbortController
+): () => void {
+  const abort = (): void => controller.abort(AbortReason.deadline)
+  const startTimer = (atMs: number, callback: () => void): ReturnType<typeof setTimeout> => {
+    // A timer of a fraction of a millisecond fires before that time.
+    return setTimeout(callback, Math.ceil(atMs - performance.now()))
+  }
+  let timer = startTimer(deadlineMs, () => {
+    if (response.hasStarted) timer = startTimer(lastDeadlineMs, abort)
+    else abort()
+  })
+  return () => clearTimeout(timer)
+}
+
 /// A caller must not see an older configuration after a newer one, whichever entry serves its calls.
 function assertSameVersion ({ entry, configVersion }: RelayOrigin, { routes }: EntryState): void {
   const ownVersion = routes?.configuration.version ?? null
--- a/request/forward/src/context.ts
+++ b/request/forward/src/context.ts
@@ -41,6 +41,9 @@
   /// When the caller's or the route's timeout ends, whichever is earlier; on the monotonic clock of
   /// `performance.now()`.
   readonly deadlineMs: number
+  /// The same if the request arrived only when it was read. `deadlineMs` is earlier if the process was busy, and the
+  /// request may have waited.
+  readonly lastDeadlineMs: number
   /// Aborted with an `AbortReason` when the caller disconnects or the deadline passes.
   readonly signal: AbortSignal
 }
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -146,7 +146,7 @@
       this.deliveredTokens,
       this.instanceId
     )
-    const timeoutMs = Math.min(storeTurnTimeoutMs, routed.deadlineMs - performance.now())
+    const timeoutMs = Math.min(storeTurnTimeoutMs, routed.lastDeadlineMs - performance.now())
     const startedAtMs = performance.now()
     try {
       await context.ledger.append([record], timeoutMs)
