Front: a stop reads what has arrived before it closes idle connections

Callers that kept their connections saw requests end without an answer 200 ms and more after they were sent, 2.6 s after SIGTERM, when the entry stops to accept connections.

Cause: after a time in which a process was busy or didn't get the processor, the timer that ends the accepting runs before anything is read. Connections on which a request had waited all that time counted as idle and were closed with it unread.

Why it works: the event loop reads all connections once between two immediates; only then idle ones are closed. A request that comes later crosses the close.

--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { setImmediate as setImmediatePromise } from 'node:timers/promises'
 import { fastify } from 'fastify'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { splitAddress } from '#connection/address'
@@ -118,8 +119,16 @@
     return true
   }
 
-  /// Stops accepting connections and closes idle ones.
+  /// Stops accepting connections and closes idle ones. A process that was busy reads first what has arrived meanwhile.
   async close (): Promise<void> {
+    await readArrived()
     await this.app.close()
   }
 }
+
+/// Resolves when the event loop has read what had arrived on all connections. Timers and immediates may run before it
+/// next reads, so one immediate isn't enough.
+async function readArrived (): Promise<void> {
+  await setImmediatePromise()
+  await setImmediatePromise()
+}
