Command line: `chicorynotch ends` lists starts and ends of processes from logs

Operators: to find which of twelve processes ended by themselves, one had to read all lines of all of them. `ends` prints a line for each run: when it became ready, which signal asked it to stop, its exit status and reason, and for a run that couldn't say so what the next start's `previous-run-ended` says, with the memory that it had.

Logs of earlier builds, without `previous-run-ended`, are read too.

--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -5,6 +5,7 @@
 import type { LogLine, TimelineCall } from './lines.js'
 import { renderTimelinePage } from './page.js'
 import { formatReports, parseReports } from './report.js'
+import { findRuns, formatRuns } from './runs.js'
 import { formatStatuses, fetchStatuses } from './status.js'
 
 /// Input and output of the commands. Tests substitute a fake.
@@ -40,6 +41,8 @@
       builder => builder.positional('program', { type: 'string', demandOption: true })
         .option('html', { type: 'boolean', default: false, describe: 'print an HTML page with a chart' }),
       args => run(() => timeline(args.program, args.json, args.html, io)))
+    .command('ends', 'list the starts and ends of processes from logs on standard input', {},
+      args => run(() => ends(args.json as boolean, io)))
     .command('status <address...>', 'query processes at their metrics addresses (HOST:PORT)',
       builder => builder.positional('address', { type: 'string', array: true, demandOption: true }),
       args => run(() => status(args.address, args.json, io)))
@@ -96,6 +99,11 @@
   return writeItems(calls, isJson, format, `no calls of program ${programId}`, write)
 }
 
+function ends (isJson: boolean, { readInput, write }: CliIo): ExitCode {
+  const runs = findRuns(parseLogLines(readInput()))
+  return writeItems(runs, isJson, found => `${formatRuns(found)}\n`, 'no log lines', write)
+}
+
 /// Writes the items as JSON or formatted. Without items, writes an empty JSON array or `emptyMessage`.
 function writeItems<Item> (
   items: readonly Item[],
--- a/process/cli/src/lines.ts
+++ b/process/cli/src/lines.ts
@@ -64,7 +64,12 @@
 
 export function formatLine (line: LogLine): string {
   const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
-  return `${new Date(line.timeMs).toISOString().slice(11, 23)} ${line.node.padEnd(18)} ${line.name.padEnd(22)} ${fields.join(' ')}`
+  return `${formatTime(line.timeMs)} ${line.node.padEnd(18)} ${line.name.padEnd(22)} ${fields.join(' ')}`
+}
+
+/// Formats the time of day, with milliseconds.
+export function formatTime (timeMs: number): string {
+  return new Date(timeMs).toISOString().slice(11, 23)
 }
 
 /// One call of a program on a timeline. Times are relative to the start of the program's first call.
