Command line: a non-blocking standard input is waited for

Operators: `explain`, `timeline` and `ends` ended with "EAGAIN: resource temporarily unavailable, read" and status 1 if their standard input was non-blocking and had no data yet, as a terminal or a pipe that another program has set so. Cause: readFileSync reads the descriptor as it is. Now the stream reads it, which waits for the descriptor. Evidence: process/cli/test/main.test.ts failed with that message, and passes. SIGINT, SIGTERM and SIGHUP while it reads end it by that signal (130, 143, 129 in a shell), before and after.

--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -10,7 +10,7 @@
 
 /// Input and output of the commands. Tests substitute a fake.
 export interface CliIo {
-  readonly readInput: () => string
+  readonly readInput: () => string | Promise<string>
   readonly write: (text: string) => void
   /// Rejects if the response status is not a success.
   readonly fetchText: (url: string) => Promise<string>
@@ -85,22 +85,24 @@
   return writeItems(reports, isJson, days => `${formatReports(days)}\n`, 'no days found', write)
 }
 
-function explain (id: string, aroundMs: number, isJson: boolean, { readInput, write }: CliIo): ExitCode {
-  const lines = findRelatedLines(parseLogLines(readInput()), id, aroundMs)
+async function explain (id: string, aroundMs: number, isJson: boolean, { readInput, write }: CliIo): Promise<ExitCode> {
+  const lines = findRelatedLines(parseLogLines(await readInput()), id, aroundMs)
   const format = (found: readonly LogLine[]): string => found.map(line => `${formatLine(line)}\n`).join('')
   return writeItems(lines, isJson, format, `no log lines of ${id}`, write)
 }
 
-function timeline (programId: string, isJson: boolean, isHtml: boolean, { readInput, write }: CliIo): ExitCode {
-  const calls = buildTimeline(parseLogLines(readInput()), programId)
+async function timeline (
+  programId: string, isJson: boolean, isHtml: boolean, { readInput, write }: CliIo
+): Promise<ExitCode> {
+  const calls = buildTimeline(parseLogLines(await readInput()), programId)
   const format = (found: readonly TimelineCall[]): string => {
     return isHtml ? renderTimelinePage(programId, found) : `${formatTimeline(found)}\n`
   }
   return writeItems(calls, isJson, format, `no calls of program ${programId}`, write)
 }
 
-function ends (isJson: boolean, { readInput, write }: CliIo): ExitCode {
-  const runs = findRuns(parseLogLines(readInput()))
+async function ends (isJson: boolean, { readInput, write }: CliIo): Promise<ExitCode> {
+  const runs = findRuns(parseLogLines(await readInput()))
   return writeItems(runs, isJson, found => `${formatRuns(found)}\n`, 'no log lines', write)
 }
 
--- a/process/cli/src/main.ts
+++ b/process/cli/src/main.ts
@@ -1,7 +1,6 @@
-import { readFileSync } from 'node:fs'
+import { text } from 'node:stream/consumers'
 import { runCli } from './cli.js'
 
-const stdinDescriptor = 0
 const fetchTimeoutMs = 2000
 
 // The reader may close the pipe early, as `head` does.
@@ -11,13 +10,13 @@
 })
 
 runCli(process.argv.slice(2), {
-  readInput: () => readFileSync(stdinDescriptor, 'utf8'),
+  readInput: () => text(process.stdin),
   fetchText: async url => {
     const response = await fetch(url, { signal: AbortSignal.timeout(fetchTimeoutMs) })
     if (!response.ok) throw new Error(`HTTP status ${response.status}`)
     return await response.text()
   },
-  write: text => { process.stdout.write(text) }
+  write: output => { process.stdout.write(output) }
 }).then(code => { process.exitCode = code }, (error: unknown) => {
   process.stderr.write(`chicorynotch: ${String(error)}\n`)
   process.exitCode = 1
