Command line: an output that can't be written is an error of one line

Operators: with a full disk as standard output, the command line printed a stack trace of its own code. Cause: errors of the output other than EPIPE were thrown again. Now their message is printed, with status 1 as before. Evidence: process/cli/test/main.test.ts with /dev/full failed with the stack, and passes.

--- a/process/cli/src/main.ts
+++ b/process/cli/src/main.ts
@@ -5,8 +5,9 @@
 
 // The reader may close the pipe early, as `head` does.
 process.stdout.on('error', (error: NodeJS.ErrnoException) => {
-  if (error.code !== 'EPIPE') throw error
-  process.exit()
+  if (error.code === 'EPIPE') process.exit()
+  process.stderr.write(`chicorynotch: ${error.message}\n`)
+  process.exit(1)
 })
 
 runCli(process.argv.slice(2), {
--- a/process/cli/test/main.test.ts
+++ b/process/cli/test/main.test.ts
@@ -46,7 +46,8 @@
 })
 
 test.each([
-  ['a reader that ends early', '"$@" explain c1 | head -n 1', 'call-finished', '']
+  ['a reader that ends early', '"$@" explain c1 | head -n 1', 'call-finished', ''],
+  ['a disk that is full', '"$@" explain c1 > /dev/full; echo $?', '1\n', 'chicorynotch: ENOSPC: no space left on device, write\n']
 ])('%s: no stack is printed', async (_, script, output, error) => {
   const child = runShell(script)
   child.stdin!.on('error', () => {}).end(line.repeat(20_000))
