Run record: a start tells how many runs in a row ended other than by a stop

Operators: a process that ends within 250 ms of each start leaves no line of any of them, and its record only tells of the last. The record now counts such ends; a stop sets the count to 0.

--- a/process/runrecord/src/previousrun.ts
+++ b/process/runrecord/src/previousrun.ts
@@ -44,7 +44,9 @@
   residentMb: z.number(),
   memoryLimitMb: z.nullable(z.number()),
   reason: optionalText,
-  exitCode: z.nullable(z.number())
+  exitCode: z.nullable(z.number()),
+  /// How many runs in a row, up to the one before, ended other than by a stop.
+  unplannedEnds: z.number()
 })
 
 /// The contents of a run record.
@@ -53,6 +55,8 @@
 /// What a start knows about the run before it: the fields of the event `previous-run-ended`.
 export interface PreviousRun {
   readonly how: PreviousEnd
+  /// How many runs in a row, up to that one, ended other than by a stop.
+  readonly unplannedEnds: number
   readonly pid?: number
   readonly reason?: string | null
   readonly exitCode?: number | null
@@ -75,12 +79,14 @@
 
 /// Reads how the run ended that left this record. `text` is null if there is none.
 export function describePreviousRun (text: string | null, own: ProcessIdentity, nowMs: number): PreviousRun {
-  if (text === null) return { how: PreviousEnd.noRecord }
+  if (text === null) return { how: PreviousEnd.noRecord, unplannedEnds: 0 }
   const record = parseRecord(text)
-  if (record === null) return { how: PreviousEnd.unreadable }
+  if (record === null) return { how: PreviousEnd.unreadable, unplannedEnds: 1 }
   const { pid, reason, exitCode, residentMb, memoryLimitMb, startedAtMs, lastSeenAtMs } = record
+  const how = findEnd(record, own)
   return {
-    how: findEnd(record, own),
+    how,
+    unplannedEnds: how === PreviousEnd.stopped ? 0 : record.unplannedEnds + 1,
     pid,
     reason,
     exitCode,
--- a/process/runrecord/src/runrecord.ts
+++ b/process/runrecord/src/runrecord.ts
@@ -36,7 +36,8 @@
       residentMb: 0,
       memoryLimitMb,
       reason: null,
-      exitCode: null
+      exitCode: null,
+      unplannedEnds: this.previous.unplannedEnds
     }
     this.timer = setInterval(() => this.sendHeartbeat(), heartbeatIntervalMs)
     this.timer.unref()
--- a/process/runrecord/test/runrecord.test.ts
+++ b/process/runrecord/test/runrecord.test.ts
@@ -91,6 +91,17 @@
   expect(open().previous.how).toBe(PreviousEnd.noRecord)
 })
 
+test('a start tells how many runs in a row ended other than by a stop', () => {
+  const count = (): number => open().previous.unplannedEnds
+  expect([count(), count(), count()]).toEqual([0, 1, 2])
+  open().end('disk', 1)
+  expect(count()).toBe(4)
+  const run = open()
+  run.setStopping('SIGTERM')
+  run.end('SIGTERM', 0)
+  expect([count(), count()]).toEqual([0, 1])
+})
+
 test('a record says each 5 s that the process lives, until its end', async () => {
   vi.useFakeTimers({ now: 1000, toFake: ['Date', 'setInterval', 'clearInterval'] })
   const run = open()
