Run record: a process that has ended is not taken for one that still runs

Found by reading: where the start of a process can't be read, a process that merely has the same id, or may not be signalled, was taken for the previous run, and so was a zombie that its parent hasn't reaped.

--- a/process/runrecord/src/processidentity.ts
+++ b/process/runrecord/src/processidentity.ts
@@ -10,32 +10,28 @@
 }
 
 const bootIdFile = '/proc/sys/kernel/random/boot_id'
-/// Position in /proc/PID/stat, counted from the first field after the command's name.
+/// Positions in /proc/PID/stat, counted from the first field after the command's name.
+const stateField = 0
 const startTicksField = 19
+/// An ended process whose parent hasn't taken note of its end.
+const zombieState = 'Z'
 
 export function readOwnIdentity (): ProcessIdentity {
   const { pid } = process
-  return { pid, bootId: readText(bootIdFile)?.trim() ?? null, startTicks: readStartTicks(pid) }
+  return { pid, bootId: readText(bootIdFile)?.trim() ?? null, startTicks: readStat(pid)[startTicksField] ?? null }
 }
 
-/// Whether this very process still runs, not another one to which its id was given.
+/// Whether this very process still runs, not another one to which its id was given. False where the operating system
+/// doesn't tell.
 export function isRunning ({ pid, startTicks }: ProcessIdentity): boolean {
-  if (pid === process.pid || !hasProcess(pid)) return false
-  return startTicks === readStartTicks(pid)
+  if (pid === process.pid || startTicks === null) return false
+  const stat = readStat(pid)
+  return stat[startTicksField] === startTicks && stat[stateField] !== zombieState
 }
 
-function hasProcess (pid: number): boolean {
-  try {
-    return process.kill(pid, 0)
-  } catch (error) {
-    return (error as NodeJS.ErrnoException).code === 'EPERM'
-  }
-}
-
-function readStartTicks (pid: number): string | null {
+function readStat (pid: number): string[] {
   // The name of the command stands in parentheses and may itself contain any character.
-  const fields = readText(`/proc/${pid}/stat`)?.replace(/^.*\) /s, '').split(' ')
-  return fields?.[startTicksField] ?? null
+  return readText(`/proc/${pid}/stat`)?.replace(/^.*\) /s, '').split(' ') ?? []
 }
 
 function readText (path: string): string | null {
--- a/process/runrecord/test/runrecord.test.ts
+++ b/process/runrecord/test/runrecord.test.ts
@@ -55,6 +55,8 @@
   [PreviousEnd.stillRunning, { pid: other.pid, startTicks: readStartTicks(other.pid!) }],
   // The id of the process was given to another one.
   [PreviousEnd.unknownRunning, { pid: other.pid, startTicks: '1' }],
+  // The operating system doesn't tell when a process started.
+  [PreviousEnd.unknownRunning, { pid: other.pid, startTicks: null }],
   [PreviousEnd.unreadable, { state: 'dancing' }],
   [PreviousEnd.unreadable, { pid: -1 }]
 ])('a start says %s after a run with %j', (how, changes) => {
