--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -5,11 +5,12 @@
 import type { LogLine, TimelineCall } from './lines.js'
 import { renderTimelinePage } from './page.js'
 import { formatReports, parseReports } from './report.js'
+import { findRuns, formatRuns } from './runs.js'
 import { formatStatuses, fetchStatuses } from './status.js'
 
 /// Input and output of the commands. Tests substitute a fake.
 export interface CliIo {
-  readonly readInput: () => string
+  readonly readInput: () => string | Promise<string>
   readonly write: (text: string) => void
   /// Rejects if the response status is not a success.
   readonly fetchText: (url: string) => Promise<string>
@@ -40,6 +41,8 @@
       builder => builder.positional('program', { type: 'string', demandOption: true })
         .option('html', { type: 'boolean', default: false, describe: 'print an HTML page with a chart' }),
       args => run(() => timeline(args.program, args.json, args.html, io)))
+    .command('ends', 'list the starts and ends of processes from logs on standard input', {},
+      args => run(() => ends(args.json as boolean, io)))
     .command('status <address...>', 'query processes at their metrics addresses (HOST:PORT)',
       builder => builder.positional('address', { type: 'string', array: true, demandOption: true }),
       args => run(() => status(args.address, args.json, io)))
@@ -82,20 +85,27 @@
   return writeItems(reports, isJson, days => `${formatReports(days)}\n`, 'no days found', write)
 }
 
-function explain (id: string, aroundMs: number, isJson: boolean, { readInput, write }: CliIo): ExitCode {
-  const lines = findRelatedLines(parseLogLines(readInput()), id, aroundMs)
+async function explain (id: string, aroundMs: number, isJson: boolean, { readInput, write }: CliIo): Promise<ExitCode> {
+  const lines = findRelatedLines(parseLogLines(await readInput()), id, aroundMs)
   const format = (found: readonly LogLine[]): string => found.map(line => `${formatLine(line)}\n`).join('')
   return writeItems(lines, isJson, format, `no log lines of ${id}`, write)
 }
 
-function timeline (programId: string, isJson: boolean, isHtml: boolean, { readInput, write }: CliIo): ExitCode {
-  const calls = buildTimeline(parseLogLines(readInput()), programId)
+async function timeline (
+  programId: string, isJson: boolean, isHtml: boolean, { readInput, write }: CliIo
+): Promise<ExitCode> {
+  const calls = buildTimeline(parseLogLines(await readInput()), programId)
   const format = (found: readonly TimelineCall[]): string => {
     return isHtml ? renderTimelinePage(programId, found) : `${formatTimeline(found)}\n`
   }
   return writeItems(calls, isJson, format, `no calls of program ${programId}`, write)
 }
 
+async function ends (isJson: boolean, { readInput, write }: CliIo): Promise<ExitCode> {
+  const runs = findRuns(parseLogLines(await readInput()))
+  return writeItems(runs, isJson, found => `${formatRuns(found)}\n`, 'no log lines', write)
+}
+
 /// Writes the items as JSON or formatted. Without items, writes an empty JSON array or `emptyMessage`.
 function writeItems<Item> (
   items: readonly Item[],
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -1,6 +1,7 @@
 import { serveStatus } from '#connection/front'
 import { LoopMonitor, readCpuMs } from '#process/clock'
 import { Events, ProcessLog, formatError } from '#process/log'
+import type { EventFields } from '#process/log'
 import { Metrics } from '#process/metrics'
 import { RunRecord, locateRunRecord } from '#process/runrecord'
 import { Role, SettingsFile } from '#process/settings'
@@ -37,6 +38,7 @@
   private readonly record: RunRecord
   /// Aborted with the name of the signal that asks for it.
   private readonly stopping = new AbortController()
+  private isReady = false
 
   constructor (private readonly file: SettingsFile, private readonly signals: ProcessSignals) {
     const { node } = file.settings
@@ -99,10 +101,13 @@
         '/metrics': () => ({ status: 200, text: this.metrics.toText() })
       })
     } catch (error) {
-      if (!this.stopping.signal.aborted) this.exit(1, formatError(error))
-      return
+      if (this.stopping.signal.aborted) return
+      const reason = formatError(error)
+      this.log.event(Events.startFailed, { reason })
+      this.exit(1, reason)
     }
     if (this.stopping.signal.aborted) return
+    this.isReady = true
     this.record.setReady()
     this.log.event(Events.processStarted, {
       role: node.role,
@@ -119,17 +124,26 @@
       return
     }
     stopping.abort(signal)
-    log.event(Events.processStopping, { signal, graceMs: this.file.settings.timing.stop_grace_ms })
+    const startedAtMs = performance.now()
+    log.event(Events.processStopping, {
+      signal,
+      uptimeMs: Math.round(startedAtMs),
+      wasReady: this.isReady,
+      callsInFlight: role.calls?.inFlight,
+      graceMs: this.file.settings.timing.stop_grace_ms
+    })
     this.record.setStopping(signal)
-    starting.then(() => role.stop()).then(() => this.exit(0, signal), (error: unknown) => {
+    starting.then(() => role.stop()).then(() => {
+      this.exit(0, signal, { stopMs: Math.round(performance.now() - startedAtMs), callsAborted: role.calls?.aborted })
+    }, (error: unknown) => {
       log.event(Events.unexpectedError, { where: 'stop', error: formatError(error) })
       this.exit(1, formatError(error))
     })
   }
 
-  private exit (exitCode: number, reason: string): void {
+  private exit (exitCode: number, reason: string, details: EventFields = {}): void {
     this.record.end(reason, exitCode)
-    this.log.event(Events.processStopped, { reason, exitCode })
+    this.log.event(Events.processStopped, { reason, exitCode, ...details })
     this.log.flush()
     process.exit(exitCode)
   }
--- a/process/daemon/src/entryrole.ts
+++ b/process/daemon/src/entryrole.ts
@@ -19,6 +19,7 @@
   return {
     start: () => entry.start(),
     stop: () => entry.stop(),
+    get calls () { return { inFlight: entry.drain.count, aborted: entry.drain.abortedCount } },
     reload: changed => entry.reload({ processors: countProcessors(changed), stopGraceMs: changed.timing.stop_grace_ms })
   }
 }
--- a/process/daemon/src/role.ts
+++ b/process/daemon/src/role.ts
@@ -18,6 +18,8 @@
   reload (settings: Settings): void
   /// Resolves when what is under way has ended, or shortly before the grace time ends.
   stop (): Promise<void>
+  /// Calls of its callers; absent if it has none.
+  readonly calls?: { readonly inFlight: number, readonly aborted: number }
 }
 
 export interface RoleContext {
--- a/process/entry/src/calldrain.ts
+++ b/process/entry/src/calldrain.ts
@@ -17,6 +17,8 @@
   private readonly inFlight = new Set<AbortController>()
   private startedAtMs: number | null = null
   private isAccepting = true
+  /// Calls that the stop did not wait for.
+  abortedCount = 0
 
   constructor (public graceMs: number) {}
 
@@ -60,6 +62,7 @@
   /// that are left have been aborted.
   async waitForEnd (countOthers: () => number): Promise<void> {
     while (this.count + countOthers() > 0 && this.remainingMs > 0) await sleep(pollIntervalMs)
+    this.abortedCount = this.count
     for (const controller of this.inFlight) controller.abort(AbortReason.stopping)
   }
 
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -22,6 +22,7 @@
   settingsPending: { number: 109, name: 'settings-pending', level: 'warn', maxLinesPerSecond: 5 },
   previousRunEnded: { number: 110, name: 'previous-run-ended', level: 'info', maxLinesPerSecond: 5 },
   signalIgnored: { number: 111, name: 'signal-ignored', level: 'warn', maxLinesPerSecond: 5 },
+  startFailed: { number: 112, name: 'start-failed', level: 'error', maxLinesPerSecond: 5 },
   configurationApplied: { number: 200, name: 'configuration-applied', level: 'info', maxLinesPerSecond: 10 },
   configurationRejected: { number: 201, name: 'configuration-rejected', level: 'error', maxLinesPerSecond: 5 },
   viewAdopted: { number: 300, name: 'view-adopted', level: 'info', maxLinesPerSecond: 10 },
