--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -65,7 +65,11 @@
 
   constructor (private readonly options: SystemOptions) {}
 
+  /// The processes don't outlive the one that started them.
+  private readonly killAll = (): void => { for (const node of this.nodes) node.process.kill('SIGKILL') }
+
   async start (): Promise<void> {
+    process.once('exit', this.killAll)
     this.folder = await mkdtemp(join(tmpdir(), 'chicorynotch-'))
     this.storeAddress = await this.store.listen()
     this.store.put('config', 'main', createConfiguration(1, this.options.idleRoutes))
@@ -101,6 +105,7 @@
 
   async stop (signal: 'SIGKILL' | 'SIGTERM' = 'SIGKILL'): Promise<void> {
     await Promise.all(this.nodes.map(node => terminate(node.process, signal)))
+    process.off('exit', this.killAll)
     this.store.close()
     for (const upstream of [...this.engines, ...this.services]) upstream.close()
     await rm(this.folder, { recursive: true, force: true })
