Relay: a drained connection is read once more, and its next call served here

Callers on kept connections saw requests end without an answer, up to 0.9 s after they were sent, at a change of the configuration or at a stop.

Cause: an entry that drains a relayed connection stopped reading from its caller as soon as no request was under way, sent the other entry its end, and closed the caller's connection when that one had closed. A request that had arrived by then stayed unread: while this process had been busy, or while the other one was. Besides, connections that were accepted between the drain of a stop and the close of the listener were relayed, drained by nobody, and reset at the end of the grace time.

Three new tests of process/entry/test/relay.test.ts failed before: the call that had arrived got no response, drained and at a stop; a connection of a stop was relayed.

Why it works: the relaying entry follows responses as it does requests, so it knows when all calls are answered. It then reads the caller's connection once more and closes it at once, or, with a call on it, serves it itself. Responses whose end isn't known (to HEAD, without a length) keep it waiting for the other entry's close, as before. After the stop has begun, no connection is relayed.

--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -182,7 +182,7 @@
     const { drain, peers } = this
     await drain.start()
     const closing = Promise.all([this.front.close(), peers.closeFront()])
-    peers.relay.drain()
+    peers.relay.stop()
     await drain.waitForEnd(() => peers.relay.count)
     await Promise.race([closing, sleep(drain.remainingMs)])
     for (const stop of this.stopCallbacks) stop()
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -189,6 +189,25 @@
     await vi.waitFor(() => expect(countResponses(client)).toBe(1))
   })
 
+  // Guards against requests without a response: a change of the configuration or a stop closed the connection unread.
+  test.each([
+    ['drained', () => busy.relay.drain()],
+    ['at a stop', () => busy.relay.stop()]
+  ])('%s when the next call has arrived and is not read yet: the call is served here', async (_, drain) => {
+    const client = connectClient()
+    await callOn(client)
+    client.socket.write(formatCall('/charge/1', 'a2'))
+    drain()
+    await vi.waitFor(() => expect(countResponses(client)).toBe(2))
+    expect([countExecutions(), busy.relay.count]).toEqual([[1, 1], 0])
+  })
+
+  test('at a stop: a connection that is accepted meanwhile is served here', async () => {
+    busy.relay.stop()
+    await callOn(connectClient())
+    expect(countExecutions()).toEqual([1, 0])
+  })
+
   test('drained while no call is under way: the connection closes soon', async () => {
     const client = connectClient()
     await callOn(client)
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -18,6 +18,7 @@
 /// connection are served there.
 export class ConnectionRelay {
   private readonly connections = new Set<RelayedConnection>()
+  private isStopping = false
 
   constructor (
     private readonly options: ConnectionRelayOptions,
@@ -37,6 +38,7 @@
 
   /// Relays the connection, or calls `serve` if it should be served here.
   offer (caller: Socket, serve: () => void): void {
+    if (this.isStopping) return serve()
     const { directory, serviceTime, getConfigVersion } = this.options
     const key = `${caller.remoteAddress}:${caller.remotePort}`
     const entry = directory.choose({ id: key, configVersion: getConfigVersion() }, serviceTime.expectedMs)
@@ -44,6 +46,12 @@
     else this.relay(caller, entry, serve)
   }
 
+  /// Relays no further connections, and drains those that it has.
+  stop (): void {
+    this.isStopping = true
+    this.drain()
+  }
+
   /// Ends the connections once their calls in flight have ended.
   drain (): void {
     for (const connection of [...this.connections]) connection.drain()
@@ -73,7 +81,7 @@
         directory.recordFailure(entry)
         serve()
       },
-      onCancelled: serve,
+      onReturned: serve,
       onEnd: reason => {
         this.connections.delete(connection)
         if (reason === null) return
--- /dev/null
+++ b/process/relay/src/messagetracker.ts
@@ -0,0 +1,101 @@
+const lineFeed = 0x0a
+const headEnd = '\r\n\r\n'
+/// A head or line that is longer is no request that the other entry accepts.
+const maxTextBytes = 64 * 1024
+
+/// What the next bytes of a connection belong to.
+const Part = { head: 'head', body: 'body', chunkSize: 'chunk-size', chunk: 'chunk', trailer: 'trailer' } as const
+
+type Part = typeof Part[keyof typeof Part]
+
+/// Follows the messages in the bytes of one direction of a connection (RFC 9112). They are checked where they are
+/// served.
+export abstract class MessageTracker {
+  /// Messages whose head is complete.
+  protected begun = 0
+  private part: Part = Part.head
+  /// Of the body or chunk.
+  private remainingBytes = 0
+  /// The part of a head or line that has been received.
+  private text = ''
+
+  /// Whether all messages that have begun are complete.
+  get isBetweenMessages (): boolean {
+    return this.part === Part.head && this.text.trim() === ''
+  }
+
+  /// Messages that are complete.
+  get count (): number {
+    return this.part === Part.head ? this.begun : this.begun - 1
+  }
+
+  /// Called with each head. Returns the length of a body without chunks.
+  protected abstract readHead (head: string): number
+
+  add (bytes: Buffer): void {
+    for (let at = 0; at < bytes.length;) at = this.addByPart[this.part](bytes, at)
+  }
+
+  /// Each adds bytes from `at` on and returns where the next part begins.
+  private readonly addByPart: Readonly<Record<Part, (bytes: Buffer, at: number) => number>> = {
+    [Part.head]: (bytes, at) => this.addHead(bytes, at),
+    [Part.body]: (bytes, at) => this.skip(bytes, at, Part.head),
+    [Part.chunkSize]: (bytes, at) => this.addLine(bytes, at, line => this.startChunk(line)),
+    [Part.chunk]: (bytes, at) => this.skip(bytes, at, Part.chunkSize),
+    [Part.trailer]: (bytes, at) => this.addLine(bytes, at, line => { if (line.trim() === '') this.part = Part.head })
+  }
+
+  private addHead (bytes: Buffer, at: number): number {
+    const length = this.text.length
+    this.text = (length === 0 ? '' : this.text) + bytes.toString('latin1', at)
+    const end = this.text.indexOf(headEnd, Math.max(0, length - headEnd.length))
+    if (end < 0) {
+      if (this.text.length > maxTextBytes) this.text = this.text.slice(-headEnd.length)
+      return bytes.length
+    }
+    const head = this.text.slice(0, end + 2)
+    this.text = ''
+    this.startBody(head)
+    return at + end + headEnd.length - length
+  }
+
+  private startBody (head: string): void {
+    this.begun++
+    this.remainingBytes = this.readHead(head)
+    if (/^transfer-encoding:/im.test(head)) this.part = Part.chunkSize
+    else if (this.remainingBytes > 0) this.part = Part.body
+  }
+
+  private startChunk (line: string): void {
+    const size = Number.parseInt(line, 16)
+    this.part = size > 0 ? Part.chunk : Part.trailer
+    // With the line break at its end.
+    this.remainingBytes = size + 2
+  }
+
+  private skip (bytes: Buffer, at: number, next: Part): number {
+    const count = Math.min(this.remainingBytes, bytes.length - at)
+    this.remainingBytes -= count
+    if (this.remainingBytes === 0) this.part = next
+    return at + count
+  }
+
+  private addLine (bytes: Buffer, at: number, handle: (line: string) => void): number {
+    const end = bytes.indexOf(lineFeed, at)
+    this.text += bytes.toString('latin1', at, end < 0 ? bytes.length : end)
+    if (end < 0) {
+      this.text = this.text.slice(0, maxTextBytes)
+      return bytes.length
+    }
+    const line = this.text
+    this.text = ''
+    handle(line)
+    return end + 1
+  }
+}
+
+/// Returns the value of the header field, null without one.
+export function findContentLength (head: string): number | null {
+  const length = /^content-length:[ \t]*(\d+)/im.exec(head)?.[1]
+  return length === undefined ? null : Number(length)
+}
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -5,6 +5,7 @@
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
 import { RequestTracker } from './requesttracker.js'
+import { ResponseTracker } from './responsetracker.js'
 
 export interface RelayedConnectionOptions {
   readonly caller: Socket
@@ -14,8 +15,9 @@
   readonly onChunk: () => void
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
   readonly onUnreachable: (reason: string) => void
-  /// Called if the connection was drained before the other entry was reached; nothing has been read then, either.
-  readonly onCancelled: () => void
+  /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
+  /// answered all that it was sent. What the caller has sent since can be read from the connection.
+  readonly onReturned: () => void
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
 }
@@ -31,7 +33,10 @@
   private isConnected = false
   private isEnded = false
   private isDraining = false
+  /// It ends as soon as what has arrived is read.
+  private isLeaving = false
   private readonly requests = new RequestTracker()
+  private readonly responses = new ResponseTracker()
 
   constructor (private readonly options: RelayedConnectionOptions) {
     const { caller, entry } = options
@@ -45,13 +50,13 @@
     caller.on('close', this.onCallerGone)
   }
 
-  /// Ends the connection once the calls in flight have ended: the other entry gets no further ones, answers those that
-  /// it has, and closes.
-  drain (): void {
+  /// Ends the connection once the calls in flight have ended: the other entry gets no further ones. A call that has
+  /// arrived by then is served here.
+  readonly drain = (): void => {
     if (this.isDraining) return
     this.isDraining = true
-    if (this.isConnected) this.endBetweenRequests()
-    else this.cancel()
+    if (this.isConnected) this.leaveBetweenRequests()
+    else this.giveBack()
   }
 
   /// Breaks the connection, so that the caller can't take a response for complete that isn't.
@@ -62,51 +67,82 @@
     this.finish(reason)
   }
 
-  /// Before the other entry is connected, nothing of the caller's bytes has been read.
-  private cancel (): void {
+  /// Whether the other entry has answered all that it was sent.
+  private get isIdle (): boolean {
+    return this.requests.isBetweenMessages && this.requests.count === this.responses.count
+  }
+
+  /// Has the connection served here. `chunk` has been read from it, and not been passed on.
+  private giveBack (chunk: Buffer | null = null): void {
+    const { caller, onReturned } = this.options
     if (this.isEnded) return
     this.finish(null)
     this.peer.destroy()
-    this.options.onCancelled()
+    if (chunk !== null) caller.unshift(chunk)
+    onReturned()
+    caller.resume()
   }
 
   private start (): void {
-    const { caller, entry, origin, onChunk } = this.options
+    const { caller, entry, origin } = this.options
     const { peer } = this
     clearTimeout(this.connectTimer)
     this.isConnected = true
     entry.onSilence.add(this.onSilence)
     peer.write(formatOrigin(origin))
-    caller.on('data', (chunk: Buffer) => {
-      onChunk()
-      this.requests.add(chunk)
-      if (!peer.write(chunk)) caller.pause()
-      if (this.isDraining) this.endBetweenRequests()
-    })
-    caller.on('drain', () => peer.resume())
+    caller.on('data', this.onCallerData)
+    caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
     peer.on('drain', () => { if (!peer.writableEnded) caller.resume() })
     // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then,
     // as after an end on both sides.
     peer.on('end', () => {
-      if (peer.remoteAddress === undefined && !this.isDraining) this.abort('the entry reset the connection')
+      if (this.isIdle) this.endAfterReading()
+      else if (peer.remoteAddress === undefined && !this.isDraining) this.abort('the entry reset the connection')
       else this.endCaller()
     })
   }
 
+  private readonly onCallerData = (chunk: Buffer): void => {
+    const { caller, onChunk } = this.options
+    if (this.isDraining && this.isIdle) return this.giveBack(chunk)
+    onChunk()
+    this.requests.add(chunk)
+    if (!this.peer.write(chunk)) caller.pause()
+    if (this.isDraining) this.leaveBetweenRequests()
+  }
+
+  private readonly onCallerDrain = (): void => { this.peer.resume() }
+
   /// Returns whether to read on.
   private readonly onPeerData = (length: number): boolean => {
     this.options.onChunk()
-    return this.options.caller.write(Buffer.from(readBuffer.subarray(0, length)))
+    const chunk = Buffer.from(readBuffer.subarray(0, length))
+    this.responses.add(chunk)
+    const readsOn = this.options.caller.write(chunk)
+    if (this.isDraining) this.leaveBetweenRequests()
+    return readsOn
   }
 
   /// Within a request, its rest ends the connection.
-  private endBetweenRequests (): void {
-    if (this.isEnded || this.peer.writableEnded || !this.requests.isBetweenRequests) return
+  private leaveBetweenRequests (): void {
+    if (this.isEnded || !this.requests.isBetweenMessages) return
+    if (this.isIdle) return this.endAfterReading()
+    if (this.peer.writableEnded) return
     this.options.caller.pause()
     this.peer.end()
   }
 
+  /// Ends the connection unless the caller has sent another request: if this process was busy, it may have waited.
+  private endAfterReading (): void {
+    if (this.isLeaving) return
+    this.isDraining = true
+    this.isLeaving = true
+    this.options.caller.resume()
+    // What has arrived is read by the end of the next event loop iteration.
+    setImmediate(() => setImmediate(() => { if (!this.isEnded) this.endCaller() }))
+  }
+
   private endCaller (): void {
     const { caller } = this.options
     this.finish(null)
@@ -127,7 +163,7 @@
 
   private handlePeerError (reason: string): void {
     if (this.isEnded) return
-    if (this.isConnected) return this.abort(reason)
+    if (this.isConnected) return this.isIdle ? this.endAfterReading() : this.abort(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
   }
@@ -137,8 +173,9 @@
     this.isEnded = true
     clearTimeout(this.connectTimer)
     entry.onSilence.delete(this.onSilence)
-    caller.off('error', this.onCallerGone)
-    caller.off('close', this.onCallerGone)
+    caller.off('data', this.onCallerData)
+    caller.off('drain', this.onCallerDrain)
+    for (const event of ['end', 'error', 'close']) caller.off(event, this.onCallerGone)
     // An error after the end has no meaning.
     caller.on('error', ignoreError)
     onEnd(reason)
--- /dev/null
+++ b/process/relay/src/responsetracker.ts
@@ -0,0 +1,16 @@
+import { MessageTracker, findContentLength } from './messagetracker.js'
+
+const statusNoContent = 204
+const statusNotModified = 304
+
+/// Follows the responses in the bytes of an entry's connection, to know how many are complete.
+export class ResponseTracker extends MessageTracker {
+  protected override readHead (head: string): number {
+    const status = Number(head.split(' ', 2)[1])
+    // The response follows.
+    if (status < 200) this.begun--
+    if (status < 200 || status === statusNoContent || status === statusNotModified) return 0
+    // Without a length it ends with the connection.
+    return findContentLength(head) ?? Infinity
+  }
+}
--- a/process/relay/test/requesttracker.test.ts
+++ b/process/relay/test/requesttracker.test.ts
@@ -17,12 +17,12 @@
     const ends = new Set<number>()
     for (let at = 0, i = 0; i < texts.length; i++) ends.add(at += texts[i]!.length)
     const tracker = new RequestTracker()
-    expect(tracker.isBetweenRequests).toBe(true)
+    expect(tracker.isBetweenMessages).toBe(true)
     for (let at = 0, i = 0; at < bytes.length; i++) {
       const next = Math.min(bytes.length, at + (sizes[i % Math.max(1, sizes.length)] ?? 7))
       tracker.add(bytes.subarray(at, next))
       at = next
-      expect(tracker.isBetweenRequests).toBe(ends.has(at))
+      expect(tracker.isBetweenMessages).toBe(ends.has(at))
     }
   }), { numRuns: 500 })
 })
@@ -30,6 +30,6 @@
 test('bytes that are no request take bounded memory, and are no end of one', () => {
   const tracker = new RequestTracker()
   for (let i = 0; i < 100; i++) tracker.add(Buffer.alloc(100_000, 'x'))
-  expect(tracker.isBetweenRequests).toBe(false)
+  expect(tracker.isBetweenMessages).toBe(false)
   expect(JSON.stringify(tracker).length).toBeLessThan(200_000)
 })
