Relay: calls under way outlast a time in which the other entry is silent

Callers saw several calls at once end without an answer, on kept connections, after an instance had run them: rule LOST, and not beside any planned work.

Cause: an entry that left four queries for its load unanswered, 1.2 s of silence, counted as gone, and all connections that were relayed to it were reset. One that doesn't get the processor for so long, as on a busy machine, is silent too, and goes on with its calls.

"silent for a while, with a call under way" of process/entry/test/relay.test.ts failed before (no response) and passes now.

Why it works: after four queries the connections are drained, so that callers without a call under way leave at once. The calls under way are broken only after ten, 3.6 s: by then most have reached their own deadlines.

--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -202,6 +202,16 @@
     expect([countExecutions(), busy.relay.count]).toEqual([[1, 1], 0])
   })
 
+  // Guards against LOST: calls were cut at an entry that had not got the processor for a second and went on with them.
+  test('silent for a while, with a call under way: the call gets its response', async () => {
+    upstreams[3]!.fault = UpstreamFault.late
+    const client = connectClient()
+    client.socket.write(formatCall('/charge/1', 'a1'))
+    await vi.waitFor(() => expect(countExecutions()).toEqual([0, 1]))
+    for (let i = 0; i < 6; i++) busy.directory.tick(busyMs, 1)
+    await vi.waitFor(() => expect(countResponses(client)).toBe(1), { timeout: 2000 })
+  })
+
   test('at a stop: a connection that is accepted meanwhile is served here', async () => {
     busy.relay.stop()
     await callOn(connectClient())
--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -26,6 +26,8 @@
   avoidUntilMs: number
   /// Called when the entry has fallen silent, for each connection that is relayed to it.
   readonly onSilence: Set<() => void>
+  /// The same when it has been silent for so long that it answers no call any more.
+  readonly onLoss: Set<() => void>
 }
 
 /// What the choice for a connection depends on.
@@ -37,6 +39,8 @@
 
 /// An entry that has left as many queries unanswered has fallen silent.
 const maxUnansweredQueries = 4
+/// An entry that doesn't get the processor for seconds goes on with its calls afterwards.
+const maxUnansweredQueriesOfCalls = 10
 /// Connections are relayed by reports up to this age.
 const maxAgeTicks = 8
 /// Age from which a report is asked for again, for entries that are better than this one and for the others.
@@ -114,7 +118,8 @@
       ageTicks: Infinity,
       unansweredQueries: 0,
       avoidUntilMs: 0,
-      onSilence: new Set()
+      onSilence: new Set(),
+      onLoss: new Set()
     })
     this.log.event(Events.entryListed, { entry: name, address: registration.address, zone: registration.zone })
   }
@@ -235,6 +240,7 @@
 
   private countQuery (entry: OtherEntry): void {
     entry.unansweredQueries++
+    if (entry.unansweredQueries === maxUnansweredQueriesOfCalls) for (const onLoss of [...entry.onLoss]) onLoss()
     if (entry.unansweredQueries !== maxUnansweredQueries) return
     this.log.event(Events.entrySilent, { entry: entry.registration.name, relayed: entry.onSilence.size })
     for (const onSilence of [...entry.onSilence]) onSilence()
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -88,7 +88,8 @@
     const { peer } = this
     clearTimeout(this.connectTimer)
     this.isConnected = true
-    entry.onSilence.add(this.onSilence)
+    entry.onSilence.add(this.drain)
+    entry.onLoss.add(this.onLoss)
     peer.write(formatOrigin(origin))
     caller.on('data', this.onCallerData)
     caller.on('drain', this.onCallerDrain)
@@ -159,7 +160,7 @@
     this.options.caller.destroy()
   }
 
-  private readonly onSilence = (): void => this.abort('the entry has fallen silent')
+  private readonly onLoss = (): void => this.abort('the entry has fallen silent')
 
   private handlePeerError (reason: string): void {
     if (this.isEnded) return
@@ -172,7 +173,8 @@
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
     clearTimeout(this.connectTimer)
-    entry.onSilence.delete(this.onSilence)
+    entry.onSilence.delete(this.drain)
+    entry.onLoss.delete(this.onLoss)
     caller.off('data', this.onCallerData)
     caller.off('drain', this.onCallerDrain)
     for (const event of ['end', 'error', 'close']) caller.off(event, this.onCallerGone)
