Ledger: a start reads no more of a large disk than is in use

Cause: a start read each segment into a buffer of its own, decoded all records with their contents, and kept them all until the first compaction, 5 s later, also those that had expired long before. Up to 8 segments of 8 MiB are kept anyway, more under load, since one is compacted each 5 s.

Now all segments are read into one buffer. Of each record only the head is decoded first; those that have expired by themselves are left out, and their place is remembered if they are turns. What a later turn of a chain still needs, wherever it is stored, is read from there.

--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -20,7 +20,7 @@
   async start (): Promise<void> {
     if (this.isStopping) return
     const { settings: { node, listen, storage }, platform, log, metrics, fail } = this.context
-    const { disk, contents } = Disk.open(storage!.data_dir, log)
+    const { disk, contents } = Disk.open(storage!.data_dir, log, Date.now())
     this.stopCallbacks.push(() => disk.close())
     const ledger = new Ledger(disk, contents)
     // After a failed write the contents of the disk are unknown; the next start reads them again.
--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -3,14 +3,17 @@
   closeSync, fdatasyncSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync, unlinkSync, writeSync
 } from 'node:fs'
 import { join } from 'node:path'
-import { crc32 } from 'node:zlib'
-import { LedgerRecord } from '#connection/rpc'
+import type { LedgerRecord } from '#connection/rpc'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
+import { encodeFrame } from './frames.js'
+import { SegmentReader } from './segmentreader.js'
+import type { SegmentRecord } from './segmentreader.js'
 
 /// The contents of a disk when it was opened.
 export interface DiskContents {
-  readonly records: readonly { readonly record: LedgerRecord, readonly segment: number }[]
+  /// Without those that had expired.
+  readonly records: readonly SegmentRecord[]
   /// The disk held neither records nor a valid disk id.
   readonly wasEmpty: boolean
 }
@@ -22,8 +25,6 @@
 
 const identityFileName = 'identity'
 const segmentPattern = /^segment-(\d{8})$/
-const frameHeaderBytes = 8
-const maxRecordBytes = 64 * 1024 * 1024
 /// A new segment starts once the current one is larger than this.
 const segmentRolloverBytes = 8 * 1024 * 1024
 
@@ -41,23 +42,26 @@
 
   private constructor (private readonly folder: string, readonly diskId: string, private readonly log: EventLog) {}
 
-  /// Opens a data folder, creates it if needed, and reads its records. Appends go
-  /// to a new segment, so that no record follows a torn write.
-  static open (folder: string, log: EventLog): { disk: Disk, contents: DiskContents } {
+  /// Opens a data folder, creates it if needed, and reads the records that have not expired at `nowMs` of the wall
+  /// clock, or that one of these needs. Appends go to a new segment, so that no record follows a torn write.
+  static open (folder: string, log: EventLog, nowMs = 0): { disk: Disk, contents: DiskContents } {
     mkdirSync(folder, { recursive: true })
     const names = readdirSync(folder)
     const existingDiskId = names.includes(identityFileName) ? readIdentity(folder) : null
     const disk = new Disk(folder, existingDiskId ?? writeIdentity(folder), log)
-    const records = disk.readSegments(names)
+    const reader = new SegmentReader(nowMs)
+    disk.readSegments(names, reader)
+    const records = reader.takeRecords()
     disk.startSegment()
     const { diskId, segments } = disk
     log.event(Events.diskOpened, {
       diskId,
       records: records.length,
+      expired: reader.recordCount - records.length,
       segments: segments.length - 1,
       isNew: existingDiskId === null
     })
-    return { disk, contents: { records, wasEmpty: existingDiskId === null && records.length === 0 } }
+    return { disk, contents: { records, wasEmpty: existingDiskId === null && reader.recordCount === 0 } }
   }
 
   get segmentCount (): number {
@@ -127,19 +131,13 @@
     this.segments.push(number)
   }
 
-  private readSegments (names: readonly string[]): { record: LedgerRecord, segment: number }[] {
-    const found: { record: LedgerRecord, segment: number }[] = []
+  private readSegments (names: readonly string[], reader: SegmentReader): void {
     this.segments = names.flatMap(name => segmentPattern.exec(name)?.[1] ?? []).map(Number).sort((a, b) => a - b)
     for (const segment of this.segments) {
-      const bytes = readFileSync(join(this.folder, formatSegmentName(segment)))
-      const { records, validBytes } = decodeFrames(bytes)
-      for (const record of records) found.push({ record, segment })
-      if (validBytes < bytes.length) {
-        this.log.event(Events.diskTailDropped, { segment, validBytes, bytes: bytes.length })
-      }
+      const { validBytes, bytes } = reader.read(join(this.folder, formatSegmentName(segment)), segment)
+      if (validBytes < bytes) this.log.event(Events.diskTailDropped, { segment, validBytes, bytes })
     }
     this.syncLatestSegment()
-    return found
   }
 
   /// The process that wrote it may have been killed before its last sync. Those before it were synced at earlier
@@ -172,31 +170,6 @@
   return { frames: [], synced, resolve, reject }
 }
 
-/// Encodes a record as stored on disk: length and CRC-32, 4 bytes each, then the protobuf message.
-export function encodeFrame (record: LedgerRecord): [Buffer, Buffer] {
-  const body = Buffer.from(LedgerRecord.encode(record).finish())
-  const header = Buffer.allocUnsafe(frameHeaderBytes)
-  header.writeUInt32LE(body.length, 0)
-  header.writeUInt32LE(crc32(body), 4)
-  return [header, body]
-}
-
-/// Decodes the records before the first torn or corrupt frame. `validBytes` is their encoded size.
-export function decodeFrames (bytes: Buffer): { records: LedgerRecord[], validBytes: number } {
-  const records: LedgerRecord[] = []
-  let offset = 0
-  while (offset + frameHeaderBytes <= bytes.length) {
-    const length = bytes.readUInt32LE(offset)
-    const end = offset + frameHeaderBytes + length
-    if (length === 0 || length > maxRecordBytes || end > bytes.length) break
-    const body = bytes.subarray(offset + frameHeaderBytes, end)
-    if (crc32(body) !== bytes.readUInt32LE(offset + 4)) break
-    records.push(LedgerRecord.decode(body))
-    offset = end
-  }
-  return { records, validBytes: offset }
-}
-
 function formatSegmentName (number: number): string {
   return `segment-${String(number).padStart(8, '0')}`
 }
--- a/process/ledger/src/index.ts
+++ b/process/ledger/src/index.ts
@@ -1,5 +1,6 @@
-export { Disk, DiskClosedError, encodeFrame, decodeFrames } from './disk.js'
+export { Disk, DiskClosedError } from './disk.js'
 export type { DiskContents } from './disk.js'
+export { encodeFrame, decodeFrames } from './frames.js'
 export { Ledger } from './ledger.js'
 export { RecordKind } from '#connection/rpc'
 export { RecordIndex, recordKey, mergeAccountEntries } from './records.js'
--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -36,13 +36,13 @@
   add (record: LedgerRecord, segment = -1): IndexedRecord | null {
     const key = recordKey(record)
     if (this.byKey.has(key)) return null
-    const ownExpiryMs = record.recordedAtMs + record.retentionMs + retentionMarginMs
-    const indexed = { record, segment, expiresAtMs: Math.max(ownExpiryMs, this.absentTurnExpiryMs.get(key) ?? 0) }
+    const expiresAtMs = Math.max(getOwnExpiryMs(record), this.absentTurnExpiryMs.get(key) ?? 0)
+    const indexed = { record, segment, expiresAtMs }
     this.absentTurnExpiryMs.delete(key)
     this.byKey.set(key, indexed)
     this.arrivalKeys.push(key)
     this.addToAccount(record)
-    if (record.kind === RecordKind.turn) this.extendRetention(record.previousId, indexed.expiresAtMs)
+    if (record.kind === RecordKind.turn) this.extendRetention(record.previousId, expiresAtMs)
     return indexed
   }
 
@@ -79,7 +79,7 @@
     const keptKeys: string[] = []
     for (const key of this.arrivalKeys) {
       const indexed = this.byKey.get(key)!
-      if (indexed.record.recordedAtMs + indexed.record.retentionMs + retentionMarginMs > nowMs) break
+      if (getOwnExpiryMs(indexed.record) > nowMs) break
       scanned++
       if (indexed.expiresAtMs > nowMs) {
         keptKeys.push(key)
@@ -133,6 +133,11 @@
   }
 }
 
+/// When a record expires that no other one needs.
+export function getOwnExpiryMs ({ recordedAtMs, retentionMs }: LedgerRecord): number {
+  return recordedAtMs + retentionMs + retentionMarginMs
+}
+
 export function recordKey (record: LedgerRecord): string {
   return `${record.kind}/${record.id}`
 }
--- /dev/null
+++ b/process/ledger/src/segmentreader.ts
@@ -0,0 +1,117 @@
+import { closeSync, fstatSync, openSync, readSync } from 'node:fs'
+import { BinaryReader } from '@bufbuild/protobuf/wire'
+import { LedgerRecord, RecordKind } from '#connection/rpc'
+import { scanFrames } from './frames.js'
+import { getOwnExpiryMs } from './records.js'
+
+/// A record and the number of the segment that holds it.
+export interface SegmentRecord {
+  readonly record: LedgerRecord
+  readonly segment: number
+}
+
+/// Where the message of a record is stored.
+interface Place {
+  readonly path: string
+  readonly segment: number
+  readonly offset: number
+  readonly bytes: number
+}
+
+const noBytes = new Uint8Array()
+
+/// Leaves out the contents of fields of bytes.
+class HeadReader extends BinaryReader {
+  override bytes (): Uint8Array<ArrayBuffer> {
+    this.skip(lengthDelimited)
+    return noBytes
+  }
+}
+
+const lengthDelimited = 2
+
+/// Reads segments, from the oldest one to the newest, into as little memory as the records need that are still in use:
+/// those that have not expired, and the earlier turns of their chains.
+export class SegmentReader {
+  private buffer = Buffer.alloc(0)
+  private readonly current: SegmentRecord[] = []
+  /// By their id.
+  private readonly expiredTurns = new Map<string, Place>()
+  private count = 0
+
+  /// Records expire by the wall clock.
+  constructor (private readonly nowMs: number) {}
+
+  /// How many records were read, also those that have expired.
+  get recordCount (): number {
+    return this.count
+  }
+
+  /// Reads the records before the first torn or corrupt frame. `validBytes` is their encoded size.
+  read (path: string, segment: number): { validBytes: number, bytes: number } {
+    const contents = this.load(path)
+    const validBytes = scanFrames(contents, (body, offset) => {
+      this.count++
+      const head = LedgerRecord.decode(new HeadReader(body))
+      const { id, kind } = head
+      if (getOwnExpiryMs(head) > this.nowMs) this.current.push({ record: LedgerRecord.decode(body), segment })
+      else if (kind === RecordKind.turn) this.expiredTurns.set(id, { path, segment, offset, bytes: body.length })
+    })
+    return { validBytes, bytes: contents.length }
+  }
+
+  /// The records that are still in use.
+  takeRecords (): SegmentRecord[] {
+    return [...this.readEarlierTurns(), ...this.current]
+  }
+
+  /// Oldest first in each chain.
+  private readEarlierTurns (): SegmentRecord[] {
+    const earlier: SegmentRecord[] = []
+    for (const { record } of this.current) {
+      for (let id = record.previousId; ;) {
+        const place = this.expiredTurns.get(id)
+        if (place === undefined) break
+        this.expiredTurns.delete(id)
+        const turn = readRecord(place)
+        earlier.push({ record: turn, segment: place.segment })
+        id = turn.previousId
+      }
+    }
+    return earlier.reverse()
+  }
+
+  /// Returns the contents of a file until the next one is loaded.
+  private load (path: string): Buffer {
+    const file = openSync(path, 'r')
+    try {
+      const { size } = fstatSync(file)
+      if (this.buffer.length < size) this.buffer = Buffer.allocUnsafeSlow(size)
+      return this.buffer.subarray(0, readFully(file, this.buffer.subarray(0, size), 0))
+    } finally {
+      closeSync(file)
+    }
+  }
+}
+
+function readRecord ({ path, offset, bytes }: Place): LedgerRecord {
+  const file = openSync(path, 'r')
+  try {
+    const body = Buffer.allocUnsafeSlow(bytes)
+    readFully(file, body, offset)
+    return LedgerRecord.decode(body)
+  } finally {
+    closeSync(file)
+  }
+}
+
+/// Returns how many bytes there were, at most as many as `target` holds.
+function readFully (file: number, target: Buffer, position: number): number {
+  let filled = 0
+  while (filled < target.length) {
+    const count = readSync(file, target, filled, target.length - filled, position + filled)
+    if (count === 0) break
+    filled += count
+  }
+  return filled
+}
