Launcher: V8 gets no code cache that is damaged or made for another build or machine

What callers saw: with a damaged target/daemon.cjs.cache every start of an entry or a storage instance ended by SIGSEGV, with no line in any log, at each restart until the next build.

Cause: V8 trusts the contents of a code cache. A release build of it checks no checksum, and of the source only the length; the launcher checked nothing, and the build wrote the file in place, so that a start beside a build, or a build that was cut off, met half a file.

Fix: the file begins with a header: lengths and checksums of the bundle and the cache, Node's and V8's version, platform and architecture. If anything differs the bundle is compiled as usual, and the daemon logs code-cache-unused (120) with what differed, also if V8 rejects the cache.

--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -1,5 +1,6 @@
 import { serveStatus } from '#connection/front'
 import { LoopMonitor, readCpuMs } from '#process/clock'
+import { getLaunchReport } from '#process/launcher'
 import { Events, ProcessLog, formatError } from '#process/log'
 import type { EventFields } from '#process/log'
 import { Metrics } from '#process/metrics'
@@ -72,6 +73,8 @@
 
   private observeProcess (): void {
     const { log, metrics, record } = this
+    const { codeCacheProblem = null } = getLaunchReport() ?? {}
+    if (codeCacheProblem !== null) log.event(Events.codeCacheUnused, { reason: codeCacheProblem })
     log.event(Events.previousRunEnded, { ...record.previous })
     metrics.addGauge(`previous_run{how="${record.previous.how}"}`, () => 1)
     metrics.addGauge('cpu_ms_total', () => Math.round(readCpuMs()))
--- /dev/null
+++ b/process/launcher/src/index.ts
@@ -0,0 +1,2 @@
+export { getLaunchReport, setLaunchReport } from './launchreport.js'
+export type { LaunchReport } from './launchreport.js'
--- a/process/launcher/src/launcher.ts
+++ b/process/launcher/src/launcher.ts
@@ -1,8 +1,11 @@
-import { readFileSync, writeFileSync } from 'node:fs'
+import { readFileSync } from 'node:fs'
 import { createRequire, wrap } from 'node:module'
 import { dirname, join } from 'node:path'
 import { Script } from 'node:vm'
 import { getProcessSignals } from '#process/signals'
+import { readCodeCache, writeCodeCache } from './codecache.js'
+import type { CodeCache } from './codecache.js'
+import { setLaunchReport } from './launchreport.js'
 
 // Before the bundle is read: a signal must not end the process while it starts.
 getProcessSignals()
@@ -19,22 +22,27 @@
 /// restart after a kill. Without a usable cache the bundle is compiled as usual.
 export function launch (bundleFile: string): void {
   const cacheFile = `${bundleFile}.cache`
+  const bundle = readFileSync(bundleFile)
   const isCreatingCache = process.argv.includes(createCacheFlag)
-  const cachedData = isCreatingCache ? undefined : readCache(cacheFile)
-  const script = new Script(wrap(readFileSync(bundleFile, 'utf8')), { filename: bundleFile, ...cachedData })
+  const script = compile(bundleFile, bundle, isCreatingCache ? null : readCodeCache(cacheFile, bundle))
   const module = { exports: {} }
   const run = script.runInThisContext() as ModuleWrapper
   run(module.exports, createRequire(bundleFile), module, bundleFile, dirname(bundleFile))
-  if (isCreatingCache) setTimeout(() => writeFileSync(cacheFile, script.createCachedData()), cacheCreationDelayMs)
+  if (isCreatingCache) {
+    setTimeout(() => writeCodeCache(cacheFile, bundle, script.createCachedData()), cacheCreationDelayMs)
+  }
 }
 
-function readCache (cacheFile: string): { cachedData: Buffer } | undefined {
-  try {
-    return { cachedData: readFileSync(cacheFile) }
-  } catch {
-    // The cache is optional; the daemon logs the same events without it.
-    return undefined
-  }
+function compile (bundleFile: string, bundle: Buffer, cache: CodeCache | null): Script {
+  const cachedData = cache !== null && 'data' in cache ? { cachedData: cache.data } : {}
+  const script = new Script(wrap(bundle.toString('utf8')), { filename: bundleFile, ...cachedData })
+  if (cache !== null) setLaunchReport({ codeCacheProblem: findProblem(cache, script) })
+  return script
+}
+
+function findProblem (cache: CodeCache, script: Script): string | null {
+  if ('problem' in cache) return cache.problem
+  return script.cachedDataRejected === true ? 'V8 rejected it' : null
 }
 
 launch(join(__dirname, 'daemon.cjs'))
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -23,6 +23,7 @@
   previousRunEnded: { number: 110, name: 'previous-run-ended', level: 'info', maxLinesPerSecond: 5 },
   signalIgnored: { number: 111, name: 'signal-ignored', level: 'warn', maxLinesPerSecond: 5 },
   startFailed: { number: 112, name: 'start-failed', level: 'error', maxLinesPerSecond: 5 },
+  codeCacheUnused: { number: 120, name: 'code-cache-unused', level: 'warn', maxLinesPerSecond: 5 },
   configurationApplied: { number: 200, name: 'configuration-applied', level: 'info', maxLinesPerSecond: 10 },
   configurationRejected: { number: 201, name: 'configuration-rejected', level: 'error', maxLinesPerSecond: 5 },
   viewAdopted: { number: 300, name: 'view-adopted', level: 'info', maxLinesPerSecond: 10 },
