Listeners: an address that can't be bound is waited for, not exited over

What callers saw: a process that found one of its ports taken for a moment at its start, or its address not on the machine yet, exited with status 1 and a bare line on standard error. Each restart meanwhile ended in the same way, so that a deployment could count several ends of one cause.

Cause: every listener of both roles (callers, readiness, relay, datagrams, peers, metrics) was bound once, and an error ended the start. The metrics port, which serves nobody's calls, was among them.

Metrics, and an entry's listeners for other entries, hold nothing up: the entry registers once they are bound. An entry isn't ready before callers can connect, which it could be before. LedgerServer and DatagramSocket leave no listeners behind at a failed attempt.

--- a/connection/datagram/src/datagramsocket.ts
+++ b/connection/datagram/src/datagramsocket.ts
@@ -1,6 +1,8 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
+import { once } from 'node:events'
 import { splitAddress } from '#connection/address'
+import type { Listener } from '#connection/listen'
 
 /// The fields of a received datagram; none has been validated.
 export type DatagramFields = Readonly<Record<string, unknown>>
@@ -9,8 +11,10 @@
 export type DatagramHandlers = Readonly<Record<string, (fields: DatagramFields, sender: string) => void>>
 
 /// Sends and receives datagrams, a JSON object each, with its type in the field `type`. Lost ones are not repeated.
-export class DatagramSocket {
+export class DatagramSocket implements Listener {
   private readonly socket: Socket
+  /// Sending from a socket without an address would bind it to another one.
+  private isBinding = false
 
   constructor (private readonly handlers: DatagramHandlers) {
     this.socket = createSocket('udp4')
@@ -19,19 +23,21 @@
     this.socket.on('error', () => {})
   }
 
-  listen (address: string): Promise<void> {
+  async listen (address: string): Promise<void> {
     const [host, port] = splitAddress(address)
-    return new Promise((resolve, reject) => {
-      this.socket.once('error', reject)
-      this.socket.bind(port, host, () => {
-        this.socket.off('error', reject)
-        resolve()
-      })
-    })
+    this.isBinding = true
+    this.socket.bind(port, host)
+    await once(this.socket, 'listening')
+    this.isBinding = false
+  }
+
+  onError (handle: (error: Error) => void): void {
+    this.socket.on('error', handle)
   }
 
+  /// Datagrams are dropped while the socket's own address can't be bound.
   send (type: string, fields: object, addresses: readonly string[]): void {
-    if (addresses.length === 0) return
+    if (addresses.length === 0 || this.isBinding) return
     const bytes = Buffer.from(JSON.stringify({ type, ...fields }))
     for (const address of addresses) {
       const [host, port] = splitAddress(address)
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -4,6 +4,7 @@
 import { fastify } from 'fastify'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { splitAddress } from '#connection/address'
+import type { Listener } from '#connection/listen'
 import { findRequestProblem } from '#connection/header'
 import { Exchange } from './exchange.js'
 
@@ -33,7 +34,7 @@
 
 /// The HTTP server for callers. Node parses requests in its strict mode, which differs between its versions, so their
 /// heads are checked once more. They reach `serve` unchanged, without the framework's routing and body parsing.
-export class FrontServer {
+export class FrontServer implements Listener {
   private readonly app: FastifyInstance
   /// When connections may have been opened whose first request may have arrived with them.
   private readonly openedAtMs = new WeakMap<Socket, number>()
@@ -72,6 +73,10 @@
     return await this.app.listen({ host, port, backlog: 1024 })
   }
 
+  onError (handle: (error: Error) => void): void {
+    this.app.server.on('error', handle)
+  }
+
   /// Node's HTTP server gets a connection only when it is to be served here.
   private interceptConnections (): void {
     const { options } = this
--- a/connection/front/src/status.ts
+++ b/connection/front/src/status.ts
@@ -1,19 +1,33 @@
 import { fastify } from 'fastify'
 import { splitAddress } from '#connection/address'
+import type { Listener } from '#connection/listen'
 
 /// Pages by path, such as readiness and metrics. Each is rendered on request.
 export type StatusPages = Readonly<Record<string, () => { readonly status: number, readonly text: string }>>
 
-/// Starts a server for status pages. Returns a function that closes it.
-export async function serveStatus (address: string, pages: StatusPages): Promise<() => Promise<void>> {
-  const server = fastify({ logger: false, forceCloseConnections: true })
-  for (const [path, page] of Object.entries(pages)) {
-    server.get(path, (_, reply) => {
-      const { status, text } = page()
-      reply.code(status).type('text/plain; charset=utf-8').send(text)
-    })
+/// A server for status pages.
+export class StatusServer implements Listener {
+  private readonly app = fastify({ logger: false, forceCloseConnections: true })
+
+  constructor (pages: StatusPages) {
+    for (const [path, page] of Object.entries(pages)) {
+      this.app.get(path, (_, reply) => {
+        const { status, text } = page()
+        reply.code(status).type('text/plain; charset=utf-8').send(text)
+      })
+    }
+  }
+
+  async listen (address: string): Promise<void> {
+    const [host, port] = splitAddress(address)
+    await this.app.listen({ host, port })
+  }
+
+  onError (handle: (error: Error) => void): void {
+    this.app.server.on('error', handle)
+  }
+
+  async close (): Promise<void> {
+    await this.app.close()
   }
-  const [host, port] = splitAddress(address)
-  await server.listen({ host, port })
-  return async () => { await server.close() }
 }
--- /dev/null
+++ b/connection/listen/src/index.ts
@@ -0,0 +1,2 @@
+export { keepListening } from './listen.js'
+export type { ListenOptions, Listener } from './listen.js'
--- a/connection/rpc/src/server.ts
+++ b/connection/rpc/src/server.ts
@@ -1,5 +1,8 @@
+import { once } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { splitAddress } from '#connection/address'
+import type { Listener } from '#connection/listen'
 import { errorMessage } from '#process/log'
 import { FrameReader, FrameWriter, toFrame } from './frames.js'
 import { Reply, Request } from './generated/ledger.js'
@@ -14,7 +17,7 @@
 }
 
 /// Serves the ledger protocol of a storage instance to entries and other storage instances.
-export class LedgerServer {
+export class LedgerServer implements Listener {
   private readonly sockets = new Set<Socket>()
   private readonly server: Server
 
@@ -23,15 +26,15 @@
   }
 
   /// Takes HOST:PORT. Returns the bound port, which the operating system chooses if the address has port 0.
-  listen (address: string): Promise<number> {
-    const colon = address.lastIndexOf(':')
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), backlog }, () => {
-        this.server.off('error', reject)
-        resolve((this.server.address() as AddressInfo).port)
-      })
-    })
+  async listen (address: string): Promise<number> {
+    const [host, port] = splitAddress(address)
+    this.server.listen({ host, port, backlog })
+    await once(this.server, 'listening')
+    return (this.server.address() as AddressInfo).port
+  }
+
+  onError (handle: (error: Error) => void): void {
+    this.server.on('error', handle)
   }
 
   close (): void {
--- a/process/clock/src/index.ts
+++ b/process/clock/src/index.ts
@@ -1,3 +1,5 @@
+export { retry } from './retry.js'
+export type { RetryOptions } from './retry.js'
 export { sleep } from './sleep.js'
 export { LoopMonitor, readCpuMs } from './loopmonitor.js'
 export type { LoopBacklog, LoopMonitorOptions, ProcessLoad } from './loopmonitor.js'
--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
-import { serveStatus } from '#connection/front'
+import { StatusServer } from '#connection/front'
+import { keepListening } from '#connection/listen'
 import { LoopMonitor, readCpuMs } from '#process/clock'
 import { getLaunchReport } from '#process/launcher'
 import { Events, ProcessLog, formatError } from '#process/log'
@@ -98,11 +99,9 @@
   /// Never rejects.
   private async start (role: DaemonRole): Promise<void> {
     const { node, listen } = this.file.settings
+    this.serveMetrics(`${node.ip}:${listen.metrics_port}`)
     try {
       await role.start()
-      await serveStatus(`${node.ip}:${listen.metrics_port}`, {
-        '/metrics': () => ({ status: 200, text: this.metrics.toText() })
-      })
     } catch (error) {
       if (this.stopping.signal.aborted) return
       const reason = formatError(error)
@@ -120,6 +119,15 @@
     })
   }
 
+  /// The role serves without it, too, if the address can't be bound.
+  private serveMetrics (address: string): void {
+    const server = new StatusServer({ '/metrics': () => ({ status: 200, text: this.metrics.toText() }) })
+    const signal = this.stopping.signal
+    keepListening(server, { name: 'metrics', address, log: this.log, signal }).catch((error: unknown) => {
+      if (!signal.aborted) throw error
+    })
+  }
+
   private handleStop (signal: SignalName, starting: Promise<void>, role: DaemonRole): void {
     const { log, stopping } = this
     if (stopping.signal.aborted) {
--- a/process/daemon/src/entryrole.ts
+++ b/process/daemon/src/entryrole.ts
@@ -3,7 +3,7 @@
 import type { DaemonRole, RoleContext } from './role.js'
 
 /// Accepts calls.
-export function createEntryRole ({ settings, platform, log, metrics, backlog }: RoleContext): DaemonRole {
+export function createEntryRole ({ settings, platform, log, metrics, backlog, stopping }: RoleContext): DaemonRole {
   const entry = new Entry({
     name: settings.node.name,
     zone: settings.node.zone,
@@ -17,7 +17,7 @@
     stopGraceMs: settings.timing.stop_grace_ms
   }, platform, log, metrics, backlog)
   return {
-    start: () => entry.start(),
+    start: () => entry.start(stopping),
     stop: () => entry.stop(),
     get calls () { return { inFlight: entry.drain.count, aborted: entry.drain.abortedCount } },
     reload: changed => entry.reload({ processors: countProcessors(changed), stopGraceMs: changed.timing.stop_grace_ms })
--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -1,3 +1,4 @@
+import { keepListening } from '#connection/listen'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
 import { Disk, Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
@@ -19,7 +20,7 @@
 
   async start (): Promise<void> {
     if (this.isStopping) return
-    const { settings: { node, listen, storage }, platform, log, metrics, fail } = this.context
+    const { settings: { node, listen, storage }, platform, log, metrics, fail, stopping } = this.context
     const { disk, contents } = Disk.open(storage!.data_dir, log)
     this.stopCallbacks.push(() => disk.close())
     const ledger = new Ledger(disk, contents)
@@ -28,7 +29,7 @@
     const server = new LedgerServer(ledger)
     this.stopCallbacks.unshift(() => server.close())
     const address = `${node.ip}:${listen.peer_port}`
-    await server.listen(address)
+    await keepListening(server, { name: 'peers', address, log, signal: stopping })
     if (this.isStopping) return
     const membership = new MembershipController({
       name: node.name,
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -1,8 +1,9 @@
 import { ChainCache } from '#request/turn'
 import type { ForwardContext } from '#request/forward'
-import { FrontServer, serveStatus } from '#connection/front'
+import { FrontServer, StatusServer } from '#connection/front'
 import type { Exchange } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
+import { keepListening } from '#connection/listen'
 import { LedgerConnectionPool } from '#connection/rpc'
 import { ObjectKind, handleObject } from '#connection/store'
 import type { ObjectStore, StoredObject } from '#connection/store'
@@ -82,6 +83,10 @@
   readonly drain: CallDrain
   private readonly context: ForwardContext
   private stopped: Promise<void> | null = null
+  /// Aborted when the entry stops.
+  private readonly stopping = new AbortController()
+  /// Whether callers can connect.
+  private isListening = false
 
   constructor (
     private readonly options: EntryOptions,
@@ -145,10 +150,12 @@
     this.addGauges(metrics)
   }
 
-  /// Ends early, with what it has started, if the entry is stopped meanwhile or was before.
-  async start (): Promise<void> {
-    if (this.drain.isStopping) return
-    const { options, platform } = this
+  /// Resolves when callers can connect. Ends early, with what it has started, if `stopping` is aborted or the entry is
+  /// stopped meanwhile, or was before.
+  async start (stopping?: AbortSignal): Promise<void> {
+    if (this.drain.isStopping || stopping?.aborted === true) return
+    stopping?.addEventListener('abort', () => this.stopping.abort(), { once: true })
+    const { platform } = this
     const configurationHandler = handleObject(configurationObjectName, object => {
       if (object !== null) this.configuration.apply(object)
     })
@@ -162,18 +169,30 @@
       () => this.peers.stop()
     )
     this.viewReader.start()
-    this.closeCallbacks.push(await serveStatus(options.readinessAddress, {
-      [options.readinessPath]: () => this.isReady ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' }
-    }))
-    if (this.drain.isStopping) return
-    await this.peers.start()
-    if (this.drain.isStopping) return
-    await this.front.listen(options.callersAddress)
+    this.peers.start()
+    try {
+      await this.listen()
+    } catch (error) {
+      if (!this.stopping.signal.aborted) throw error
+    }
+  }
+
+  /// Callers are not let in before it can be asked whether the entry is ready.
+  private async listen (): Promise<void> {
+    const { log, stopping: { signal }, options: { readinessAddress, readinessPath, callersAddress } } = this
+    const readiness = new StatusServer({
+      [readinessPath]: () => this.isReady ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' }
+    })
+    this.closeCallbacks.push(() => readiness.close())
+    await keepListening(readiness, { name: 'readiness', address: readinessAddress, log, signal })
+    await keepListening(this.front, { name: 'callers', address: callersAddress, log, signal })
+    this.isListening = true
   }
 
   /// Accepts new connections for a while longer, then drains the calls in flight. Resolves when none is left, or
   /// shortly before the grace period ends. May be called again, and before `start` has ended.
   stop (): Promise<void> {
+    this.stopping.abort()
     this.stopped ??= this.stopOnce()
     return this.stopped
   }
@@ -207,7 +226,8 @@
   }
 
   private get isReady (): boolean {
-    return !this.drain.isStopping && this.routes !== null && this.registry.hasListing && this.quorum.isAvailable
+    const { drain, registry, quorum } = this
+    return this.isListening && !drain.isStopping && this.routes !== null && registry.hasListing && quorum.isAvailable
   }
 
   private serve (exchange: Exchange, origin: RelayOrigin | null): Promise<void> {
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -2,6 +2,8 @@
 import { DatagramSocket } from '#connection/datagram'
 import { FrontServer } from '#connection/front'
 import type { Exchange, FrontLimits, FrontOptions } from '#connection/front'
+import { keepListening } from '#connection/listen'
+import type { Listener } from '#connection/listen'
 import { Freshness, ObjectKind, ObjectWatch } from '#connection/store'
 import type { ObjectStore, WatchHandler, WatchOptions } from '#connection/store'
 import type { EventLog } from '#process/log'
@@ -41,6 +43,9 @@
   private readonly stopCallbacks: (() => void)[] = []
   private registration: Registration
   private registering = new AbortController()
+  private readonly stopping = new AbortController()
+  /// Whether the other entries can connect.
+  private isReachable = false
 
   constructor (private readonly options: EntryPeersOptions, private readonly log: EventLog, metrics: Metrics) {
     const { registration, getConfigVersion, serve } = options
@@ -68,13 +73,13 @@
     })
   }
 
-  async start (): Promise<void> {
-    const { registration, store } = this.options
-    await this.front.listen(registration.address)
-    await this.datagrams.listen(registration.address)
-    this.register()
+  /// An entry whose address for other entries can't be bound serves its callers alone until it can.
+  start (): void {
+    this.joinOthers().catch((error: unknown) => {
+      if (!this.stopping.signal.aborted) throw error
+    })
     const watchOptions = { kind: ObjectKind.entries, pauseMs: watchPauseMs, freshness: Freshness.mayBeStale }
-    const watch = this.watch(store, watchOptions, this.directory)
+    const watch = this.watch(this.options.store, watchOptions, this.directory)
     const loadTimer = setInterval(() => this.updateLoad(), loadTickMs)
     const gossipTimer = setInterval(() => this.gossip.tick(), gossipTickMs)
     this.stopCallbacks.push(
@@ -109,7 +114,7 @@
     if (processors === this.registration.processors) return
     this.registration = { ...this.registration, processors }
     this.directory.own = this.registration
-    this.register()
+    if (this.isReachable) this.register()
   }
 
   setLimits (limits: FrontLimits): void {
@@ -118,6 +123,7 @@
 
   /// Accepts no further relayed connections. Resolves when all have ended.
   async closeFront (): Promise<void> {
+    this.stopping.abort()
     await this.front.close()
   }
 
@@ -125,6 +131,17 @@
     for (const stop of this.stopCallbacks) stop()
   }
 
+  private async joinOthers (): Promise<void> {
+    await Promise.all([this.listen(this.front, 'relay'), this.listen(this.datagrams, 'datagrams')])
+    this.isReachable = true
+    this.register()
+  }
+
+  private async listen (listener: Listener, name: string): Promise<void> {
+    const { address } = this.registration
+    await keepListening(listener, { name, address, log: this.log, signal: this.stopping.signal })
+  }
+
   /// Writes the registration to the store, in place of an earlier one.
   private register (): void {
     this.registering.abort()
