Soak: signals in series and overlapping, on both roles, from a process's start to its end

The soak sent one SIGTERM to an entry that was ready, and left it alone until it was ready again; storage instances got no planned stop, and nobody looked at how a process ended.

Now SIGTERM, SIGINT and SIGHUP come in series, also to processes that stop or have just been started (from the first millisecond, on a logarithmic scale), to entries and to storage instances; of these one is stopped at a time, after all have caught up. A supervisor starts again what has ended and kills what outlives its grace time. New rules: a process that ends by itself, that doesn't start, that outlives its grace time. A signal that ends a process before it has written a line is counted by itself and is no finding. LOGS=FOLDER keeps all log lines of a run with findings, also of storage instances; ENTRIES and ENGINES size it.

--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -1,24 +1,34 @@
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
 import { runSoak } from '#standin/soak'
 
 // Runs the soak of planned work with one seed after the other: npm run soak:planned -- [FIRST_SEED [SEEDS [SECONDS]]]
-// With TROUBLE=1 processes and the store fail too. Prints what broke a rule; with LINES=1 the entries' log lines, too.
+// With TROUBLE=1 processes and the store fail too. Prints what broke a rule; with LINES=1 the log lines about
+// it, too. With LOGS=FOLDER everything that the processes of a run with findings have written is kept there.
+// CALLERS, ENTRIES and ENGINES say how many of them a run has.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const graceMs = 8000
 
 let findingCount = 0
 for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
-  const { attempts, statuses, disturbances, findings, lines } = await runSoak({
+  const { attempts, statuses, disturbances, findings, endsAtBoot, lines, logs } = await runSoak({
     command: [process.execPath, 'target/chicorynotchd.cjs'],
     seed,
     durationMs: durationS * 1000,
     callers: Number(process.env.CALLERS ?? 60),
+    entries: Number(process.env.ENTRIES ?? 4),
+    engines: Number(process.env.ENGINES ?? 3),
     graceMs,
     hasTrouble: process.env.TROUBLE === '1'
   })
   findingCount += findings.length
-  process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, ${disturbances.length} disturbances, ${findings.length} findings\n`)
+  process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, ${disturbances.length} disturbances, ended at boot ${JSON.stringify(endsAtBoot)}, ${findings.length} findings\n`)
   for (const { rule, text } of findings) process.stdout.write(`  ${rule}: ${text}\n`)
   if (process.env.LINES === '1') for (const line of lines) process.stdout.write(`    ${line}\n`)
+  if (process.env.LOGS === undefined || findings.length === 0) continue
+  await mkdir(process.env.LOGS, { recursive: true })
+  await writeFile(join(process.env.LOGS, `${seed}-disturbances.log`), `${disturbances.join('\n')}\n`)
+  for (const [name, log] of Object.entries(logs)) await writeFile(join(process.env.LOGS, `${seed}-${name}.log`), `${log.join('\n')}\n`)
 }
 process.exit(findingCount === 0 ? 0 : 1)
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -1,9 +1,12 @@
 import { sleep } from '#process/clock'
+import { computeFullSize } from '#process/membership'
 import { createConfiguration } from '#standin/system'
 import type { StandinSystem, SystemNode } from '#standin/system'
 import { StoreFault } from '#standin/store'
 import type { Disturbance, Observations } from './observations.js'
 import type { Random } from './random.js'
+import { hasStopSignal } from './supervisor.js'
+import type { Supervisor } from './supervisor.js'
 
 export interface DisturberOptions {
   readonly graceMs: number
@@ -18,31 +21,46 @@
 const configurationWindowMs = 3000
 const configurationsInSeries = 4
 const seriesIntervalMs = 330
+
+type PlannedSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP'
+
+const stops = ['SIGTERM', 'SIGTERM', 'SIGINT'] as const
+/// A signal is followed by another one so often, after a time between these.
+const repetitionShare = 0.45
+const minRepetitionMs = 1
+const maxRepetitionMs = 4000
+/// Starts that get signals, by so long after the start.
+const signalledStartShare = 0.5
+const maxStartMs = 1500
+const maxReadyMs = 15_000
 const minFreezeMs = 300
 const maxFreezeMs = 1500
 const minOutageMs = 300
 const maxOutageMs = 2500
-/// Storage instances are disturbed one at a time: the system tolerates the loss of one.
 const catchUpMs = 4900
 const maxIdleRoutes = 40
 
-/// Stops, changes and troubles, in series and overlapping, as a seed orders them.
+/// Stops, signals, changes and troubles, in series and overlapping, as a seed orders them.
 export class Disturber {
   private version = 1
-  private readonly stopping = new Set<SystemNode>()
   private readonly pending = new Set<Promise<void>>()
   private storageFreeAtMs = 0
 
   constructor (
     private readonly system: StandinSystem,
+    private readonly supervisor: Supervisor,
     private readonly observations: Observations,
     private readonly random: Random,
     private readonly options: DisturberOptions
-  ) {}
+  ) {
+    supervisor.onStart = node => { this.start(() => this.signalStarting(node)) }
+  }
 
   private readonly planned = [
     () => this.stopEntry(),
     () => this.stopEntry(),
+    () => this.stopStorage(),
+    () => this.signalSettings(),
     () => this.signalSettings(),
     () => this.changeConfigurations(),
     () => this.cutWatches()
@@ -51,18 +69,22 @@
   private readonly unplanned = [
     () => this.killEntry(),
     () => this.freezeEntry(),
-    () => this.disturbStorage(),
+    () => this.killStorage(),
     () => this.failStore()
   ]
 
   async run (isOver: () => boolean): Promise<void> {
     const actions = this.options.hasTrouble ? [...this.planned, ...this.unplanned] : this.planned
     while (!isOver()) {
-      const action = this.random.pick(actions)().finally(() => this.pending.delete(action))
-      this.pending.add(action)
+      this.start(this.random.pick(actions))
       await sleep(this.random.between(minIntervalMs, maxIntervalMs))
     }
-    await Promise.all(this.pending)
+    while (this.pending.size > 0) await Promise.all(this.pending)
+  }
+
+  private start (action: () => Promise<void>): void {
+    const running = action().finally(() => this.pending.delete(running))
+    this.pending.add(running)
   }
 
   private add (kind: Disturbance['kind'], entry: SystemNode | null, durationMs: number, text: string): Disturbance {
@@ -74,41 +96,68 @@
   }
 
   private chooseEntry (): SystemNode | null {
-    const free = this.system.entries.filter(entry => !this.stopping.has(entry))
-    return this.stopping.size >= maxStopsAtOnce ? null : this.random.pick(free)
+    const { entries } = this.system
+    const free = entries.filter(entry => this.supervisor.isSteady(entry))
+    return entries.length - free.length >= maxStopsAtOnce ? null : this.random.pick(free)
   }
 
-  private async restart (entry: SystemNode, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
-    this.stopping.add(entry)
-    const kill = setTimeout(() => entry.process.kill('SIGKILL'), this.options.graceMs)
-    await this.system.restart(entry, signal, false)
-    clearTimeout(kill)
-    await this.waitUntilReady(entry)
-    this.stopping.delete(entry)
+  /// Sends a signal, and then often others in series. Those to a process that ends go to the one that follows it.
+  private async signalInSeries (node: SystemNode, first: PlannedSignal): Promise<void> {
+    this.signal(node, first)
+    while (this.random.next() < repetitionShare) {
+      await sleep(this.betweenLogarithmic(minRepetitionMs, maxRepetitionMs))
+      const life = this.supervisor.life(node)
+      const isStop = hasStopSignal(life) && this.random.next() < 0.7
+      this.signal(node, isStop ? this.random.pick(stops) : 'SIGHUP')
+    }
   }
 
-  private async waitUntilReady ({ readinessAddress }: SystemNode): Promise<void> {
-    for (let i = 0; i < 100; i++) {
-      const response = await fetch(`http://${readinessAddress}/readyz`).catch(() => null)
-      if (response?.ok === true) return
-      await sleep(100)
-    }
+  private signal (node: SystemNode, signal: PlannedSignal): void {
+    const isFirstStop = signal !== 'SIGHUP' && !hasStopSignal(this.supervisor.life(node))
+    this.supervisor.signal(node, signal)
+    const text = `${signal} of ${node.name}`
+    if (signal === 'SIGHUP') this.add('settings', node, 0, text)
+    else if (isFirstStop) this.add('stop', node, this.options.graceMs + stopMarginMs, text)
+    else this.add('signal', node, 0, `another ${text}`)
+  }
+
+  /// Signals to a process that has just been started, at the first milliseconds more often than later.
+  private async signalStarting (node: SystemNode): Promise<void> {
+    if (this.random.next() > signalledStartShare) return
+    const life = this.supervisor.life(node)
+    await sleep(this.betweenLogarithmic(1, maxStartMs))
+    if (this.supervisor.life(node) !== life) return
+    const others = node.role === 'storage' ? this.system.storages.filter(other => other !== node) : []
+    const isOtherDown = others.some(other => !this.supervisor.isSteady(other))
+    await this.signalInSeries(node, isOtherDown || this.random.next() < 0.5 ? 'SIGHUP' : this.random.pick(stops))
+  }
+
+  private betweenLogarithmic (low: number, high: number): number {
+    return low * Math.pow(high / low, this.random.next())
   }
 
   private async stopEntry (): Promise<void> {
     const entry = this.chooseEntry()
     if (entry === null) return
-    this.add('stop', entry, this.options.graceMs + stopMarginMs, `SIGTERM of ${entry.name}`)
-    await this.restart(entry, 'SIGTERM')
+    await this.stopNode(entry)
+  }
+
+  private async stopNode (node: SystemNode): Promise<void> {
+    const life = this.supervisor.life(node)
+    const signals = this.signalInSeries(node, this.random.pick(stops))
+    await this.supervisor.waitUntilReadyAfter(life, this.options.graceMs + maxReadyMs)
+    await signals
+  }
+
+  private async stopStorage (): Promise<void> {
+    await this.disturbStorage(storage => this.stopNode(storage))
   }
 
   private async signalSettings (): Promise<void> {
-    const entry = this.random.pick(this.system.entries)
-    if (this.stopping.has(entry)) return
+    const node = this.random.pick(this.system.nodes)
     const share = this.random.between(0.3, 1).toFixed(2)
-    await this.system.changeSettings(entry, text => text.replace(/^(processor_share = .*\n)?tolerated/m, `processor_share = ${share}\ntolerated`))
-    this.add('settings', entry, 0, `SIGHUP of ${entry.name}`)
-    entry.process.kill('SIGHUP')
+    await this.system.changeSettings(node, text => text.replace(/^(processor_share = .*\n)?tolerated/m, `processor_share = ${share}\ntolerated`))
+    await this.signalInSeries(node, 'SIGHUP')
   }
 
   private async changeConfigurations (): Promise<void> {
@@ -128,31 +177,41 @@
   private async killEntry (): Promise<void> {
     const entry = this.chooseEntry()
     if (entry === null) return
-    const kill = this.add('unplanned', entry, Infinity, `SIGKILL of ${entry.name}`)
-    await this.restart(entry, 'SIGKILL')
-    kill.endMs = performance.now()
+    await this.kill(entry, false)
+  }
+
+  private async kill (node: SystemNode, losesDisk: boolean): Promise<void> {
+    const life = this.supervisor.life(node)
+    const entry = node.role === 'entry' ? node : null
+    const trouble = this.add('unplanned', entry, Infinity, `SIGKILL of ${node.name}${losesDisk ? ', which loses its disk' : ''}`)
+    this.supervisor.kill(node, losesDisk)
+    await this.supervisor.waitUntilReadyAfter(life, maxReadyMs)
+    trouble.endMs = performance.now()
   }
 
   private async freezeEntry (): Promise<void> {
     const entry = this.random.pick(this.system.entries)
-    if (this.stopping.has(entry)) return
+    const { process } = entry
     const durationMs = this.random.between(minFreezeMs, maxFreezeMs)
     this.add('unplanned', entry, durationMs, `SIGSTOP of ${entry.name} for ${Math.round(durationMs)} ms`)
-    entry.process.kill('SIGSTOP')
+    process.kill('SIGSTOP')
     await sleep(durationMs)
-    entry.process.kill('SIGCONT')
+    process.kill('SIGCONT')
   }
 
-  private async disturbStorage (): Promise<void> {
-    if (performance.now() < this.storageFreeAtMs) return
+  /// Storage instances are disturbed one at a time, and the next one no sooner than the last one has caught up.
+  private async disturbStorage (disturb: (storage: SystemNode) => Promise<void>): Promise<void> {
+    if (performance.now() < this.storageFreeAtMs || !this.supervisor.areStoragesSteady()) return
     this.storageFreeAtMs = Infinity
-    const storage = this.random.pick(this.system.storages)
+    await disturb(this.random.pick(this.system.storages))
+    const size = Math.min(this.system.storages.length, computeFullSize(1))
+    while (!this.supervisor.areStoragesSteady() || this.system.countServingMembers() < size) await sleep(100)
+    this.storageFreeAtMs = performance.now() + catchUpMs
+  }
+
+  private async killStorage (): Promise<void> {
     const losesDisk = this.random.next() < 0.5
-    const trouble = this.add('unplanned', null, Infinity, `SIGKILL of ${storage.name}${losesDisk ? ', which loses its disk' : ''}`)
-    await this.system.restart(storage, 'SIGKILL', losesDisk)
-    while (this.system.countServingMembers() < this.system.storages.length) await sleep(100)
-    trouble.endMs = performance.now()
-    this.storageFreeAtMs = trouble.endMs + catchUpMs
+    await this.disturbStorage(storage => this.kill(storage, losesDisk))
   }
 
   private async failStore (): Promise<void> {
--- /dev/null
+++ b/standin/soak/src/liferules.ts
@@ -0,0 +1,56 @@
+import type { Observations, ProcessLife } from './observations.js'
+import { hasStopSignal } from './supervisor.js'
+
+// The sentences of the users' rule Fault on processes, as the platform that starts and signals them sees it.
+
+const maxStartMs = 15_000
+
+/// What a process did that it must not do.
+export interface LifeFinding {
+  readonly rule: string
+  readonly life: ProcessLife
+  readonly text: string
+}
+
+type Check = (life: ProcessLife, observations: Observations) => string | null
+
+const checks: Readonly<Record<string, Check>> = {
+  'ended by itself': life => {
+    return life.endedAtMs === Infinity || isAskedFor(life) || isEndedAtBoot(life) ? null : describeEnd(life)
+  },
+  "doesn't start": ({ readyAtMs, startedAtMs, endedAtMs, signals }, { disturbances, endedAtMs: nowMs }) => {
+    if (readyAtMs !== null || signals.some(({ signal }) => signal !== 'SIGHUP')) return null
+    const triedMs = Math.min(endedAtMs, nowMs) - startedAtMs
+    const isHindered = disturbances.some(({ kind, endMs }) => kind === 'unplanned' && endMs >= startedAtMs)
+    return triedMs < maxStartMs || isHindered ? null : `not ready ${Math.round(triedMs)} ms after its start`
+  },
+  'outlived its grace time': (life, { disturbances }) => {
+    const isHindered = disturbances.some(({ kind, entry, startMs, endMs }) => {
+      return kind === 'unplanned' && entry === life.node && endMs >= life.startedAtMs && startMs <= life.endedAtMs
+    })
+    return life.outlivedGrace === true && !isHindered ? describeEnd(life) : null
+  }
+}
+
+export function findLifeViolations (observations: Observations): LifeFinding[] {
+  return observations.lives.flatMap(life => Object.entries(checks).flatMap(([rule, check]) => {
+    const text = check(life, observations)
+    return text === null ? [] : [{ rule, life, text: `${life.node.name} ${text}` }]
+  }))
+}
+
+/// Whether a signal ended the process before any code of the daemon ran, which the daemon can't prevent.
+export function isEndedAtBoot ({ endSignal, lines }: ProcessLife): boolean {
+  return ['SIGTERM', 'SIGINT', 'SIGHUP'].includes(endSignal ?? '') && lines.length === 0
+}
+
+function isAskedFor (life: ProcessLife): boolean {
+  if (life.endSignal === 'SIGKILL') return life.outlivedGrace === true || life.signals.some(({ signal }) => signal === 'SIGKILL')
+  return life.exitCode === 0 && hasStopSignal(life)
+}
+
+function describeEnd ({ exitCode, endSignal, startedAtMs, endedAtMs, readyAtMs, signals }: ProcessLife): string {
+  const sent = signals.map(({ signal, atMs }) => `${signal} ${Math.round(atMs - startedAtMs)} ms`).join(', ')
+  return `ended ${Math.round(endedAtMs - startedAtMs)} ms after its start with ${endSignal ?? `exit code ${exitCode}`}, ` +
+    `${readyAtMs === null ? 'not ready' : `ready after ${Math.round(readyAtMs - startedAtMs)} ms`}, sent: ${sent === '' ? 'nothing' : sent}`
+}
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -28,9 +28,26 @@
   endedAtMs: number
 }
 
-/// What disturbs the system. Planned work concerns one entry, or all of them.
+/// A process from its start to its end, with the signals that it was sent.
+export interface ProcessLife {
+  readonly node: SystemNode
+  readonly startedAtMs: number
+  readyAtMs: number | null
+  /// Infinity while it runs.
+  endedAtMs: number
+  exitCode: number | null
+  endSignal: string | null
+  /// It was killed as it was still there at the end of its grace time.
+  outlivedGrace?: boolean
+  readonly signals: { readonly signal: string, readonly atMs: number }[]
+  /// What it has written, once it has ended.
+  lines: readonly string[]
+}
+
+/// What disturbs the system. Planned work concerns one process, or all of them; a `signal` that follows the first one
+/// of a stop adds no time to it.
 export interface Disturbance {
-  readonly kind: 'stop' | 'settings' | 'configuration' | 'unplanned'
+  readonly kind: 'stop' | 'signal' | 'settings' | 'configuration' | 'unplanned'
   readonly entry: SystemNode | null
   readonly startMs: number
   endMs: number
@@ -42,4 +59,7 @@
   readonly attempts: Attempt[] = []
   readonly runs = new Map<string, Run[]>()
   readonly disturbances: Disturbance[] = []
+  readonly lives: ProcessLife[] = []
+  /// When the run was over, Infinity before.
+  endedAtMs = Infinity
 }
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -13,6 +13,9 @@
 const earlyRequestMs = 3000
 /// So many tries that reach no instance break the rule.
 const maxTriesInVain = 5
+/// While fewer of the first turns reach an instance, they don't.
+const minReachedShare = 0.9
+const firstTurnWindowMs = 500
 /// A request that has used more of its time doesn't count beside a change of the configuration.
 const maxUsedShare = 0.7
 
@@ -76,7 +79,7 @@
 
 function isPlannedWork (disturbance: Disturbance, { entry, sentAtMs, startedAtMs, endedAtMs }: Attempt): boolean {
   const { kind, startMs, endMs } = disturbance
-  if (kind === 'unplanned' || (disturbance.entry !== null && disturbance.entry !== entry)) return false
+  if (kind === 'unplanned' || kind === 'signal' || (disturbance.entry !== null && disturbance.entry !== entry)) return false
   if (kind === 'settings') return sentAtMs >= startMs && sentAtMs <= startMs + configurationApplyMs
   return endedAtMs >= startMs && startedAtMs <= endMs && endedAtMs <= endMs
 }
@@ -101,19 +104,30 @@
   return `answered ${status}, the previous turn ${previousTurnId} was answered whole ${Math.round(startedAtMs - previous.endedAtMs)} ms before`
 }
 
-/// The entries are asked in vain for the same turn, time after time, while nothing is wrong.
+/// The entries are asked in vain for the same turn, time after time, while nothing is wrong and programs start.
 function findUnreachableTurn (attempt: Attempt, observations: Observations): string | null {
   const { id, previousTurnId, startedAtMs } = attempt
   const { attempts, runs } = observations
   if (previousTurnId === null || runs.has(id)) return null
-  const tries = attempts.filter(other => other.previousTurnId === previousTurnId && other.startedAtMs <= startedAtMs)
-  const isInVain = tries.slice(-maxTriesInVain).every(other => {
-    return !runs.has(other.id) && !hasUnplanned(other, observations)
-  })
-  if (tries.length < maxTriesInVain || !isInVain) return null
+  const all = attempts.filter(other => other.previousTurnId === previousTurnId && other.startedAtMs <= startedAtMs)
+  if (all.length < maxTriesInVain) return null
+  const tries = all.slice(-maxTriesInVain)
+  const isInVain = tries.every(other => !runs.has(other.id) && !hasUnplanned(other, observations))
+  if (!isInVain || !areProgramsStarted(tries, observations)) return null
   return `${maxTriesInVain} tries to go on from ${previousTurnId}`
 }
 
+/// Whether nine tenths of the first turns beside these tries reach an instance: else the entries are too busy.
+function areProgramsStarted (tries: readonly Attempt[], { attempts, runs }: Observations): boolean {
+  const startMs = Math.min(...tries.map(({ startedAtMs }) => startedAtMs)) - firstTurnWindowMs
+  const endMs = Math.max(...tries.map(({ endedAtMs }) => endedAtMs)) + firstTurnWindowMs
+  const firstTurns = attempts.filter(({ path, previousTurnId, startedAtMs }) => {
+    return path === '/chat/' && previousTurnId === null && startedAtMs >= startMs && startedAtMs <= endMs
+  })
+  const reached = firstTurns.filter(({ id }) => runs.has(id))
+  return reached.length >= firstTurns.length * minReachedShare
+}
+
 function hasUnplanned ({ startedAtMs, endedAtMs }: Attempt, { disturbances }: Observations): boolean {
   return disturbances.some(({ kind, startMs, endMs }) => {
     return kind === 'unplanned' && startMs <= endedAtMs && endMs >= startedAtMs - contactMs
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -5,10 +5,13 @@
 import { Balancer } from './balancer.js'
 import { Caller } from './caller.js'
 import { Disturber } from './disturber.js'
+import { findLifeViolations, isEndedAtBoot } from './liferules.js'
+import type { LifeFinding } from './liferules.js'
 import { Observations } from './observations.js'
 import { Random } from './random.js'
 import { findViolations } from './rules.js'
 import type { Finding } from './rules.js'
+import { Supervisor } from './supervisor.js'
 
 export interface SoakOptions {
   readonly command: readonly string[]
@@ -18,6 +21,8 @@
   readonly graceMs: number
   /// Whether processes and the store fail too, beside planned work.
   readonly hasTrouble: boolean
+  readonly entries?: number
+  readonly engines?: number
 }
 
 export interface SoakReport {
@@ -25,17 +30,24 @@
   /// How many attempts ended with each status; 0 without a complete response.
   readonly statuses: Readonly<Record<number, number>>
   readonly disturbances: readonly string[]
-  readonly findings: readonly Finding[]
-  /// The log lines of the entries about each finding's request.
+  readonly findings: readonly (Finding | LifeFinding)[]
+  /// How many processes a signal ended before any code of the daemon ran, by the signal.
+  readonly endsAtBoot: Readonly<Record<string, number>>
+  /// The log lines about each finding's request and its previous turn, and the last ones of processes that ended.
   readonly lines: readonly string[]
+  /// All that the processes have written, by their names.
+  readonly logs: Readonly<Record<string, readonly string[]>>
 }
 
 /// As on the users' deployment tunda-ops, with fewer engines.
-const entries = 4
+const defaultEntries = 4
 const storages = 3
-const engines = 3
+const defaultEngines = 3
 const services = 3
 const settleMs = 2500
+/// For the processes to be ready again at the end; longer than a start may take.
+const maxSettleMs = 20_000
+const lastLines = 15
 /// Of the streams, so many pause at some events, at whichever instance.
 const pausingShare = 0.08
 const eventsBetweenPauses = 4
@@ -45,12 +57,13 @@
 
 /// Runs the system as real processes under load and disturbances, and checks what was seen from outside.
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
-  const { command, seed, durationMs, graceMs, hasTrouble } = options
+  const { command, seed, durationMs, graceMs, hasTrouble, entries = defaultEntries, engines = defaultEngines } = options
   const random = new Random(seed)
   const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs })
   const observations = new Observations()
   await system.start()
   const balancer = new Balancer(system.entries)
+  const supervisor = new Supervisor(system, observations, graceMs)
   try {
     for (const upstream of [...system.engines, ...system.services]) observe(upstream, observations)
     const startMs = performance.now()
@@ -58,13 +71,16 @@
     const callers = Array.from({ length: options.callers }, (_, i) => {
       return new Caller(`s${seed}c${i}`, balancer, observations, random.fork()).run(isOver)
     })
-    const disturber = new Disturber(system, observations, random.fork(), { graceMs, hasTrouble })
+    const disturber = new Disturber(system, supervisor, observations, random.fork(), { graceMs, hasTrouble })
     await sleep(settleMs)
     await disturber.run(isOver)
     await Promise.all(callers)
+    await supervisor.waitUntilAllReady(maxSettleMs)
+    observations.endedAtMs = performance.now()
     return createReport(system, observations, graceMs)
   } finally {
     balancer.stop()
+    supervisor.stop()
     await system.stop()
   }
 }
@@ -93,10 +109,25 @@
     const key = isComplete ? status : 0
     statuses[key] = (statuses[key] ?? 0) + 1
   }
-  const findings = findViolations(observations, graceMs)
-  const ids = new Set(findings.map(({ attempt }) => attempt.id))
-  const lines = system.entries.flatMap(entry => entry.outputLines.filter(line => {
-    return ids.has(/"callId":"([^"]*)"/.exec(line)?.[1] ?? '') || line.includes('"relay-failed"')
-  }))
-  return { attempts: attempts.length, statuses, disturbances: disturbances.map(({ text }) => text), findings, lines }
+  const requestFindings = findViolations(observations, graceMs)
+  const lifeFindings = findLifeViolations(observations)
+  const ids = new Set(requestFindings.flatMap(({ attempt }) => [attempt.id, attempt.previousTurnId ?? attempt.id]))
+  const isAbout = (line: string): boolean => {
+    return line.includes('"relay-failed"') || [...ids].some(id => line.includes(`"${id}"`))
+  }
+  const lines = system.nodes.flatMap(({ name, outputLines }) => outputLines.filter(isAbout).map(line => `${name}: ${line}`))
+  const lastOfLives = lifeFindings.flatMap(({ life }) => life.lines.slice(-lastLines).map(line => `${life.node.name}: ${line}`))
+  const endsAtBoot: Record<string, number> = {}
+  for (const life of observations.lives.filter(isEndedAtBoot)) {
+    endsAtBoot[life.endSignal!] = (endsAtBoot[life.endSignal!] ?? 0) + 1
+  }
+  return {
+    attempts: attempts.length,
+    statuses,
+    disturbances: disturbances.map(({ text }) => text),
+    findings: [...lifeFindings, ...requestFindings],
+    endsAtBoot,
+    lines: ids.size === 0 ? lastOfLives : [...lastOfLives, ...lines],
+    logs: Object.fromEntries(system.nodes.map(({ name, outputLines }) => [name, outputLines]))
+  }
 }
--- /dev/null
+++ b/standin/soak/src/supervisor.ts
@@ -0,0 +1,140 @@
+import { connect } from 'node:net'
+import { sleep } from '#process/clock'
+import type { StandinSystem, SystemNode } from '#standin/system'
+import type { Observations, ProcessLife } from './observations.js'
+
+export type Signal = 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'
+
+const stopSignals: readonly Signal[] = ['SIGTERM', 'SIGINT']
+const isStopSignal = (signal: string): boolean => stopSignals.some(other => other === signal)
+const restartDelayMs = 50
+const readyIntervalMs = 50
+
+/// By role: an entry says itself whether it is ready, a storage instance is when it accepts connections.
+const readinessChecks: Readonly<Record<SystemNode['role'], (node: SystemNode) => Promise<boolean>>> = {
+  entry: ({ readinessAddress }) => fetch(`http://${readinessAddress}/readyz`).then(({ ok }) => ok, () => false),
+  storage: ({ peerPort }) => new Promise(resolve => {
+    const socket = connect({ host: '127.0.0.1', port: peerPort })
+    socket.once('connect', () => socket.destroy())
+    socket.once('error', () => {})
+    socket.once('close', hadError => resolve(!hadError))
+  })
+}
+
+/// Keeps the processes of a system running, as the platform does: it starts again what has ended, and kills what
+/// outlives its grace time. Records the life of each process.
+export class Supervisor {
+  private readonly lives = new Map<SystemNode, ProcessLife>()
+  private readonly diskLosers = new Set<SystemNode>()
+  private isOver = false
+  /// Called right after the start of a process that has ended.
+  onStart: (node: SystemNode) => void = () => {}
+
+  constructor (
+    private readonly system: StandinSystem,
+    private readonly observations: Observations,
+    private readonly graceMs: number
+  ) {
+    for (const node of system.nodes) this.watch(node)
+  }
+
+  life (node: SystemNode): ProcessLife {
+    return this.lives.get(node)!
+  }
+
+  /// Sends a signal to the process that runs now, if one does.
+  signal (node: SystemNode, signal: Signal): void {
+    const life = this.life(node)
+    const { process } = node
+    if (life.endedAtMs !== Infinity) return
+    const isFirstStop = isStopSignal(signal) && !hasStopSignal(life)
+    life.signals.push({ signal, atMs: performance.now() })
+    process.kill(signal)
+    if (isFirstStop) setTimeout(() => { this.killOutliving(life, node) }, this.graceMs)
+  }
+
+  /// Kills the process, which loses its disk if `losesDisk`.
+  kill (node: SystemNode, losesDisk: boolean): void {
+    if (losesDisk) this.diskLosers.add(node)
+    this.signal(node, 'SIGKILL')
+  }
+
+  /// Resolves when the process that runs after `life` is ready, or when the time is over.
+  async waitUntilReadyAfter (life: ProcessLife, timeoutMs: number): Promise<void> {
+    const deadlineMs = performance.now() + timeoutMs
+    const isReadyAgain = (): boolean => this.life(life.node) !== life && this.life(life.node).readyAtMs !== null
+    while (!isReadyAgain() && performance.now() < deadlineMs) await sleep(readyIntervalMs)
+  }
+
+  /// Resolves when all processes are steady, or when the time is over.
+  async waitUntilAllReady (timeoutMs: number): Promise<void> {
+    const deadlineMs = performance.now() + timeoutMs
+    const areSteady = (): boolean => this.system.nodes.every(node => this.isSteady(node))
+    while (!areSteady() && performance.now() < deadlineMs) await sleep(readyIntervalMs)
+  }
+
+  /// Whether all storage instances run, are ready and aren't about to stop.
+  areStoragesSteady (): boolean {
+    return this.system.storages.every(storage => this.isSteady(storage))
+  }
+
+  isSteady (node: SystemNode): boolean {
+    const life = this.life(node)
+    return life.readyAtMs !== null && life.endedAtMs === Infinity && !hasStopSignal(life)
+  }
+
+  /// Leaves the processes to themselves.
+  stop (): void {
+    this.isOver = true
+  }
+
+  private watch (node: SystemNode): void {
+    const { process } = node
+    const life: ProcessLife = {
+      node,
+      startedAtMs: performance.now(),
+      readyAtMs: null,
+      endedAtMs: Infinity,
+      exitCode: null,
+      endSignal: null,
+      signals: [],
+      lines: []
+    }
+    this.lives.set(node, life)
+    this.observations.lives.push(life)
+    const firstLine = node.outputLines.length
+    this.waitUntilReady(life)
+    process.once('close', (exitCode, endSignal) => {
+      if (this.isOver) return
+      const lines = node.outputLines.slice(firstLine)
+      Object.assign(life, { endedAtMs: performance.now(), exitCode, endSignal, lines })
+      this.startAgain(node)
+    })
+  }
+
+  private async startAgain (node: SystemNode): Promise<void> {
+    await sleep(restartDelayMs)
+    if (this.isOver) return
+    await this.system.startAgain(node, this.diskLosers.delete(node))
+    this.watch(node)
+    this.onStart(node)
+  }
+
+  private async waitUntilReady (life: ProcessLife): Promise<void> {
+    while (life.readyAtMs === null && life.endedAtMs === Infinity && !this.isOver) {
+      const isReady = await readinessChecks[life.node.role](life.node)
+      if (isReady && life.endedAtMs === Infinity) life.readyAtMs = performance.now()
+      else await sleep(readyIntervalMs)
+    }
+  }
+
+  private killOutliving (life: ProcessLife, node: SystemNode): void {
+    if (life.endedAtMs !== Infinity || this.isOver) return
+    life.outlivedGrace = true
+    node.process.kill('SIGKILL')
+  }
+}
+
+export function hasStopSignal ({ signals }: ProcessLife): boolean {
+  return signals.some(({ signal }) => isStopSignal(signal))
+}
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -92,6 +92,11 @@
   /// Ends a process with `signal` and starts it again, with an empty data folder if `losesDisk`.
   async restart (node: SystemNode, signal: 'SIGKILL' | 'SIGTERM', losesDisk: boolean): Promise<void> {
     await terminate(node.process, signal)
+    await this.startAgain(node, losesDisk)
+  }
+
+  /// Starts a process that has ended, with an empty data folder if `losesDisk`.
+  async startAgain (node: SystemNode, losesDisk: boolean): Promise<void> {
     if (losesDisk) await rm(node.dataDir, { recursive: true, force: true })
     await this.writeSettings(node)
     node.process = this.launch(node)
