Ledger: a data folder that can't be read is waited for, and strays end no start

What callers saw: a storage instance exited with status 1 at each start, with no event, as long as something in its data folder couldn't be read: a folder in place of a segment or the identity (EISDIR), a file in place of the folder (EEXIST), a frame with a right checksum that holds no record (RangeError). A stray file segment- let it start once, with a segment of nine digits that the next start didn't read, and then failed with EEXIST for good.

Cause: each error of the file system at the open ended the process. Names of segments were read with eight digits only but written with more; the next number came from the segments that were read, not from the names that exist.

Fix: openDisk tries again each 500 ms until the folder can be read and written, or the process is asked to stop, and says so (disk-awaited, 314): a segment that can't be read is never taken for an empty one. Names of 8 to 15 digits are segments, the next number lies above all names, a folder in a segment's place and frames that hold no record are left out with a line (disk-entry-ignored, 315). A segment whose creation can't be synced is removed again, so that attempts leave nothing behind.

Not covered: a disk that is full at the start is waited for; nothing frees it.

--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -1,6 +1,6 @@
 import { keepListening } from '#connection/listen'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
-import { Disk, Ledger } from '#process/ledger'
+import { Ledger, openDisk } from '#process/ledger'
 import { Events, formatError } from '#process/log'
 import { MembershipController } from '#process/storage'
 import type { DaemonRole, RoleContext } from './role.js'
@@ -21,7 +21,7 @@
   async start (): Promise<void> {
     if (this.isStopping) return
     const { settings: { node, listen, storage }, platform, log, metrics, fail, stopping } = this.context
-    const { disk, contents } = Disk.open(storage!.data_dir, log, Date.now())
+    const { disk, contents } = await openDisk(storage!.data_dir, { log, signal: stopping })
     this.stopCallbacks.push(() => disk.close())
     const ledger = new Ledger(disk, contents)
     // After a failed write the contents of the disk are unknown; the next start reads them again.
--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -2,6 +2,7 @@
 import {
   closeSync, fdatasyncSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync, unlinkSync, writeSync
 } from 'node:fs'
+import type { Dirent } from 'node:fs'
 import { join } from 'node:path'
 import type { LedgerRecord } from '#connection/rpc'
 import { Events, formatError } from '#process/log'
@@ -24,7 +25,7 @@
 }
 
 const identityFileName = 'identity'
-const segmentPattern = /^segment-(\d{8})$/
+const segmentPattern = /^segment-(\d{8,15})$/
 /// A new segment starts once the current one is larger than this.
 const segmentRolloverBytes = 8 * 1024 * 1024
 
@@ -37,6 +38,8 @@
   private file = noFile
   private writtenBytes = 0
   private segments: number[] = []
+  /// The highest number that a name in the folder has, whether or not it is one of a segment.
+  private highestNumber = 0
   private pending: Batch | null = null
   private isClosed = false
 
@@ -46,11 +49,11 @@
   /// clock, or that one of these needs. Appends go to a new segment, so that no record follows a torn write.
   static open (folder: string, log: EventLog, nowMs = 0): { disk: Disk, contents: DiskContents } {
     mkdirSync(folder, { recursive: true })
-    const names = readdirSync(folder)
-    const existingDiskId = names.includes(identityFileName) ? readIdentity(folder) : null
+    const entries = readdirSync(folder, { withFileTypes: true })
+    const existingDiskId = entries.some(({ name }) => name === identityFileName) ? readIdentity(folder) : null
     const disk = new Disk(folder, existingDiskId ?? writeIdentity(folder), log)
     const reader = new SegmentReader(nowMs)
-    disk.readSegments(names, reader)
+    disk.readSegments(entries, reader)
     const records = reader.takeRecords()
     disk.startSegment()
     const { diskId, segments } = disk
@@ -122,24 +125,50 @@
 
   private startSegment (): void {
     if (this.file !== noFile) closeSync(this.file)
-    const number = Math.max(this.segment, ...this.segments, 0) + 1
-    this.file = openSync(join(this.folder, formatSegmentName(number)), 'wx')
-    fsyncSync(this.file)
-    syncFolder(this.folder)
+    this.file = noFile
+    const number = this.highestNumber + 1
+    const path = join(this.folder, formatSegmentName(number))
+    const file = openSync(path, 'wx')
+    try {
+      fsyncSync(file)
+      syncFolder(this.folder)
+    } catch (error) {
+      closeSync(file)
+      unlinkSync(path)
+      throw error
+    }
+    this.file = file
+    this.highestNumber = number
     this.segment = number
     this.writtenBytes = 0
     this.segments.push(number)
   }
 
-  private readSegments (names: readonly string[], reader: SegmentReader): void {
-    this.segments = names.flatMap(name => segmentPattern.exec(name)?.[1] ?? []).map(Number).sort((a, b) => a - b)
+  /// Throws if a segment can't be read: it is not an empty one.
+  private readSegments (entries: readonly Dirent[], reader: SegmentReader): void {
+    this.segments = this.findSegments(entries)
     for (const segment of this.segments) {
-      const { validBytes, bytes } = reader.read(join(this.folder, formatSegmentName(segment)), segment)
+      const { validBytes, bytes, strayFrames } = reader.read(join(this.folder, formatSegmentName(segment)), segment)
+      if (strayFrames > 0) {
+        this.log.event(Events.diskEntryIgnored, { segment, strayFrames, reason: 'frames that hold no record' })
+      }
       if (validBytes < bytes) this.log.event(Events.diskTailDropped, { segment, validBytes, bytes })
     }
     this.syncLatestSegment()
   }
 
+  private findSegments (entries: readonly Dirent[]): number[] {
+    const segments: number[] = []
+    for (const entry of entries) {
+      const number = parseSegmentName(entry.name)
+      if (number === null) continue
+      this.highestNumber = Math.max(this.highestNumber, number)
+      if (entry.isFile() || entry.isSymbolicLink()) segments.push(number)
+      else this.log.event(Events.diskEntryIgnored, { name: entry.name, reason: 'not a file' })
+    }
+    return segments.sort((a, b) => a - b)
+  }
+
   /// The process that wrote it may have been killed before its last sync. Those before it were synced at earlier
   /// starts.
   private syncLatestSegment (): void {
@@ -174,6 +203,12 @@
   return `segment-${String(number).padStart(8, '0')}`
 }
 
+/// Returns null for another name than one that `formatSegmentName` returns.
+function parseSegmentName (name: string): number | null {
+  const number = Number(segmentPattern.exec(name)?.[1])
+  return formatSegmentName(number) === name ? number : null
+}
+
 function readIdentity (folder: string): string | null {
   const text = readFileSync(join(folder, identityFileName), 'utf8')
   return /^[0-9a-f]{24}$/.test(text) ? text : null
--- a/process/ledger/src/index.ts
+++ b/process/ledger/src/index.ts
@@ -1,6 +1,8 @@
 export { Disk, DiskClosedError } from './disk.js'
 export type { DiskContents } from './disk.js'
 export { encodeFrame, decodeFrames } from './frames.js'
+export { openDisk } from './opendisk.js'
+export type { OpenDiskOptions } from './opendisk.js'
 export { Ledger } from './ledger.js'
 export { RecordKind } from '#connection/rpc'
 export { RecordIndex, recordKey, mergeAccountEntries } from './records.js'
--- a/process/ledger/src/segmentreader.ts
+++ b/process/ledger/src/segmentreader.ts
@@ -10,6 +10,15 @@
   readonly segment: number
 }
 
+/// What was found in a segment.
+interface ReadSegment {
+  readonly bytes: number
+  /// The size of the frames before the first torn or corrupt one.
+  readonly validBytes: number
+  /// Whole frames that hold something else than a record.
+  readonly strayFrames: number
+}
+
 /// Where the message of a record is stored.
 interface Place {
   readonly path: string
@@ -47,17 +56,30 @@
     return this.count
   }
 
-  /// Reads the records before the first torn or corrupt frame. `validBytes` is their encoded size.
-  read (path: string, segment: number): { validBytes: number, bytes: number } {
+  /// Reads the records before the first torn or corrupt frame.
+  read (path: string, segment: number): ReadSegment {
     const contents = this.load(path)
+    let strayFrames = 0
     const validBytes = scanFrames(contents, (body, offset) => {
-      this.count++
-      const head = LedgerRecord.decode(new HeadReader(body))
-      const { id, kind } = head
-      if (getOwnExpiryMs(head) > this.nowMs) this.current.push({ record: LedgerRecord.decode(body), segment })
-      else if (kind === RecordKind.turn) this.expiredTurns.set(id, { path, segment, offset, bytes: body.length })
+      try {
+        this.add(body, { path, segment, offset, bytes: body.length })
+      } catch {
+        strayFrames++
+      }
     })
-    return { validBytes, bytes: contents.length }
+    return { validBytes, bytes: contents.length, strayFrames }
+  }
+
+  /// Throws if the bytes are no record.
+  private add (body: Buffer, place: Place): void {
+    const head = LedgerRecord.decode(new HeadReader(body))
+    const { id, kind } = head
+    if (getOwnExpiryMs(head) > this.nowMs) {
+      this.current.push({ record: LedgerRecord.decode(body), segment: place.segment })
+    } else if (kind === RecordKind.turn) {
+      this.expiredTurns.set(id, place)
+    }
+    this.count++
   }
 
   /// The records that are still in use.
--- a/process/ledger/test/disk.test.ts
+++ b/process/ledger/test/disk.test.ts
@@ -1,10 +1,14 @@
-import { appendFileSync, mkdtempSync, readdirSync, rmSync, statSync, truncateSync } from 'node:fs'
+import {
+  appendFileSync, mkdirSync, mkdtempSync, readdirSync, rmSync, rmdirSync, statSync, truncateSync, writeFileSync
+} from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { crc32 } from 'node:zlib'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { LedgerRecord } from '#connection/rpc'
-import { Disk, Ledger, RecordKind, RecordIndex, encodeFrame, decodeFrames } from '#process/ledger'
+import { Disk, Ledger, RecordKind, RecordIndex, encodeFrame, decodeFrames, openDisk } from '#process/ledger'
 import { noopLog } from '#process/log'
+import type { EventKind } from '#process/log'
 
 let folder = ''
 
@@ -48,6 +52,55 @@
   expect(reopen().records.getChain('t3')).not.toBeNull()
 })
 
+const strayFrame = (): Buffer => {
+  const body = Buffer.from([0xff, 0xff, 0xff])
+  const frame = Buffer.alloc(8 + body.length)
+  frame.writeUInt32LE(body.length, 0)
+  frame.writeUInt32LE(crc32(body), 4)
+  body.copy(frame, 8)
+  return frame
+}
+
+// Guards against data folders with which a storage instance couldn't start any more.
+test.each<[string, () => void]>([
+  ['a stray file with the highest number of eight digits', () => writeFileSync(join(folder, 'segment-99999999'), '')],
+  ['a folder with the name of the next segment', () => mkdirSync(join(folder, 'segment-00000002'))],
+  ['names of other forms', () => { for (const name of ['segment-000000001', 'segment-1', 'segment-x']) writeFileSync(join(folder, name), '') }],
+  ['a frame that holds no record', () => appendFileSync(newestSegment(), strayFrame())],
+  ['an identity that was not renamed', () => writeFileSync(join(folder, 'identity.new'), 'abc')]
+])('with %s all records are kept, over several starts', async (_, disturb) => {
+  const first = reopen()
+  await first.persist([createRecord(RecordKind.turn, 't1')])
+  disturb()
+  for (const id of ['t2', 't3', 't4']) await reopen().persist([createRecord(RecordKind.turn, id)])
+  const last = reopen()
+  for (const id of ['t1', 't2', 't3', 't4']) expect(last.records.getChain(id)).not.toBeNull()
+  expect(last.diskId).toBe(first.diskId)
+})
+
+test.each<[string, () => void, () => void]>([
+  ['the folder is a file', () => writeFileSync(join(folder, 'data'), ''), () => rmSync(join(folder, 'data'))],
+  ['the identity cannot be read', () => mkdirSync(join(folder, 'data', 'identity'), { recursive: true }), () => rmdirSync(join(folder, 'data', 'identity'))]
+])('while %s the disk is awaited', async (_, disturb, repair) => {
+  const lines: string[] = []
+  const log = { event: (kind: EventKind) => { lines.push(kind.name) } }
+  disturb()
+  const opening = openDisk(join(folder, 'data'), { log, signal: new AbortController().signal })
+  await vi.waitFor(() => expect(lines).toEqual(['disk-awaited']))
+  repair()
+  const { contents } = await opening
+  expect(contents.wasEmpty).toBe(true)
+  expect(lines).toEqual(['disk-awaited', 'disk-opened'])
+})
+
+test('a stop ends the wait for a disk', async () => {
+  writeFileSync(join(folder, 'data'), '')
+  const stopping = new AbortController()
+  const opening = openDisk(join(folder, 'data'), { log: noopLog, signal: stopping.signal })
+  stopping.abort('SIGTERM')
+  await expect(opening).rejects.toBe('SIGTERM')
+})
+
 test('a wiped folder gets a new disk id and is reported as empty', async () => {
   const { diskId } = reopen()
   rmSync(folder, { recursive: true })
