Run record: the memory in use is read as well as it goes, too

What callers saw: nothing yet. In a process without a free descriptor the read of its memory in use throws: the heartbeat was an unexpected error and never sent again, and noting a stop would have thrown in the handler of the signal, before the stop itself began.

Evidence: 1,500 connections to processes with 64 descriptors, 5 of 5 ran on and served afterwards; 4 of them logged `EMFILE: too many open files, uv_resident_set_memory` from the run record.

--- a/process/runrecord/src/runrecord.ts
+++ b/process/runrecord/src/runrecord.ts
@@ -103,8 +103,9 @@
   }
 
   private change (changes: Partial<RunRecordContents>): string {
-    const residentMb = Math.round(process.memoryUsage.rss() / bytesPerMb)
-    this.contents = { ...this.contents, ...changes, lastSeenAtMs: Date.now(), residentMb }
+    this.contents = { ...this.contents, ...changes, lastSeenAtMs: Date.now() }
+    // This reads a file, too.
+    ignoreErrors(() => { this.contents.residentMb = Math.round(process.memoryUsage.rss() / bytesPerMb) })
     return JSON.stringify(this.contents)
   }
 }
--- a/process/runrecord/test/runrecord.test.ts
+++ b/process/runrecord/test/runrecord.test.ts
@@ -133,3 +133,17 @@
     expect(readContents().state).toBe(RunState.stopped)
   }
 })
+
+// Guards against a process that ran out of descriptors, and whose stop ended with the failure to note its beginning.
+test('without a descriptor to read the memory in use, a run is recorded all the same', () => {
+  const run = open()
+  const rss = vi.spyOn(process.memoryUsage, 'rss').mockImplementation(() => { throw new Error('EMFILE') })
+  try {
+    run.setReady()
+    run.setStopping('SIGTERM')
+    run.end('SIGTERM', 0)
+  } finally {
+    rss.mockRestore()
+  }
+  expect(open().previous).toMatchObject({ how: PreviousEnd.stopped, reason: 'SIGTERM', exitCode: 0 })
+})
