Settings: a start waits for a valid settings file

What callers saw: a process whose settings file was missing, empty or half written at the moment of its start exited with status 1 and a bare line on standard error, at each start until the file was whole. Half a file that was valid by chance, without its optional keys, was taken.

Cause: the file was read once at the start, while whoever places it may still be writing. Only changes of a running process had to stay the same for a while.

Evidence: startsettings.test.ts with the built daemon before: all 12 cases of a missing or invalid file and of a stop meanwhile fail, as the process has exited, and the file that was being written was taken in part.

Fix: openSettings reads the file again each 150 ms until it is valid, without end, so that a correction needs no restart. settings-rejected, with the trigger `start` and pid-N and unknown in place of the node's name and role, says what is wrong at once, when that changes and each 10 s. A signal that asks for a stop ends the wait with status 0. A file that was modified less than 50 ms ago is read until its contents are the same twice, 50 ms apart; an older one costs one stat. `chicorynotch check` is as it was.

--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -2,12 +2,12 @@
 import { keepListening } from '#connection/listen'
 import { LoopMonitor, readCpuMs } from '#process/clock'
 import { getLaunchReport } from '#process/launcher'
-import { Events, ProcessLog, formatError } from '#process/log'
+import { Events, ProcessLog, errorMessage, formatError } from '#process/log'
 import type { EventFields } from '#process/log'
 import { Metrics } from '#process/metrics'
 import { RunRecord, locateRunRecord } from '#process/runrecord'
-import { Role, SettingsFile } from '#process/settings'
-import type { Settings } from '#process/settings'
+import { ReloadTrigger, Role, openSettings } from '#process/settings'
+import type { Settings, SettingsFile } from '#process/settings'
 import { SignalUse, getProcessSignals } from '#process/signals'
 import type { ProcessSignals, SignalName } from '#process/signals'
 import { createEntryRole } from './entryrole.js'
@@ -25,12 +25,35 @@
   sidecar: () => { throw new Error('the sidecar role is not implemented') }
 }
 
-/// Starts the role given in the settings file. Rejects if the settings are invalid. At a signal that asks for it the
+/// Starts the role given in the settings file. Waits while the settings are invalid. At a signal that asks for it the
 /// process stops the role, also one that is still starting, and exits with status 0, or 1 if that fails. A changed
 /// settings file takes effect with SIGHUP or without. Uncaught errors are logged and do not end the process.
 export async function runDaemon (settingsFile: string, platform: DaemonPlatform): Promise<void> {
   const signals = getProcessSignals()
-  await new Daemon(new SettingsFile(settingsFile), signals).run(platform)
+  const file = await awaitSettings(settingsFile, signals)
+  await new Daemon(file, signals).run(platform)
+}
+
+/// Ends the process if it is asked to stop meanwhile.
+async function awaitSettings (path: string, signals: ProcessSignals): Promise<SettingsFile> {
+  const log = new ProcessLog(`pid-${process.pid}`, 'unknown')
+  const stopping = new AbortController()
+  signals.listen(SignalUse.stop, ({ name }) => stopping.abort(name))
+  const onRejected = (error: unknown): void => {
+    log.event(Events.settingsRejected, { file: path, trigger: ReloadTrigger.start, error: errorMessage(error) })
+  }
+  try {
+    const file = await openSettings(path, { signal: stopping.signal, onRejected })
+    stopping.signal.throwIfAborted()
+    return file
+  } catch (error) {
+    const { aborted, reason } = stopping.signal
+    if (!aborted) throw error
+    log.event(Events.processStopping, { signal: reason, uptimeMs: Math.round(performance.now()), wasReady: false })
+    log.event(Events.processStopped, { reason, exitCode: 0 })
+    log.flush()
+    process.exit(0)
+  }
 }
 
 /// The process, from the moment at which its settings are known.
--- a/process/settings/src/index.ts
+++ b/process/settings/src/index.ts
@@ -1,3 +1,5 @@
+export { openSettings } from './opensettings.js'
+export type { OpenSettingsOptions } from './opensettings.js'
 export { ReloadTime, compareSettings, reloadTimes } from './reload.js'
 export type { SettingsDifference } from './reload.js'
 export { Role, SettingsError, parseSettings } from './settings.js'
--- a/process/settings/src/settingsfile.ts
+++ b/process/settings/src/settingsfile.ts
@@ -8,7 +8,7 @@
 import type { Settings } from './settings.js'
 
 /// What made the process read its settings file again.
-export const ReloadTrigger = { signal: 'SIGHUP', poll: 'poll' } as const
+export const ReloadTrigger = { start: 'start', signal: 'SIGHUP', poll: 'poll' } as const
 
 export type ReloadTrigger = typeof ReloadTrigger[keyof typeof ReloadTrigger]
 
@@ -23,9 +23,8 @@
   /// The contents at the last poll.
   private polledText: string | null
 
-  /// Throws `SettingsError` if the file is invalid, or the error of the file system.
-  constructor (private readonly path: string) {
-    const text = readFileSync(path, 'utf8')
+  /// Throws `SettingsError` if the contents are invalid, or the error of the file system.
+  constructor (private readonly path: string, text = readFileSync(path, 'utf8')) {
     this.active = parseSettings(path, text)
     this.handledText = this.polledText = text
   }
