Daemon: a start without valid settings, and a failed append, say so as events

Operators: a process whose settings are invalid left one bare line on standard error and no event; a failed append ended a storage instance without the `disk-failed` that the catalogue promises. Cause: settings are read before the log exists; the failure of the ledger only ended the process. Now `start-failed` and `process-stopped` (node and role `unknown`) say why on standard output, and `disk-failed` comes before the end. Evidence: process/daemon/test/endlines.test.ts, real processes of both roles, with the other fields of the last lines.

--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -25,12 +25,29 @@
   sidecar: () => { throw new Error('the sidecar role is not implemented') }
 }
 
-/// Starts the role given in the settings file. Rejects if the settings are invalid. At a signal that asks for it the
-/// process stops the role, also one that is still starting, and exits with status 0, or 1 if that fails. A changed
-/// settings file takes effect with SIGHUP or without. Uncaught errors are logged and do not end the process.
+/// Name and role in the log lines of a process without valid settings.
+const unknownNode = 'unknown'
+
+/// Starts the role given in the settings file. If the settings are invalid or the role can't be started, the process
+/// says why and exits with status 1. At a signal that asks for it the process stops the role, also one that is still
+/// starting, and exits with status 0, or 1 if that fails. A changed settings file takes effect with SIGHUP or without.
+/// Uncaught errors are logged and do not end the process.
 export async function runDaemon (settingsFile: string, platform: DaemonPlatform): Promise<void> {
   const signals = getProcessSignals()
-  await new Daemon(new SettingsFile(settingsFile), signals).run(platform)
+  await new Daemon(readSettings(settingsFile), signals).run(platform)
+}
+
+function readSettings (path: string): SettingsFile {
+  try {
+    return new SettingsFile(path)
+  } catch (error) {
+    const log = new ProcessLog(unknownNode, unknownNode)
+    const reason = formatError(error)
+    log.event(Events.startFailed, { reason })
+    log.event(Events.processStopped, { reason, exitCode: 1 })
+    log.flush()
+    process.exit(1)
+  }
 }
 
 /// The process, from the moment at which its settings are known.
--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -25,7 +25,10 @@
     this.stopCallbacks.push(() => disk.close())
     const ledger = new Ledger(disk, contents)
     // After a failed write the contents of the disk are unknown; the next start reads them again.
-    ledger.onFailure = fail
+    ledger.onFailure = error => {
+      log.event(Events.diskFailed, { error: formatError(error) })
+      fail(error)
+    }
     const server = new LedgerServer(ledger)
     this.stopCallbacks.unshift(() => server.close())
     const address = `${node.ip}:${listen.peer_port}`
