--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -19,10 +19,16 @@
   readonly connect: (settings: Settings, log: ProcessLog, metrics: Metrics) => ConnectedPlatform
 }
 
+const sidecarRole: DaemonRole = {
+  start: async () => { throw new Error('the sidecar role is not implemented') },
+  reload: () => {},
+  stop: async () => {}
+}
+
 const createByRole: Readonly<Record<Role, (context: RoleContext) => DaemonRole>> = {
   entry: createEntryRole,
   storage: createStorageRole,
-  sidecar: () => { throw new Error('the sidecar role is not implemented') }
+  sidecar: () => sidecarRole
 }
 
 /// Starts the role given in the settings file. Waits while the settings are invalid. At a signal that asks for it the
