Relay: connections to an entry that stops are drained before it closes them

Callers of a busy entry saw requests end without an answer when another entry stopped: the one to which their connections were relayed.

Cause: the relaying entry learned of the stop only as the other one closed its idle connections, 2.6 s after SIGTERM. A request that was on its way then, read here and passed on, was never read there; the caller's connection was closed.

The new case of process/relay/test/directory.test.ts failed before (0 calls instead of 1).

Why it works: an entry that relays connections asks for reports each 0.8 s, and one that stops accepts connections for 2.6 s. A report that it isn't ready any more now drains the connections that are relayed to it.

--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -24,9 +24,9 @@
   unansweredQueries: number
   /// No connection is relayed to it until then, after one has failed. On the monotonic clock of `performance.now()`.
   avoidUntilMs: number
-  /// Called when the entry has fallen silent, for each connection that is relayed to it.
-  readonly onSilence: Set<() => void>
-  /// The same when it has been silent for so long that it answers no call any more.
+  /// Called when the entry stops or has fallen silent, for each connection that is relayed to it.
+  readonly onUnavailable: Set<() => void>
+  /// Called when it has been silent for so long that it answers no call any more.
   readonly onLoss: Set<() => void>
 }
 
@@ -118,7 +118,7 @@
       ageTicks: Infinity,
       unansweredQueries: 0,
       avoidUntilMs: 0,
-      onSilence: new Set(),
+      onUnavailable: new Set(),
       onLoss: new Set()
     })
     this.log.event(Events.entryListed, { entry: name, address: registration.address, zone: registration.zone })
@@ -136,6 +136,7 @@
     const entry = this.byName.get(name) ?? [...this.departed].find(({ registration }) => registration.name === name)
     if (entry === undefined) return
     if (isSilent(entry)) this.log.event(Events.entryHeard, { entry: name })
+    if (entry.isReady && !isReady) for (const onUnavailable of [...entry.onUnavailable]) onUnavailable()
     Object.assign(entry, { expectedMs, configVersion, isReady, askersProcessors, ageTicks: 0, unansweredQueries: 0 })
     if (isQuery) entry.askedTicks = 0
   }
@@ -149,7 +150,7 @@
     }
     for (const entry of this.departed) {
       entry.ageTicks++
-      if (entry.onSilence.size === 0) this.departed.delete(entry)
+      if (entry.onUnavailable.size === 0) this.departed.delete(entry)
     }
     const asked = [...this.candidates, ...this.departed]
       .filter(entry => this.needsReport(entry, ownMs, configVersion))
@@ -231,7 +232,7 @@
   }
 
   private needsReport (entry: OtherEntry, ownMs: number, configVersion: number): boolean {
-    if (entry.onSilence.size > 0) return entry.ageTicks > 1
+    if (entry.onUnavailable.size > 0) return entry.ageTicks > 1
     const keepMs = getKeepMs(ownMs)
     if (keepMs <= minExpectedMs) return false
     if (entry.configVersion !== configVersion) return true
@@ -242,8 +243,8 @@
     entry.unansweredQueries++
     if (entry.unansweredQueries === maxUnansweredQueriesOfCalls) for (const onLoss of [...entry.onLoss]) onLoss()
     if (entry.unansweredQueries !== maxUnansweredQueries) return
-    this.log.event(Events.entrySilent, { entry: entry.registration.name, relayed: entry.onSilence.size })
-    for (const onSilence of [...entry.onSilence]) onSilence()
+    this.log.event(Events.entrySilent, { entry: entry.registration.name, relayed: entry.onUnavailable.size })
+    for (const onUnavailable of [...entry.onUnavailable]) onUnavailable()
   }
 
   private updateMembers (): void {
@@ -259,7 +260,7 @@
     const entry = this.byName.get(name)
     this.byName.delete(name)
     // What is listed says nothing of whether the process runs.
-    if (entry !== undefined && entry.onSilence.size > 0) this.departed.add(entry)
+    if (entry !== undefined && entry.onUnavailable.size > 0) this.departed.add(entry)
   }
 }
 
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -88,7 +88,7 @@
     const { peer } = this
     clearTimeout(this.connectTimer)
     this.isConnected = true
-    entry.onSilence.add(this.drain)
+    entry.onUnavailable.add(this.drain)
     entry.onLoss.add(this.onLoss)
     peer.write(formatOrigin(origin))
     caller.on('data', this.onCallerData)
@@ -173,7 +173,7 @@
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
     clearTimeout(this.connectTimer)
-    entry.onSilence.delete(this.drain)
+    entry.onUnavailable.delete(this.drain)
     entry.onLoss.delete(this.onLoss)
     caller.off('data', this.onCallerData)
     caller.off('drain', this.onCallerDrain)
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -104,33 +104,45 @@
   ['is listed no more', () => changeObjects(directory, [{ name: 'e', revision: 2, object: null }])]
 ])('connections to an entry that %s go on while it answers, and end when it falls silent', (_, change) => {
   addEntry('e')
-  const onSilence = vi.fn()
+  const onUnavailable = vi.fn()
   const [entry] = directory.entries
-  entry!.onSilence.add(onSilence)
+  entry!.onUnavailable.add(onUnavailable)
   change()
   for (let i = 0; i < 6; i++) {
     expect(tick(2)).toContain('127.0.0.1:1')
     directory.recordReport({ name: 'e', expectedMs: 1, configVersion: 1, isReady: true, isQuery: false, askersProcessors: 0 })
   }
-  expect(onSilence).not.toHaveBeenCalled()
+  expect(onUnavailable).not.toHaveBeenCalled()
   tick(8)
-  expect(onSilence).toHaveBeenCalledTimes(1)
+  expect(onUnavailable).toHaveBeenCalledTimes(1)
 })
 
 test('connections to an entry that has another address now end when nothing answers at the earlier one', () => {
   addEntry('e')
-  const onSilence = vi.fn()
-  directory.entries[0]!.onSilence.add(onSilence)
+  const onUnavailable = vi.fn()
+  directory.entries[0]!.onUnavailable.add(onUnavailable)
   changeRegistration({ address: '127.0.0.1:9' })
   tick(2)
-  expect(onSilence).not.toHaveBeenCalled()
+  expect(onUnavailable).not.toHaveBeenCalled()
   tick(8)
-  expect(onSilence).toHaveBeenCalledTimes(1)
+  expect(onUnavailable).toHaveBeenCalledTimes(1)
+})
+
+// Guards against calls without a response: an entry that stopped closed connections with calls on their way to it.
+test.each([
+  ['is ready', true, 0],
+  ['stops', false, 1]
+])('an entry that reports that it %s: connections to it are drained (%s) %i times', (_, isReady, times) => {
+  addEntry('e')
+  const onUnavailable = vi.fn()
+  directory.entries[0]!.onUnavailable.add(onUnavailable)
+  for (let i = 0; i < 2; i++) directory.recordReport({ name: 'e', expectedMs: 1, configVersion: 1, isReady, isQuery: false, askersProcessors: 0 })
+  expect(onUnavailable).toHaveBeenCalledTimes(times)
 })
 
 test('an entry that is listed no more gets no further connections', () => {
   addEntry('e')
-  directory.entries[0]!.onSilence.add(() => {})
+  directory.entries[0]!.onUnavailable.add(() => {})
   listObjects(directory, { objects: [], revision: 2 })
   expect(choose('connection')).toBe(null)
 })
@@ -141,12 +153,12 @@
   [20, 1, 1]
 ])('an entry that leaves queries unanswered for %i ticks is reported to each connection to it, once', (ticks, silences, losses) => {
   addEntry('e')
-  const onSilence = vi.fn()
+  const onUnavailable = vi.fn()
   const onLoss = vi.fn()
-  directory.entries[0]!.onSilence.add(onSilence)
+  directory.entries[0]!.onUnavailable.add(onUnavailable)
   directory.entries[0]!.onLoss.add(onLoss)
   tick(ticks)
-  expect(onSilence).toHaveBeenCalledTimes(silences)
+  expect(onUnavailable).toHaveBeenCalledTimes(silences)
   expect(onLoss).toHaveBeenCalledTimes(losses)
 })
 
@@ -161,7 +173,7 @@
   ['those with another version of the configuration, each time', () => addEntry('e', { configVersion: 2 }), ownMs, 1],
   ['an idle one asks those that its connections are relayed to', () => {
     addEntry('e')
-    directory.entries[0]!.onSilence.add(() => {})
+    directory.entries[0]!.onUnavailable.add(() => {})
     tick(1, idleMs)
   }, idleMs, 1]
 ])('%s', (_, prepare, expectedMs, count) => {
