Soak: a cut is not counted as late for the time in which the callers' own process was late

The process that runs the callers and all stand-ins is late itself on a busy machine. A request that crossed a close was then written, and its end read, that much apart, and counted as cut more than 200 ms after it was sent.

The rule's bound of 200 ms stays, for requests that no instance has run; one that was run counts whenever it is cut, as before.

--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -60,6 +60,8 @@
   readonly runs = new Map<string, Run[]>()
   readonly disturbances: Disturbance[] = []
   readonly lives: ProcessLife[] = []
+  /// How late this process itself was, which runs the callers and all stand-ins.
+  readonly delays: { readonly atMs: number, readonly delayMs: number }[] = []
   /// When the run was over, Infinity before.
   endedAtMs = Infinity
 }
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -67,7 +67,8 @@
 function findLostInPlannedWork (attempt: Attempt, observations: Observations, graceMs: number): string | null {
   const { id, sentAtMs, startedAtMs, endedAtMs, deadlineMs } = attempt
   const isRun = observations.runs.has(id)
-  if (!isCut(attempt) || !(isRun || endedAtMs - sentAtMs > lossSlackMs)) return null
+  if (!isCut(attempt)) return null
+  if (!isRun && endedAtMs - sentAtMs - getOwnDelayMs(attempt, observations) <= lossSlackMs) return null
   if (hasUnplanned(attempt, observations)) return null
   const isUsedUp = endedAtMs - startedAtMs >= deadlineMs * maxUsedShare
   const work = observations.disturbances.find(disturbance => {
@@ -77,6 +78,12 @@
   return work === undefined ? null : `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
 }
 
+/// How late the process that runs the callers itself was between the end of a request and that of its connection.
+function getOwnDelayMs ({ sentAtMs, endedAtMs }: Attempt, { delays }: Observations): number {
+  const meanwhile = delays.filter(({ atMs, delayMs }) => atMs >= sentAtMs && atMs - delayMs <= endedAtMs)
+  return Math.max(0, ...meanwhile.map(({ delayMs }) => delayMs))
+}
+
 function isPlannedWork (disturbance: Disturbance, { entry, sentAtMs, startedAtMs, endedAtMs }: Attempt): boolean {
   const { kind, startMs, endMs } = disturbance
   if (kind === 'unplanned' || kind === 'signal' || (disturbance.entry !== null && disturbance.entry !== entry)) return false
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -1,4 +1,4 @@
-import { sleep } from '#process/clock'
+import { LoopMonitor, sleep } from '#process/clock'
 import { StandinSystem } from '#standin/system'
 import type { ExecutedRequest, StandinUpstream } from '#standin/upstream'
 import { unitHash } from '#version/configuration'
@@ -64,6 +64,11 @@
   await system.start()
   const balancer = new Balancer(system.entries)
   const supervisor = new Supervisor(system, observations, graceMs)
+  const monitor = new LoopMonitor({
+    onDelay: delayMs => observations.delays.push({ atMs: performance.now(), delayMs }),
+    onStall: () => {},
+    onLoad: () => {}
+  })
   try {
     for (const upstream of [...system.engines, ...system.services]) observe(upstream, observations)
     const startMs = performance.now()
@@ -81,6 +86,7 @@
   } finally {
     balancer.stop()
     supervisor.stop()
+    monitor.stop()
     await system.stop()
   }
 }
