Disk: appends go on in the current segment when there can't be a next one

What callers saw: nothing yet. A storage instance that needs its next segment at a moment without a free descriptor, for instance while many connections are open, took that for a failed disk and ended with status 1.

Cause: the current segment was closed before the next one was opened, and any failure on the way counted as a failed append.

Evidence: the new test failed in both its cases with EMFILE.

The next segment is opened and synced first. If that fails, nothing is left of it, the failure is logged, and the append goes to the current segment, whose contents are as certain as before; the next append tries again.

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -115,7 +115,7 @@
   }
 
   private write (frames: readonly Buffer[]): number {
-    if (this.writtenBytes > segmentRolloverBytes) this.startSegment()
+    if (this.writtenBytes > segmentRolloverBytes) this.tryNextSegment()
     const bytes = Buffer.concat(frames)
     for (let offset = 0; offset < bytes.length;) offset += writeSync(this.file, bytes, offset)
     fdatasyncSync(this.file)
@@ -123,20 +123,19 @@
     return this.segment
   }
 
-  private startSegment (): void {
-    if (this.file !== noFile) closeSync(this.file)
-    this.file = noFile
-    const number = this.highestNumber + 1
-    const path = join(this.folder, formatSegmentName(number))
-    const file = openSync(path, 'wx')
+  /// Goes on with the current segment if there can't be another one now, for instance without a free descriptor.
+  private tryNextSegment (): void {
     try {
-      fsyncSync(file)
-      syncFolder(this.folder)
+      this.startSegment()
     } catch (error) {
-      closeSync(file)
-      unlinkSync(path)
-      throw error
+      this.log.event(Events.diskFailed, { of: 'next segment', error: formatError(error) })
     }
+  }
+
+  private startSegment (): void {
+    const number = this.highestNumber + 1
+    const file = createSegment(this.folder, number)
+    if (this.file !== noFile) closeSync(this.file)
     this.file = file
     this.highestNumber = number
     this.segment = number
@@ -199,6 +198,21 @@
   return { frames: [], synced, resolve, reject }
 }
 
+/// Leaves no file behind if it throws.
+function createSegment (folder: string, number: number): number {
+  const path = join(folder, formatSegmentName(number))
+  const file = openSync(path, 'wx')
+  try {
+    fsyncSync(file)
+    syncFolder(folder)
+    return file
+  } catch (error) {
+    closeSync(file)
+    unlinkSync(path)
+    throw error
+  }
+}
+
 function formatSegmentName (number: number): string {
   return `segment-${String(number).padStart(8, '0')}`
 }
