--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -273,6 +273,22 @@
     expect([countExecutions(), busy.relay.count]).toEqual([[0, 0], 0])
   })
 
+  // Guards against requests hidden in a malformed one: what follows its rejection is no request.
+  test.each([
+    ['while it is drained', () => busy.relay.drain()],
+    ['that it closes', () => {}]
+  ])('rejects a request and asks for a close on a connection %s: what the caller sends afterwards is not served', async (_, drain) => {
+    await listServer(socket => {
+      drain()
+      socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+    })
+    const client = connectClient()
+    client.socket.once('data', () => client.socket.write(formatCall('/charge/1', 'hidden')))
+    client.socket.write('POST /charge/1 HTTP/1.1\r\nhost: demo.example\r\nattempt-id: a1\r\ncontent-length: 300\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n')
+    await vi.waitFor(() => expect(client.ended()).not.toBe('open'))
+    expect([client.received().match(/HTTP\/1\.1 \d+/g), countExecutions()]).toEqual([['HTTP/1.1 400'], [0, 0]])
+  })
+
   test('can not be reached: connections are served here, also the next ones', async () => {
     await listServer(socket => socket.end())
     server.close()
