Relay: a connection that its last response closes isn't served any further

Found by the review: bytes that followed a rejected request on a relayed connection were run here as a request, answered 200 after the 400: since a connection whose calls are answered was read once more. A response with connection: close ends it now; what follows is no request.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -106,7 +106,7 @@
 
   private readonly onCallerData = (chunk: Buffer): void => {
     const { caller, onChunk } = this.options
-    if (this.isDraining && this.isIdle) return this.giveBack(chunk)
+    if (this.isDraining && this.isIdle) return this.responses.isLast ? this.endCaller() : this.giveBack(chunk)
     onChunk()
     this.requests.add(chunk)
     if (!this.peer.write(chunk)) caller.pause()
@@ -136,6 +136,7 @@
 
   /// Ends the connection unless the caller has sent another request: if this process was busy, it may have waited.
   private endAfterReading (): void {
+    if (this.responses.isLast) return this.endCaller()
     if (this.isLeaving) return
     this.isDraining = true
     this.isLeaving = true
@@ -146,6 +147,7 @@
 
   private endCaller (): void {
     const { caller } = this.options
+    if (this.isEnded) return
     this.finish(null)
     caller.end(() => caller.destroy())
     this.peer.destroy()
