Storage: a first start of the system that is interrupted goes on at the next start

Callers saw a system that never started, operators no error: if the storage instances ended after they had written their disk's id and before the first view was formed, by a signal, a kill or a loss of power, no later start counted as the first one, each waited to copy from a serving member, and there was none.

Cause: only a disk without an id was new. Now a disk that was new in the first start is marked so, before it has an id, until it has a record; the settings may have changed to first_start = false by the next start.

Also: an attempt to open a folder that fails closes its files (20 descriptors after 20 attempts before), and segment numbers of 16 digits are read, those beyond the safe integers refused; a stray segment- made the second start fail with EEXIST.

--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -21,7 +21,11 @@
   async start (): Promise<void> {
     if (this.isStopping) return
     const { settings: { node, listen, storage }, platform, log, metrics, fail, stopping } = this.context
-    const { disk, contents } = await openDisk(storage!.data_dir, { log, signal: stopping })
+    const { disk, contents } = await openDisk(storage!.data_dir, {
+      log,
+      isFirstStart: node.first_start,
+      signal: stopping
+    })
     this.stopCallbacks.push(() => disk.close())
     const ledger = new Ledger(disk, contents)
     // After a failed write the contents of the disk are unknown; the next start reads them again.
@@ -36,7 +40,7 @@
       address,
       zone: node.zone,
       toleratedLosses: node.tolerated_losses,
-      isFirstStart: node.first_start && contents.wasEmpty,
+      isFirstStart: contents.isFromFirstStart,
       connect: peerAddress => new LedgerConnection(peerAddress)
     }, platform.store, ledger, log)
     membership.start()
--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -17,6 +17,15 @@
   readonly records: readonly SegmentRecord[]
   /// The disk held neither records nor a valid disk id.
   readonly wasEmpty: boolean
+  /// The disk was new in the first start of the system, and has got no records since.
+  readonly isFromFirstStart: boolean
+}
+
+export interface DiskOpenOptions {
+  /// Time of the wall clock: records that have expired by then are left out.
+  readonly nowMs?: number
+  /// Whether the system starts for the first time.
+  readonly isFirstStart?: boolean
 }
 
 /// An append came after the close.
@@ -25,7 +34,9 @@
 }
 
 const identityFileName = 'identity'
-const segmentPattern = /^segment-(\d{8,15})$/
+/// Marks a disk that was new in the first start of the system.
+const firstStartFileName = 'first-start'
+const segmentPattern = /^segment-(\d{8,16})$/
 /// A new segment starts once the current one is larger than this.
 const segmentRolloverBytes = 8 * 1024 * 1024
 
@@ -45,12 +56,17 @@
 
   private constructor (private readonly folder: string, readonly diskId: string, private readonly log: EventLog) {}
 
-  /// Opens a data folder, creates it if needed, and reads the records that have not expired at `nowMs` of the wall
-  /// clock, or that one of these needs. Appends go to a new segment, so that no record follows a torn write.
-  static open (folder: string, log: EventLog, nowMs = 0): { disk: Disk, contents: DiskContents } {
+  /// Opens a data folder, creates it if needed, and reads the records that have not expired, or that one of these
+  /// needs. Appends go to a new segment, so that no record follows a torn write.
+  static open (
+    folder: string, log: EventLog, { nowMs = 0, isFirstStart = false }: DiskOpenOptions = {}
+  ): { disk: Disk, contents: DiskContents } {
     mkdirSync(folder, { recursive: true })
     const entries = readdirSync(folder, { withFileTypes: true })
-    const existingDiskId = entries.some(({ name }) => name === identityFileName) ? readIdentity(folder) : null
+    const names = new Set(entries.map(({ name }) => name))
+    const existingDiskId = names.has(identityFileName) ? readIdentity(folder) : null
+    // Before the disk has an id, so that a start that ends in between doesn't lose the mark.
+    if (isFirstStart && existingDiskId === null) writeFile(folder, firstStartFileName, '')
     const disk = new Disk(folder, existingDiskId ?? writeIdentity(folder), log)
     const reader = new SegmentReader(nowMs)
     disk.readSegments(entries, reader)
@@ -64,7 +80,16 @@
       segments: segments.length - 1,
       isNew: existingDiskId === null
     })
-    return { disk, contents: { records, wasEmpty: existingDiskId === null && reader.recordCount === 0 } }
+    const hasRecords = reader.recordCount > 0
+    if (hasRecords && names.has(firstStartFileName)) unlinkSync(join(folder, firstStartFileName))
+    return {
+      disk,
+      contents: {
+        records,
+        wasEmpty: existingDiskId === null && !hasRecords,
+        isFromFirstStart: !hasRecords && (isFirstStart || names.has(firstStartFileName))
+      }
+    }
   }
 
   get segmentCount (): number {
@@ -134,6 +159,7 @@
 
   private startSegment (): void {
     const number = this.highestNumber + 1
+    if (!Number.isSafeInteger(number)) throw new Error(`no segment can follow ${formatSegmentName(this.highestNumber)}`)
     const file = createSegment(this.folder, number)
     if (this.file !== noFile) closeSync(this.file)
     this.file = file
@@ -174,8 +200,11 @@
     const latest = this.segments[this.segments.length - 1]
     if (latest === undefined) return
     const file = openSync(join(this.folder, formatSegmentName(latest)), 'r+')
-    fdatasyncSync(file)
-    closeSync(file)
+    try {
+      fdatasyncSync(file)
+    } finally {
+      closeSync(file)
+    }
   }
 }
 
@@ -220,7 +249,7 @@
 /// Returns null for another name than one that `formatSegmentName` returns.
 function parseSegmentName (name: string): number | null {
   const number = Number(segmentPattern.exec(name)?.[1])
-  return formatSegmentName(number) === name ? number : null
+  return Number.isSafeInteger(number) && formatSegmentName(number) === name ? number : null
 }
 
 function readIdentity (folder: string): string | null {
@@ -230,14 +259,22 @@
 
 function writeIdentity (folder: string): string {
   const diskId = randomBytes(12).toString('hex')
-  const path = join(folder, identityFileName)
+  writeFile(folder, identityFileName, diskId)
+  return diskId
+}
+
+/// Writes a file that is there as a whole, and synced, or not at all.
+function writeFile (folder: string, name: string, text: string): void {
+  const path = join(folder, name)
   const file = openSync(`${path}.new`, 'w')
-  writeSync(file, diskId)
-  fsyncSync(file)
-  closeSync(file)
+  try {
+    writeSync(file, text)
+    fsyncSync(file)
+  } finally {
+    closeSync(file)
+  }
   renameSync(`${path}.new`, path)
   syncFolder(folder)
-  return diskId
 }
 
 function syncFolder (folder: string): void {
--- a/process/ledger/test/disk.test.ts
+++ b/process/ledger/test/disk.test.ts
@@ -85,7 +85,7 @@
   const lines: string[] = []
   const log = { event: (kind: EventKind) => { lines.push(kind.name) } }
   disturb()
-  const opening = openDisk(join(folder, 'data'), { log, signal: new AbortController().signal })
+  const opening = openDisk(join(folder, 'data'), { isFirstStart: false, log, signal: new AbortController().signal })
   await vi.waitFor(() => expect(lines).toEqual(['disk-awaited']))
   repair()
   const { contents } = await opening
@@ -96,7 +96,7 @@
 test('a stop ends the wait for a disk', async () => {
   writeFileSync(join(folder, 'data'), '')
   const stopping = new AbortController()
-  const opening = openDisk(join(folder, 'data'), { log: noopLog, signal: stopping.signal })
+  const opening = openDisk(join(folder, 'data'), { isFirstStart: false, log: noopLog, signal: stopping.signal })
   stopping.abort('SIGTERM')
   await expect(opening).rejects.toBe('SIGTERM')
 })
@@ -162,3 +162,30 @@
   expect(reported).toEqual(new Error('no space'))
   await expect(ledger.persist([createRecord(RecordKind.turn, 't2')])).rejects.toThrow('no space')
 })
+
+// Guards against a system that never starts, since its storage instances ended before they had formed the first view.
+test('a disk that was new in the first start of the system stays so until it has a record', async () => {
+  const open = (isFirstStart: boolean): { disk: Disk, isFromFirstStart: boolean } => {
+    const { disk, contents } = Disk.open(folder, noopLog, { isFirstStart })
+    return { disk, isFromFirstStart: contents.isFromFirstStart }
+  }
+  const starts = [true, false, false].map(isFirstStart => {
+    const { disk, isFromFirstStart } = open(isFirstStart)
+    disk.close()
+    return isFromFirstStart
+  })
+  expect(starts).toEqual([true, true, true])
+  const { disk } = open(false)
+  await disk.append([createRecord(RecordKind.turn, 'a')])
+  disk.close()
+  const later = open(true)
+  expect(later.isFromFirstStart).toBe(false)
+  later.disk.close()
+})
+
+test('a disk that was new in a later start is not from the first one', () => {
+  Disk.open(folder, noopLog).disk.close()
+  const { disk, contents } = Disk.open(folder, noopLog)
+  expect(contents.isFromFirstStart).toBe(false)
+  disk.close()
+})
--- a/process/ledger/test/expired.test.ts
+++ b/process/ledger/test/expired.test.ts
@@ -51,7 +51,7 @@
   const first = Disk.open(folder, noopLog)
   await new Ledger(first.disk, first.contents).persist(records)
   first.disk.close()
-  const { disk, contents } = Disk.open(folder, noopLog, reopenedAtMs)
+  const { disk, contents } = Disk.open(folder, noopLog, { nowMs: reopenedAtMs })
   const ledger = new Ledger(disk, contents)
   expect(contents.wasEmpty).toBe(false)
   expect(contents.records.map(({ record }) => record.id).sort()).toEqual(expectedIds)
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -14,7 +14,7 @@
   readonly address: string
   readonly zone: string
   readonly toleratedLosses: number
-  /// Whether the system starts for the first time and the disk was empty.
+  /// Whether the disk was new in the first start of the system, and has got no records since.
   readonly isFirstStart: boolean
   readonly connect: (address: string) => LedgerPeer
 }
