--- a/connection/listen/test/listen.test.ts
+++ b/connection/listen/test/listen.test.ts
@@ -1,3 +1,4 @@
+import { createServer } from 'node:net'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { keepListening } from '#connection/listen'
 import type { EventKind } from '#process/log'
@@ -32,6 +33,19 @@
   expect(lines).toEqual(expected)
 })
 
+test('an error of a bound listener is logged, and ends nothing', async () => {
+  const lines: string[] = []
+  const server = createServer()
+  const listener = {
+    listen: async () => {},
+    onError: (handle: (error: Error) => void) => { server.on('error', handle) }
+  }
+  const log = { event: (kind: EventKind) => { lines.push(kind.name) } }
+  await keepListening(listener, { name: 'callers', address: '10.0.0.1:80', log, signal: new AbortController().signal })
+  server.emit('error', new Error('EMFILE'))
+  expect(lines).toEqual(['listener-failed'])
+})
+
 test('a stop ends the attempts', async () => {
   const { abort, outcome } = startListening(Infinity)
   await vi.advanceTimersByTimeAsync(3_600_000)
