--- a/process/daemon/test/processfaults.cjs
+++ b/process/daemon/test/processfaults.cjs
@@ -8,6 +8,10 @@
 const faults = {
   'held-start': () => { net.Server.prototype.listen = hang },
   'held-stop': () => { net.Server.prototype.close = hang },
+  'unsyncable-disk': () => {
+    fs.fsyncSync = () => { throw new Error('EIO: i/o error, fsync') }
+    syncBuiltinESMExports()
+  },
   'failing-disk': () => {
     const { listen } = net.Server.prototype
     net.Server.prototype.listen = function (...args) {
