--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -102,6 +102,11 @@
     node.process = this.launch(node)
   }
 
+  /// Starts a process that has ended, with its settings file and data folder as they are.
+  launchAgain (node: SystemNode): void {
+    node.process = this.launch(node)
+  }
+
   /// Replaces the text of a process's settings file while the process runs.
   async changeSettings (node: SystemNode, edit: (settings: string) => string): Promise<void> {
     const path = this.settingsPath(node)
