--- a/process/daemon/test/previousrun.test.ts
+++ b/process/daemon/test/previousrun.test.ts
@@ -85,6 +85,11 @@
 ]
 
 const storageEnds: typeof ends = [
+  ['SIGKILL while it waits for its disk', { how: 'unknown-starting', reason: null }, async node => {
+    const lines = node.outputLines.length
+    await restartWith('unsyncable-disk', node)
+    await vi.waitFor(() => expect(node.outputLines.slice(lines).join('\n')).toContain('disk-awaited'), timeoutMs)
+  }],
   ['a disk that fails', { how: 'exited', reason: 'Error: EIO: i/o error, fdatasync', exitCode: 1 }, async node => {
     await restartWith('failing-disk', node)
     await waitForState(node, 'ready')
