Daemon: the first lines of a process are written at once

A process that was killed within 250 ms of its start had lost previous-run-ended and process-started, which wait in the buffer. The tests of real processes of process/daemon run one after the other with the others of their kind.

--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -106,6 +106,8 @@
     const { codeCacheProblem = null } = getLaunchReport() ?? {}
     if (codeCacheProblem !== null) log.event(Events.codeCacheUnused, { reason: codeCacheProblem })
     log.event(Events.previousRunEnded, { ...record.previous })
+    // A process that is killed soon must not lose this line.
+    log.flush()
     metrics.addGauge(`previous_run{how="${record.previous.how}"}`, () => 1)
     metrics.addGauge('cpu_ms_total', () => Math.round(readCpuMs()))
     process.on('uncaughtException', error => {
@@ -146,6 +148,7 @@
       pid: process.pid,
       startMs: Math.round(performance.now())
     })
+    this.log.flush()
   }
 
   /// The role serves without it, too, if the address can't be bound.
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 /// Tests that measure what real processes do under load. They run one after the other, when all others have ended.
 const loadTests = [
-  'process/daemon/test/{endlines,firststart,previousrun,reload,restartmemory,signals,takenport,unreadoutput}.test.ts',
+  'process/daemon/test/*.test.ts',
   'standin/{soak/test/soak,system/test/orphans}.test.ts',
   'process/entry/test/{endlessresponse,latestop,memorylimit,overload,relayedstop,requestlimit,unequalentries}.test.ts'
 ]
