--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -202,6 +202,17 @@
     expect([countExecutions(), busy.relay.count]).toEqual([[1, 1], 0])
   })
 
+  // Guards against sound requests that were refused as too old: they counted as arrived when the connection was opened.
+  test('drained when the connection is older than the deadline of the next call: the call is served here', async () => {
+    const client = connectClient()
+    await callOn(client)
+    await sleep(1600)
+    client.socket.write(formatCall('/charge/1', 'a2'))
+    busy.relay.drain()
+    await vi.waitFor(() => expect(client.received().match(/HTTP\/1\.1 \d+/g)?.length).toBe(2))
+    expect(countResponses(client)).toBe(2)
+  })
+
   // Guards against LOST: calls were cut at an entry that had not got the processor for a second and went on with them.
   test('silent for a while, with a call under way: the call gets its response', async () => {
     upstreams[3]!.fault = UpstreamFault.late
