Storage: a start takes its port before it opens its disk

Since a start waits for its port, it had read the disk before, and the process before it went on acknowledging records on that disk.

--- a/connection/rpc/src/server.ts
+++ b/connection/rpc/src/server.ts
@@ -21,7 +21,8 @@
   private readonly sockets = new Set<Socket>()
   private readonly server: Server
 
-  constructor (private readonly handler: LedgerHandler) {
+  /// Without a handler, connections are closed until `serve` is called.
+  constructor (private handler: LedgerHandler | null = null) {
     this.server = createServer({ noDelay: true }, socket => this.handleConnection(socket))
   }
 
@@ -42,14 +43,23 @@
     for (const socket of this.sockets) socket.destroy()
   }
 
+  serve (handler: LedgerHandler): void {
+    this.handler = handler
+  }
+
   private handleConnection (socket: Socket): void {
+    const { handler } = this
+    if (handler === null) {
+      socket.destroy()
+      return
+    }
     const reader = new FrameReader()
     // The replies of one event loop iteration are sent in one write.
     const writer = new FrameWriter(socket, setImmediate)
     this.sockets.add(socket)
     socket.on('data', chunk => {
       try {
-        for (const message of reader.push(chunk)) this.handleMessage(Request.decode(message), writer)
+        for (const message of reader.push(chunk)) this.handleMessage(Request.decode(message), handler, writer)
       } catch (error) {
         socket.destroy(error as Error)
       }
@@ -60,20 +70,19 @@
     socket.on('close', () => this.sockets.delete(socket))
   }
 
-  private handleMessage (request: Request, writer: FrameWriter): void {
-    this.handleRequest(request)
+  private handleMessage (request: Request, handler: LedgerHandler, writer: FrameWriter): void {
+    handleRequest(request, handler)
       .catch((error: unknown) => ({ error: errorMessage(error) }))
       .then(reply => writer.send(toFrame(Reply.encode({ ...emptyReply, ...reply, number: request.number }).finish())))
   }
+}
 
-  private async handleRequest (request: Request): Promise<Partial<Reply>> {
-    const { handler } = this
-    if (request.append !== undefined) return { append: await handler.append(request.append) }
-    if (request.findChain !== undefined) return { findChain: await handler.findChain(request.findChain) }
-    if (request.digest !== undefined) return { digest: await handler.digest(request.digest) }
-    if (request.fetch !== undefined) return { fetch: await handler.fetch(request.fetch) }
-    return { error: 'the request contains no operation' }
-  }
+async function handleRequest (request: Request, handler: LedgerHandler): Promise<Partial<Reply>> {
+  if (request.append !== undefined) return { append: await handler.append(request.append) }
+  if (request.findChain !== undefined) return { findChain: await handler.findChain(request.findChain) }
+  if (request.digest !== undefined) return { digest: await handler.digest(request.digest) }
+  if (request.fetch !== undefined) return { fetch: await handler.fetch(request.fetch) }
+  return { error: 'the request contains no operation' }
 }
 
 /// Connections that wait to be accepted: all entries may connect at once.
--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -21,6 +21,11 @@
   async start (): Promise<void> {
     if (this.isStopping) return
     const { settings: { node, listen, storage }, platform, log, metrics, fail, stopping } = this.context
+    const server = new LedgerServer()
+    this.stopCallbacks.push(() => server.close())
+    const address = `${node.ip}:${listen.peer_port}`
+    // The process before this one writes to the disk as long as it has the port.
+    await keepListening(server, { name: 'peers', address, log, signal: stopping })
     const { disk, contents } = await openDisk(storage!.data_dir, {
       log,
       isFirstStart: node.first_start,
@@ -30,10 +35,7 @@
     const ledger = new Ledger(disk, contents)
     // After a failed write the contents of the disk are unknown; the next start reads them again.
     ledger.onFailure = fail
-    const server = new LedgerServer(ledger)
-    this.stopCallbacks.unshift(() => server.close())
-    const address = `${node.ip}:${listen.peer_port}`
-    await keepListening(server, { name: 'peers', address, log, signal: stopping })
+    server.serve(ledger)
     if (this.isStopping) return
     const membership = new MembershipController({
       name: node.name,
