Entry: the age of a connection that is given back isn't its next call's

Found by the review: a call on a relayed connection that is served here after a drain counted as arrived when the connection was accepted, and was refused as too late (503 timed-out).

--- a/connection/front/src/index.ts
+++ b/connection/front/src/index.ts
@@ -1,6 +1,6 @@
 export { Exchange } from './exchange.js'
 export type { ResponseHeaders } from './exchange.js'
 export { FrontServer } from './server.js'
-export type { FrontLimits, FrontOptions } from './server.js'
+export type { FrontLimits, FrontOptions, ServeConnection } from './server.js'
 export { StatusServer } from './status.js'
 export type { StatusPages } from './status.js'
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -18,11 +18,14 @@
   /// Called for each connection that is accepted.
   readonly onConnection: () => void
   /// Gets each connection that is accepted, and calls `serve` to have it served. Without it all are served.
-  readonly offerConnection?: (socket: Socket, serve: () => void) => void
+  readonly offerConnection?: (socket: Socket, serve: ServeConnection) => void
   /// A client that has sent its end still gets the responses to its requests. Else it counts as disconnected.
   readonly allowsHalfOpen?: boolean
 }
 
+/// Serves a connection. `wasUsed`: it has had requests before, so the next one may have arrived long after its opening.
+export type ServeConnection = (wasUsed: boolean) => void
+
 /// Limits on callers that the HTTP server enforces.
 export interface FrontLimits {
   readonly headerTimeoutMs: number
@@ -87,11 +90,12 @@
     server.on('connection', (socket: Socket) => {
       this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
       options.onConnection()
-      const serveHere = (): void => {
+      const serveHere: ServeConnection = wasUsed => {
+        if (wasUsed) this.openedAtMs.delete(socket)
         serve!.call(server, socket)
         this.forgetOpening(socket)
       }
-      if (options.offerConnection === undefined) serveHere()
+      if (options.offerConnection === undefined) serveHere(false)
       else options.offerConnection(socket, serveHere)
     })
   }
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -67,7 +67,7 @@
       serve: exchange => serve(exchange, this.origins.get(exchange.connection) ?? null),
       offerConnection: (socket, serveHere) => readOrigin(socket, origin => {
         this.origins.set(socket, origin)
-        serveHere()
+        serveHere(false)
       }),
       allowsHalfOpen: true
     })
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -159,7 +159,7 @@
       ...options,
       offerConnection: (socket, accept) => readOrigin(socket, origin => {
         this.origins.set(socket, origin)
-        accept()
+        accept(false)
       }),
       allowsHalfOpen: true
     })
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import type { ServeConnection } from '#connection/front'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
@@ -37,12 +38,12 @@
   }
 
   /// Relays the connection, or calls `serve` if it should be served here.
-  offer (caller: Socket, serve: () => void): void {
-    if (this.isStopping) return serve()
+  offer (caller: Socket, serve: ServeConnection): void {
+    if (this.isStopping) return serve(false)
     const { directory, serviceTime, getConfigVersion } = this.options
     const key = `${caller.remoteAddress}:${caller.remotePort}`
     const entry = directory.choose({ id: key, configVersion: getConfigVersion() }, serviceTime.expectedMs)
-    if (entry === null) serve()
+    if (entry === null) serve(false)
     else this.relay(caller, entry, serve)
   }
 
@@ -61,7 +62,7 @@
     for (const connection of [...this.connections]) connection.abort('this entry stops')
   }
 
-  private relay (caller: Socket, entry: OtherEntry, serve: () => void): void {
+  private relay (caller: Socket, entry: OtherEntry, serve: ServeConnection): void {
     const { directory, serviceTime, getConfigVersion } = this.options
     const { name } = entry.registration
     this.metrics.increment('relays_total')
@@ -79,7 +80,7 @@
       onChunk: () => serviceTime.countCall(CallCost.relayedChunk),
       onUnreachable: () => {
         directory.recordFailure(entry)
-        serve()
+        serve(false)
       },
       onReturned: serve,
       onEnd: reason => {
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -16,8 +16,8 @@
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
   readonly onUnreachable: (reason: string) => void
   /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
-  /// answered all that it was sent. What the caller has sent since can be read from the connection.
-  readonly onReturned: () => void
+  /// answered all that it was sent (`wasUsed`). What the caller has sent since can be read from the connection.
+  readonly onReturned: (wasUsed: boolean) => void
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
 }
@@ -79,7 +79,7 @@
     this.finish(null)
     this.peer.destroy()
     if (chunk !== null) caller.unshift(chunk)
-    onReturned()
+    onReturned(this.requests.count > 0)
     caller.resume()
   }
 
