Settings: a file that is written without pause doesn't hold up a stop

Found by the review, by reading: the wait for contents that stay the same had no end, line or signal of its own. It is one failed attempt now, and the retry has all three.

--- a/process/settings/src/opensettings.ts
+++ b/process/settings/src/opensettings.ts
@@ -21,12 +21,11 @@
   return retry(open, { delayMs: retryDelayMs, signal, onFailure: onRejected })
 }
 
+/// Throws if the contents change meanwhile.
 async function readSettled (path: string): Promise<string> {
-  for (let contents = readFileSync(path, 'utf8'); ;) {
-    if (Date.now() - statSync(path).mtimeMs >= settleMs) return contents
-    await sleep(settleMs)
-    const later = readFileSync(path, 'utf8')
-    if (later === contents) return contents
-    contents = later
-  }
+  const contents = readFileSync(path, 'utf8')
+  if (Date.now() - statSync(path).mtimeMs >= settleMs) return contents
+  await sleep(settleMs)
+  if (readFileSync(path, 'utf8') !== contents) throw new Error('the file is being written')
+  return contents
 }
