--- a/process/daemon/test/signals.test.ts
+++ b/process/daemon/test/signals.test.ts
@@ -99,11 +99,13 @@
 
   test.each(otherSignals)('%s before it is ready: it becomes ready', async signal => {
     const node = choose()
-    await restartHeldAt(node, gate(node))
     const starts = countStarts(node)
+    const lines = node.outputLines.length
+    await restartHeldAt(node, gate(node))
     node.process.kill(signal)
     await vi.waitFor(() => expect(countStarts(node)).toBe(starts + 1), endTimeoutMs)
     expect(getEnd(node)).toBeNull()
+    await vi.waitFor(() => expect(node.outputLines.slice(lines).join('\n')).toMatch(/settings-reloaded|signal-ignored/), endTimeoutMs)
   }, 30_000)
 })
 
