--- a/process/daemon/test/previousrun.test.ts
+++ b/process/daemon/test/previousrun.test.ts
@@ -108,7 +108,7 @@
   beforeEach(async () => {
     node = (role === 'entry' ? system.entries : system.storages)[0]!
     await waitForState(node, 'ready')
-  })
+  }, 30_000)
 
   test.each(ends)('tells an end by %s', async (_, previous, end) => {
     await end(node)
--- a/process/daemon/test/startsettings.test.ts
+++ b/process/daemon/test/startsettings.test.ts
@@ -5,7 +5,6 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test, vi } from 'vitest'
-import { sleep } from '#process/clock'
 import { buildDaemon, findFreePorts } from '#standin/system'
 
 // Guards against processes that exited at their start since their settings file was not there, or not whole yet.
