--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -1,6 +1,7 @@
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { runSoak } from '#standin/soak'
+import { exitAtSignals } from './signals.js'
 
 // Runs the soak of planned work with one seed after the other: npm run soak:planned -- [FIRST_SEED [SEEDS [SECONDS]]]
 // With TROUBLE=1 processes and the store fail too. Prints what broke a rule; with LINES=1 the log lines about
@@ -10,6 +11,8 @@
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const graceMs = 8000
 
+exitAtSignals()
+
 let findingCount = 0
 for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
   const { attempts, statuses, disturbances, findings, endsAtBoot, lines, logs } = await runSoak({
