Stand-in of upstream instances: early, extra and unannounced ends

Tests could not emulate an instance that responds before it has read the body and keeps the connection or closes it, that responds once more, or that closes idle connections without saying so: all of these the platform's protocol allows or names as faults. UpstreamFault gets earlyKept, earlyClosed, extra and idleClosed.

--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -21,12 +21,23 @@
   /// Executes the request and responds after a second.
   late: 'late',
   /// Executes the request and never responds.
-  silent: 'silent'
+  silent: 'silent',
+  /// Responds with 500 before it has read the body, and reads that later on the same connection.
+  earlyKept: 'early-kept',
+  /// Responds with 500 before it has read the body, and closes the connection.
+  earlyClosed: 'early-closed',
+  /// Responds once more a little after the response, on the same connection.
+  extra: 'extra',
+  /// Closes its idle connections soon after a response, which doesn't say so.
+  idleClosed: 'idle-closed'
 } as const
 
 export type UpstreamFault = typeof UpstreamFault[keyof typeof UpstreamFault]
 
 const lateMs = 1000
+/// Of a body, after the response to its request.
+const lateReadMs = 50
+const extraResponseMs = 5
 
 export interface UpstreamOptions {
   readonly id: string
@@ -42,6 +53,7 @@
   readonly method: string
   readonly path: string
   readonly headers: IncomingMessage['headers']
+  /// Empty while it is read after the response.
   readonly body: string
 }
 
@@ -60,6 +72,8 @@
   isLeaving = false
   /// Delay of the reset after the last bytes; with 0 the client sees both at once.
   resetAfterMs = 20
+  /// How long a connection is idle before `idleClosed` closes it.
+  idleCloseMs = 20
   /// Called when a request starts to execute.
   onRun: (request: ExecutedRequest) => void = () => {}
   /// Called when the response to an executed request was sent, or its connection closed before.
@@ -67,6 +81,8 @@
   /// Delay after an event of a stream.
   getEventIntervalMs: (request: ExecutedRequest, eventId: number) => number = () => this.options.eventIntervalMs
   private readonly server: Server
+  /// Connections with a request in progress.
+  private readonly busySockets = new Set<Socket>()
 
   constructor (readonly options: UpstreamOptions) {
     this.server = createServer((request, response) => {
@@ -85,8 +101,11 @@
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = []
-    for await (const chunk of request) chunks.push(chunk as Buffer)
+    const { socket } = request
+    this.busySockets.add(socket)
+    response.on('close', () => this.busySockets.delete(socket))
+    const isEarly = this.fault === UpstreamFault.earlyKept || this.fault === UpstreamFault.earlyClosed
+    const body = isEarly ? '' : await readBody(request)
     const { headers, method = 'GET', url: path = '/' } = request
     const callId = String(headers['attempt-id'] ?? '')
     const expected = headers['expect-instance']
@@ -99,14 +118,19 @@
       response.writeHead(503, { 'not-executed': '1', 'attempt-id': callId, ...this.leavingHeader }).end()
       return
     }
-    const executed = { callId, method, path, headers, body: Buffer.concat(chunks).toString('utf8') }
+    const executed = { callId, method, path, headers, body }
     this.executedRequests.push(executed)
     response.on('close', () => {
       if (!response.writableFinished) this.abortedCount++
       this.onDone(executed)
     })
+    response.on('finish', () => this.handleResponded(socket, callId))
     this.onRun(executed)
     if (this.fault === UpstreamFault.silent) return
+    if (isEarly) {
+      executed.body = await this.respondEarly(request, response, callId)
+      return
+    }
     if (this.fault === UpstreamFault.late) await sleep(lateMs)
     if (this.fault === UpstreamFault.responseLost) {
       request.socket.resetAndDestroy()
@@ -122,7 +146,9 @@
       'server-signature': `${this.options.id}.${callId}`,
       'server-load': '1,0,32',
       ...(this.requestLimitPerS === null ? {} : { 'server-limit': this.requestLimitPerS.toFixed(1) }),
-      ...this.leavingHeader
+      ...this.leavingHeader,
+      // Without this, Node says how long it keeps the connection.
+      ...(this.fault === UpstreamFault.idleClosed ? { connection: 'keep-alive' } : {})
     }
     if (this.options.eventCount > 0) await this.stream(request, response, responseHeaders, executed)
     else await this.respond(response, responseHeaders, executed)
@@ -132,6 +158,27 @@
     return this.isLeaving ? { 'server-leaving': '1' } : {}
   }
 
+  /// Resolves to the body.
+  private async respondEarly (request: IncomingMessage, response: ServerResponse, callId: string): Promise<string> {
+    response.shouldKeepAlive = this.fault === UpstreamFault.earlyKept
+    // Otherwise Node reads and drops the body once the response has ended.
+    if (response.shouldKeepAlive) request.read(0)
+    const text = 'failed early'
+    response.writeHead(500, {
+      'attempt-id': callId, 'server-signature': `${this.options.id}.${callId}`, 'content-length': String(text.length)
+    }).end(text)
+    if (!response.shouldKeepAlive) return ''
+    await sleep(lateReadMs)
+    return await readBody(request)
+  }
+
+  /// Applies the faults that follow a whole response.
+  private handleResponded (socket: Socket, callId: string): void {
+    if (this.fault === UpstreamFault.extra) setTimeout(() => socket.write(formatExtraResponse(callId)), extraResponseMs)
+    if (this.fault !== UpstreamFault.idleClosed) return
+    setTimeout(() => { if (!this.busySockets.has(socket)) socket.end() }, this.idleCloseMs)
+  }
+
   private sendUnframedAndReset (socket: Socket, callId: string): void {
     const type = this.options.eventCount > 0 ? 'text/event-stream' : 'text/plain'
     const head = `HTTP/1.1 200 OK\r\nattempt-id: ${callId}\r\nserver-signature: s\r\ncontent-type: ${type}\r\nconnection: close\r\n\r\n`
@@ -189,3 +236,13 @@
     return `piece ${id} after ${executed.body.length} bytes`
   }
 }
+
+async function readBody (request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+function formatExtraResponse (callId: string): string {
+  return `HTTP/1.1 200 OK\r\nattempt-id: ${callId}\r\nserver-signature: s\r\ncontent-length: 5\r\n\r\nextra`
+}
