A turn is stored as long as its caller waits

Cause: the append of the turn's record was given up after a time of its own, 1,500 ms, whatever was left until the deadline.

The append now lasts until the deadline of the call, and ends at once if the call is aborted: a stop of the entry can't wait for it. A deadline or a stop is then the reason in the line answer-broken.

--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -11,7 +11,6 @@
 import type { CallerResponse, ForwardContext, RoutedCall } from './context.js'
 import { CallDispatcher, getReason, getVerdict } from './dispatcher.js'
 
-const storeTurnTimeoutMs = 1500
 /// A resumable stream that completes no event for this long is resumed on another instance, if one has capacity.
 const streamIdleTimeoutMs = 900
 /// Share of its remaining time that a turn of a running program may wait for an instance.
@@ -133,7 +132,7 @@
   }
 
   /// Stores the turn. Must complete before the response ends, so that a caller that has received the complete
-  /// response can rely on the turn being stored.
+  /// response can rely on the turn being stored. It is tried as long as the caller waits and the call isn't aborted.
   async store (reservation: TokenReservation | null): Promise<void> {
     const { routed, context, response } = this
     if (!response.hasStarted) return
@@ -146,11 +145,12 @@
       this.deliveredTokens,
       this.instanceId
     )
-    const timeoutMs = Math.min(storeTurnTimeoutMs, routed.lastDeadlineMs - performance.now())
     const startedAtMs = performance.now()
+    const timeoutMs = routed.lastDeadlineMs - startedAtMs
     try {
-      await context.ledger.append([record], timeoutMs)
+      await unlessAborted(context.ledger.append([record], timeoutMs), routed.signal)
     } catch (error) {
+      if (routed.signal.aborted) throw this.dispatcher.toError(Verdict.ran, null)
       throw new RefusedError(Refusal.notStored, Verdict.ran, formatError(error))
     }
     context.metrics.observeMs('keep', performance.now() - startedAtMs)
@@ -257,6 +257,16 @@
   }
 }
 
+/// Settles as `promise` does, and rejects as soon as the signal is aborted.
+function unlessAborted (promise: Promise<void>, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const onAbort = (): void => reject(new Error(String(signal.reason)))
+    signal.addEventListener('abort', onAbort, { once: true })
+    promise.then(resolve, reject).finally(() => signal.removeEventListener('abort', onAbort))
+    if (signal.aborted) onAbort()
+  })
+}
+
 function roundUp (tokens: number, multiple: number): number {
   return Math.ceil(tokens / multiple) * multiple
 }
