Late replies of a slow storage instance count, and its connection stays open for them

Callers got 503, or a stream without its end, while storage instances took longer than 400 ms to reply: an entry gave up each request after that time, dropped the reply that came later, sent all bytes again, and after two such requests closed the connection with the replies of all others on it. A member that is slow with one record and replies to other requests got its bytes again and again.

A request now waits until its deadline as long as its connection receives replies. A member that is silent for 400 ms still counts as down and is sent the request on the next connection, but the first reply to any of them counts and shows that the member is up, for probes too. A connection that is replaced takes no further requests and is closed once no late reply may arrive on it. The session of a connection is a module of its own.

The delays are those of a fake; what a slow disk does to real processes is measured separately.

--- a/connection/rpc/src/connectionpool.ts
+++ b/connection/rpc/src/connectionpool.ts
@@ -1,6 +1,8 @@
-import { LedgerConnection, createPeerLiveness } from './client.js'
+import { LedgerConnection } from './client.js'
 import type { LedgerPeer } from './client.js'
 import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest } from './generated/ledger.js'
+import { createPeerLiveness } from './session.js'
+import type { WaitOptions } from './session.js'
 
 /// Several connections share the load: what waits on one for a lost packet or a full window doesn't hold up the others.
 const connectionCount = 4
@@ -15,16 +17,18 @@
     this.connections = Array.from({ length: connectionCount }, () => new LedgerConnection(address, liveness))
   }
 
-  append (request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
-    return this.nextConnection.append(request, timeoutMs)
+  append (request: AppendRequest, timeoutMs: number, wait?: WaitOptions<AppendReply>): Promise<AppendReply> {
+    return this.nextConnection.append(request, timeoutMs, wait)
   }
 
-  findChain (request: FindChainRequest, timeoutMs: number): Promise<FindChainReply> {
-    return this.nextConnection.findChain(request, timeoutMs)
+  findChain (
+    request: FindChainRequest, timeoutMs: number, wait?: WaitOptions<FindChainReply>
+  ): Promise<FindChainReply> {
+    return this.nextConnection.findChain(request, timeoutMs, wait)
   }
 
-  digest (request: DigestRequest, timeoutMs: number): Promise<DigestReply> {
-    return this.nextConnection.digest(request, timeoutMs)
+  digest (request: DigestRequest, timeoutMs: number, wait?: WaitOptions<DigestReply>): Promise<DigestReply> {
+    return this.nextConnection.digest(request, timeoutMs, wait)
   }
 
   fetch (request: FetchRequest, timeoutMs: number): Promise<FetchReply> {
--- a/connection/rpc/test/client.test.ts
+++ b/connection/rpc/test/client.test.ts
@@ -1,8 +1,8 @@
 import { createConnection, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
-import { afterEach, describe, expect, test } from 'vitest'
+import { afterEach, describe, expect, test, vi } from 'vitest'
 import { LedgerConnection, LedgerConnectionPool, LedgerServer, PeerError } from '#connection/rpc'
-import type { LedgerHandler, LedgerPeer, Standing } from '#connection/rpc'
+import type { AppendReply, LedgerHandler, LedgerPeer, Standing, WaitOptions } from '#connection/rpc'
 
 const standing: Standing = { diskId: 'd', viewVersion: 1, newerView: undefined }
 const neverSettles = new Promise<never>(() => {})
@@ -78,6 +78,36 @@
   })
 })
 
+describe('a peer that is silent for longer than a request waits', () => {
+  const late: AppendReply[] = []
+  const wait: WaitOptions<AppendReply> = { silenceTimeoutMs: 50, onLateReply: reply => late.push(reply) }
+
+  test('its late replies arrive, also those on a connection that was replaced meanwhile', async () => {
+    let reply = (): void => {}
+    const allowed = new Promise<void>(resolve => { reply = resolve })
+    const handler = { ...digestOnlyHandler, append: () => allowed.then(() => ({ standing, account: [] })) }
+    const connection = await startServerAndConnect(handler, address => new LedgerConnection(address))
+    for (let i = 0; i < 2; i++) await getRejection(connection.append(append, 10_000, wait))
+    expect((await connection.digest(digest, 10_000)).epoch).toBe('e')
+    reply()
+    await vi.waitFor(() => expect(late.map(received => received.standing)).toEqual([standing, standing]))
+  })
+
+  test('a connection that was replaced is closed once no late reply may arrive on it', async () => {
+    const sockets: Socket[] = []
+    const server = createServer(socket => {
+      sockets.push(socket)
+      socket.on('error', () => {}).resume()
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const connection = new LedgerConnection(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+    cleanups.push(() => connection.close(), () => server.close())
+    for (let i = 0; i < 2; i++) await getRejection(connection.append(append, 300, wait))
+    connection.open()
+    await vi.waitFor(() => expect(sockets.map(socket => socket.destroyed)).toEqual([true, false]))
+  })
+})
+
 test('a request to a port without a listener fails before its timeout', async () => {
   const connection = new LedgerConnection('127.0.0.1:1')
   cleanups.push(() => connection.close())
--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -1,5 +1,5 @@
 import { PeerError } from '#connection/rpc'
-import type { LedgerPeer, Member, Standing, View } from '#connection/rpc'
+import type { DigestReply, LedgerPeer, Member, Standing, View, WaitOptions } from '#connection/rpc'
 import { sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
@@ -35,7 +35,17 @@
   readonly failsFast: boolean
 }
 
-const attemptTimeoutMs = 400
+/// Sends a request to a member, with a timeout in milliseconds.
+export type SendToPeer<Reply> = (peer: LedgerPeer, timeoutMs: number, wait: WaitOptions<Reply>) => Promise<Reply>
+
+interface Replied {
+  readonly standing?: Standing | undefined
+}
+
+/// A request is sent again to a member that replies to nothing for this long.
+const silenceTimeoutMs = 400
+/// For the late reply of a member that is slow, not down.
+const probeTimeoutMs = 2000
 const retryDelayMs = 40
 /// Interval at which members that are down are probed.
 const probeIntervalMs = 200
@@ -98,25 +108,30 @@
     return [...this.peers].sort((a, b) => rank(a) - rank(b))
   }
 
-  /// Sends a request to one member and retries it until a reply comes. Resolves to null at the deadline, or if it fails
-  /// fast.
-  async sendWithRetry<Reply extends { standing?: Standing | undefined }> (
-    state: PeerState,
-    send: (peer: LedgerPeer, timeoutMs: number) => Promise<Reply>,
-    { deadlineMs, failsFast }: RetryOptions
+  /// Sends a request to one member, and sends it again while the member is silent, until a reply to any of these comes.
+  /// Resolves to null at the deadline, or if it fails fast.
+  async sendWithRetry<Reply extends Replied> (
+    state: PeerState, send: SendToPeer<Reply>, { deadlineMs, failsFast }: RetryOptions
   ): Promise<Reply | null> {
-    while (true) {
+    const replies: Reply[] = []
+    let resolveReplied = (): void => {}
+    const replied = new Promise<void>(resolve => { resolveReplied = resolve })
+    const accept = (reply: Reply): void => {
+      this.handleStanding(state, reply.standing!)
+      replies.push(reply)
+      resolveReplied()
+    }
+    while (replies.length === 0) {
       const remainingMs = deadlineMs - performance.now()
       if (remainingMs <= 1 || (failsFast && state.isDown && !this.isAvailable)) return null
-      try {
-        const reply = await send(state.peer, Math.min(remainingMs, attemptTimeoutMs))
-        this.handleStanding(state, reply.standing!)
-        return reply
-      } catch (error) {
+      const attempt = send(state.peer, remainingMs, { silenceTimeoutMs, onLateReply: accept })
+      const failed = attempt.then(accept, error => {
         this.recordFailure(state, error)
-      }
-      await sleep(retryDelayMs)
+        return sleep(retryDelayMs)
+      })
+      await Promise.race([replied, failed])
     }
+    return replies[0]!
   }
 
   close (): void {
@@ -158,7 +173,8 @@
     }
     const request = { viewVersion: this.view.version, cursor: 0, limit: 0, epoch: '' }
     for (const state of down) {
-      state.peer.digest(request, attemptTimeoutMs).then(reply => this.handleStanding(state, reply.standing!), () => {
+      const accept = (reply: DigestReply): void => this.handleStanding(state, reply.standing!)
+      state.peer.digest(request, probeTimeoutMs, { silenceTimeoutMs, onLateReply: accept }).then(accept, () => {
         // The member stays down, which has been logged.
       })
     }
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,4 +1,4 @@
-import type { AccountEntry, AppendReply, LedgerRecord, View } from '#connection/rpc'
+import type { AccountEntry, AppendReply, FindChainReply, LedgerRecord, View } from '#connection/rpc'
 import type { ReservedAccount } from '#request/turn'
 import { sleep } from '#process/clock'
 import { mergeAccountEntries } from '#process/ledger'
@@ -145,8 +145,8 @@
       deadlineMs,
       send: async state => {
         const request = { viewVersion: this.peers.view.version, turnId }
-        const reply = await this.peers.sendWithRetry(
-          state, (peer, limitMs) => peer.findChain(request, limitMs), { deadlineMs, failsFast: true }
+        const reply = await this.peers.sendWithRetry<FindChainReply>(
+          state, (peer, limitMs, wait) => peer.findChain(request, limitMs, wait), { deadlineMs, failsFast: true }
         )
         if (reply === null || chain !== null) return
         if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
@@ -189,8 +189,8 @@
       hedgeDelayMs: appendHedgeDelayMs,
       deadlineMs,
       send: async state => {
-        const reply = await this.peers.sendWithRetry(
-          state, (peer, limitMs) => peer.append(request, limitMs), { deadlineMs, failsFast: accountOf !== '' }
+        const reply = await this.peers.sendWithRetry<AppendReply>(
+          state, (peer, limitMs, wait) => peer.append(request, limitMs, wait), { deadlineMs, failsFast: accountOf !== '' }
         )
         if (reply !== null) replies.set(reply.standing!.diskId, reply)
       }
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
 import type { LedgerRecord, View } from '#connection/rpc'
+import { sleep } from '#process/clock'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
 import { LedgerQuorum } from '#process/quorum'
@@ -77,6 +78,41 @@
   expect([silent.mock.calls.length, countHolders('t1')]).toEqual([1, 2])
 })
 
+/// Lets each storage instance store the records `id` later than they arrive. Counts how often each one receives them.
+function delayAppends (id: string, delayMs: number): number[] {
+  const counts = ledgers.map(() => 0)
+  for (const [index, ledger] of ledgers.entries()) {
+    const append = ledger.append.bind(ledger)
+    vi.spyOn(ledger, 'append').mockImplementation(async request => {
+      if (request.records.some(record => record.id === id)) {
+        counts[index]!++
+        await sleep(delayMs)
+      }
+      return await append(request)
+    })
+  }
+  return counts
+}
+
+// Guards against turns that are cut because the replies of storage instances with a slow disk come too late.
+test('replies that come later than an instance is taken for silent still count, and show that it is up', async () => {
+  delayAppends('t1', 700)
+  await quorum.append([createRecord(RecordKind.turn, 't1')], 3000)
+  expect(quorum.isAvailable).toBe(true)
+})
+
+test('a storage instance that is slow with a record, and replies to others, is sent the record once', async () => {
+  const counts = delayAppends('t1', 1000)
+  const slow = quorum.append([createRecord(RecordKind.turn, 't1')], 3000)
+  for (let i = 0; i < 20; i++) {
+    const other = await quorum.reserve(createRecord(RecordKind.reservation, `r${i}`), 900)
+    await other.readComplete(900)
+    await sleep(50)
+  }
+  await slow
+  expect(counts).toEqual([1, 1, 1])
+})
+
 test('the complete account of a reservation is that of all storage instances', async () => {
   const others = new LedgerQuorum({ zone: 'b', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStaleView: () => {} }, noopLog)
   others.adoptView(view, 'test')
