--- /dev/null
+++ b/process/membership/src/decisions.ts
@@ -0,0 +1,65 @@
+import type { Member, View } from '#connection/rpc'
+import {
+  MemberState, canEvict, canLeave, hasCopied, isForming, requiredCopySources, withLeaving, withMember, withServing,
+  withSynced
+} from './view.js'
+
+/// The latest complete pass over a peer's records, of which this instance has copied what it lacked.
+export interface CompletedPass {
+  /// The peer's disk.
+  readonly diskId: string
+  /// Version of the peer's view when the pass started.
+  readonly viewVersion: number
+}
+
+/// What a storage instance knows when it decides on a change of the view.
+export interface Standpoint {
+  readonly own: Pick<Member, 'name' | 'diskId' | 'address' | 'zone'>
+  readonly toleratedLosses: number
+  /// Whether the disk was new in the first start of the system, and has got no records since.
+  readonly isFirstStart: boolean
+  readonly retiredNames: Pick<ReadonlySet<string>, 'has'>
+  /// Passes over the members of the view, by disk id.
+  readonly passes: ReadonlyMap<string, CompletedPass>
+  /// Disks that were reached a short time ago, this instance's own among them.
+  readonly presentDiskIds: ReadonlySet<string>
+  /// Members that have not been reached for so long that they may be evicted.
+  readonly unreachable: readonly Member[]
+}
+
+/// The next change of the view that this instance should write, or the view itself if none is due.
+export function computeNextView (view: View, standpoint: Standpoint): View {
+  const { own, toleratedLosses, isFirstStart, retiredNames } = standpoint
+  const servesAtOnce = isFirstStart && isForming(view, toleratedLosses)
+  const withOwnDisk = withMember(view, own, servesAtOnce)
+  if (withOwnDisk !== view) return retiredNames.has(own.name) ? view : withOwnDisk
+  const ownMember = view.members.find(member => member.diskId === own.diskId)
+  const isJoining = ownMember?.state === MemberState.joining
+  if (isJoining && holdsAllCommitted(view, standpoint)) return withServing(view, own.diskId)
+  const leavingName = findMemberToRemove(view, standpoint)
+  if (leavingName !== null) return withLeaving(view, leavingName)
+  const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
+  return isBehind && hasSyncedSince(view, standpoint) ? withSynced(view, own.diskId, view.leaveVersion) : view
+}
+
+/// Whether enough peers have been copied for this disk to hold every committed record.
+function holdsAllCommitted (view: View, { passes, toleratedLosses }: Standpoint): boolean {
+  const copied = view.members.filter(member => hasCopied(member) && passes.has(member.diskId))
+  return copied.length >= requiredCopySources(view, toleratedLosses)
+}
+
+/// Whether every serving peer has been copied since it adopted the view in which a member began to leave.
+function hasSyncedSince (view: View, { own, passes }: Standpoint): boolean {
+  const serving = view.members.filter(({ state, diskId }) => state === MemberState.serving && diskId !== own.diskId)
+  return serving.every(({ diskId }) => (passes.get(diskId)?.viewVersion ?? -1) >= view.leaveVersion)
+}
+
+/// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
+/// one member leaves at a time.
+function findMemberToRemove (view: View, standpoint: Standpoint): string | null {
+  const { toleratedLosses, retiredNames, presentDiskIds, unreachable } = standpoint
+  if (view.members.some(member => member.state === MemberState.leaving)) return null
+  const retired = view.members.find(({ name }) => retiredNames.has(name) && canLeave(view, name, toleratedLosses))
+  if (retired !== undefined) return retired.name
+  return unreachable.find(({ diskId }) => canEvict(view, diskId, presentDiskIds, toleratedLosses))?.name ?? null
+}
--- a/process/storage/src/copier.ts
+++ b/process/storage/src/copier.ts
@@ -1,13 +1,6 @@
 import type { LedgerPeer } from '#connection/rpc'
 import type { Ledger } from '#process/ledger'
-
-/// The latest complete pass over a peer's records.
-export interface CompletedPass {
-  /// The peer's disk.
-  readonly diskId: string
-  /// Version of the peer's view when the pass started.
-  readonly viewVersion: number
-}
+import type { CompletedPass } from '#process/membership'
 
 const requestTimeoutMs = 1500
 const digestPageSize = 2000
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -4,7 +4,7 @@
 import type { Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { MemberState, canLeave, requiredCopySources, emptyView, canEvict, isForming, needsMember, parseView, viewObjectName, withServing, withLeaving, withMember, withSynced } from '#process/membership'
+import { MemberState, computeNextView, emptyView, needsMember, parseView, viewObjectName } from '#process/membership'
 import { Retirements } from './retirements.js'
 import { StoragePeers, standbyTimeoutMs } from './storagepeers.js'
 
@@ -117,20 +117,18 @@
   }
 
   private computeNextView (nowMs: number): View {
-    const { options, ledger, peers, view } = this
-    const { name, address, zone, toleratedLosses } = options
+    const { options, ledger, peers, view, retirements } = this
+    const { name, address, zone, toleratedLosses, isFirstStart } = options
     if (!this.followRetirements(peers.isListed || !this.isStandby(nowMs))) return view
-    const servesAtOnce = options.isFirstStart && isForming(view, toleratedLosses)
-    const withOwnDisk = withMember(view, { name, diskId: ledger.diskId, address, zone }, servesAtOnce)
-    if (withOwnDisk !== view) return this.retirements.has(name) ? view : withOwnDisk
-    const ownMember = view.members.find(member => member.diskId === ledger.diskId)
-    if (ownMember?.state === MemberState.joining && this.holdsAllCommitted()) return withServing(view, ledger.diskId)
-    const leavingName = this.findMemberToRemove(nowMs)
-    if (leavingName !== null) return withLeaving(view, leavingName)
-    const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
-    return isBehind && peers.hasSyncedSince(view.leaveVersion)
-      ? withSynced(view, ledger.diskId, view.leaveVersion)
-      : view
+    return computeNextView(view, {
+      own: { name, diskId: ledger.diskId, address, zone },
+      toleratedLosses,
+      isFirstStart,
+      retiredNames: retirements,
+      passes: peers.passes,
+      presentDiskIds: peers.getPresentDiskIds(nowMs),
+      unreachable: peers.findUnreachable(nowMs)
+    })
   }
 
   /// Retirements concern members only, and instances that would join. Returns whether they are known.
@@ -151,22 +149,6 @@
     return !needsMember(this.view, presentDiskIds, this.options.toleratedLosses)
   }
 
-  private holdsAllCommitted (): boolean {
-    return this.peers.holdsAllCommitted(requiredCopySources(this.view, this.options.toleratedLosses))
-  }
-
-  /// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
-  /// one member leaves at a time.
-  private findMemberToRemove (nowMs: number): string | null {
-    const { view, peers, retirements, options: { toleratedLosses } } = this
-    if (view.members.some(member => member.state === MemberState.leaving)) return null
-    const retired = view.members.find(({ name }) => retirements.has(name) && canLeave(view, name, toleratedLosses))
-    if (retired !== undefined) return retired.name
-    const presentDiskIds = peers.getPresentDiskIds(nowMs)
-    const isEvictable = ({ diskId }: Member): boolean => canEvict(view, diskId, presentDiskIds, toleratedLosses)
-    return peers.findUnreachable(nowMs).find(isEvictable)?.name ?? null
-  }
-
   private startWrite (next: View): void {
     this.isWriting = true
     this.writeView(next).catch((error: unknown) => {
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -2,9 +2,9 @@
 import type { Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { MemberState, emptyView, hasCopied } from '#process/membership'
+import { MemberState, emptyView } from '#process/membership'
+import type { CompletedPass } from '#process/membership'
 import { PeerCopier } from './copier.js'
-import type { CompletedPass } from './copier.js'
 
 export interface StoragePeersOptions {
   /// This instance's name.
@@ -75,23 +75,12 @@
     }
   }
 
-  /// Whether enough peers have been copied for this disk to hold every committed record.
-  holdsAllCommitted (requiredSources: number): boolean {
-    const copied = [...this.peers.values()].filter(state => {
-      const member = this.findMember(state)
-      return member !== undefined && hasCopied(member) && state.lastPass?.diskId === member.diskId
-    })
-    return copied.length >= requiredSources
-  }
-
-  /// Whether every serving peer has been copied since it adopted the view `viewVersion`.
-  hasSyncedSince (viewVersion: number): boolean {
-    return [...this.peers.values()].every(state => {
-      const member = this.findMember(state)
-      if (member === undefined || member.state !== MemberState.serving) return true
-      return state.lastPass !== null && state.lastPass.diskId === member.diskId &&
-        state.lastPass.viewVersion >= viewVersion
+  /// The latest complete passes over the members of the view, by disk id.
+  get passes (): ReadonlyMap<string, CompletedPass> {
+    const passes = [...this.peers].flatMap(([diskId, { lastPass }]) => {
+      return lastPass?.diskId === diskId ? [[diskId, lastPass] as const] : []
     })
+    return new Map(passes)
   }
 
   /// The members that could not be reached for so long that they may be evicted.
@@ -187,8 +176,4 @@
     if (state.isReachable) this.log.event(Events.memberLost, { member: state.member.name })
     state.isReachable = false
   }
-
-  private findMember (state: PeerState): Member | undefined {
-    return this.view.members.find(member => member.diskId === state.member.diskId)
-  }
 }
