Storage membership: a lost disk does not hide the copies that a leaving member holds

Cause: a serving member counted as synced once it had copied every serving peer. A peer whose disk is lost is joining, so it was left out, and a member without serving peers was synced with nobody. The leaving member, which held the only copy, was removed. Now a member has synced once it has copied N - f members, itself among them, that had seen the step: any f+1 disks that acknowledged a record include one of these, whatever has happened to the others since.

Evidence: process/membership/test/viewfaults.test.ts plays the real decisions; without the change it fails with 'record 1 is denied in view 6' (npx vitest run process/membership/test/viewfaults), with it it passes.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -39,7 +39,8 @@
   const leavingName = findMemberToRemove(view, standpoint)
   if (leavingName !== null) return withLeaving(view, leavingName)
   const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
-  return isBehind && hasSyncedSince(view, standpoint) ? withSynced(view, own.diskId, view.leaveVersion) : view
+  const hasSynced = isBehind && holdsAllBefore(view, view.leaveVersion, standpoint)
+  return hasSynced ? withSynced(view, own.diskId, view.leaveVersion) : view
 }
 
 /// Whether enough peers have been copied for this disk to hold every committed record.
@@ -48,10 +49,14 @@
   return copied.length >= requiredCopySources(view, toleratedLosses)
 }
 
-/// Whether every serving peer has been copied since it adopted the view in which a member began to leave.
-function hasSyncedSince (view: View, { own, passes }: Standpoint): boolean {
-  const serving = view.members.filter(({ state, diskId }) => state === MemberState.serving && diskId !== own.diskId)
-  return serving.every(({ diskId }) => (passes.get(diskId)?.viewVersion ?? -1) >= view.leaveVersion)
+/// Whether this disk holds every record that was committed before the members adopted `viewVersion`. Of the members
+/// that hold what they must, this one included, so many have been copied since then that they can't all lack one.
+function holdsAllBefore (view: View, viewVersion: number, { own, passes, toleratedLosses }: Standpoint): boolean {
+  const sources = view.members.filter(member => {
+    const hasBeenCopied = (passes.get(member.diskId)?.viewVersion ?? -1) >= viewVersion
+    return hasCopied(member) && (hasBeenCopied || member.diskId === own.diskId)
+  })
+  return sources.length >= requiredCopySources(view, toleratedLosses)
 }
 
 /// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -68,8 +68,8 @@
   return staying.length < computeFullSize(toleratedLosses)
 }
 
-/// Number of other members, none of them joining, whose records a joining member
-/// must copy so that it holds every committed record.
+/// Number of members, none of them joining, that together hold every committed record, whichever they are. A joining
+/// member must have copied so many others; a serving one counts itself.
 export function requiredCopySources (view: View, toleratedLosses: number): number {
   return Math.max(1, view.members.filter(isQuorumMember).length - toleratedLosses)
 }
--- /dev/null
+++ b/process/membership/test/viewfaults.test.ts
@@ -0,0 +1,39 @@
+import { expect, test } from 'vitest'
+import { StorageModel } from './model.js'
+
+const toleratedLosses = 1
+
+/// What happens to three machines and one entry. Throws if an invariant of the model is broken.
+type History = (model: StorageModel) => void
+
+const cases: Record<string, History> = {
+  'another disk is lost during a retirement: the copies of the retired machine are kept': model => {
+    const [retired, wiped, other] = model.machines as [Machine, Machine, Machine]
+    append(model, retired, wiped)
+    model.retire(retired)
+    model.change(other)
+    model.loseDisk(wiped)
+    for (const machine of [wiped, other, wiped, other]) decide(model, machine)
+    model.remove(retired)
+  }
+}
+
+type Machine = StorageModel['machines'][number]
+
+function append (model: StorageModel, ...machines: readonly Machine[]): void {
+  for (const machine of machines) model.send(model.entries[0]!, machine)
+  expect(model.entries[0]!.append).toBeNull()
+}
+
+/// The machine reads the view and writes its next change.
+function decide (model: StorageModel, machine: Machine): void {
+  model.adopt(machine)
+  model.change(machine)
+}
+
+test.each(Object.entries(cases))('%s', (_, history) => {
+  const model = new StorageModel(3, toleratedLosses, 1)
+  history(model)
+  model.checkRecords()
+  model.settle()
+})
