Storage membership: a member that is gone does not hold up a retirement

Cause: a leaving member was removed only once every serving member had synced, the one that is gone among them. f+1 of them are enough, since each holds all that was committed before the step, and later records are on f+1 members that stay.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -40,7 +40,7 @@
   if (leavingName !== null) return withLeaving(view, leavingName)
   const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
   const hasSynced = isBehind && holdsAllBefore(view, view.leaveVersion, standpoint)
-  return hasSynced ? withSynced(view, own.diskId, view.leaveVersion) : view
+  return hasSynced ? withSynced(view, own.diskId, view.leaveVersion, toleratedLosses) : view
 }
 
 /// Whether enough peers have been copied for this disk to hold every committed record.
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -120,16 +120,16 @@
   return { ...updated, leaveVersion: updated.version }
 }
 
-/// Sets the `syncedView` of a member that holds all that its peers held under
-/// that view version. Removes the leaving members once every serving one has
-/// synced at `leaveVersion` or later.
-export function withSynced (view: View, diskId: string, syncedView: number): View {
+/// Sets the `syncedView` of a member that holds every record from before that view version. Removes the leaving members
+/// once so many serving ones have synced at `leaveVersion` or later that each record is on an append quorum of them.
+export function withSynced (view: View, diskId: string, syncedView: number, toleratedLosses: number): View {
   const member = view.members.find(other => other.diskId === diskId)
   if (member === undefined || member.syncedView >= syncedView) return view
   const updated = replaceMember(view, { ...member, syncedView })
-  const servingMembers = updated.members.filter(other => other.state === MemberState.serving)
-  const canDropLeaving = servingMembers.every(other => other.syncedView >= updated.leaveVersion)
-  if (!canDropLeaving) return updated
+  const synced = updated.members.filter(other => {
+    return other.state === MemberState.serving && other.syncedView >= updated.leaveVersion
+  })
+  if (synced.length < toleratedLosses + 1) return updated
   const members = updated.members.filter(other => other.state !== MemberState.leaving)
   return { ...updated, members }
 }
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -15,6 +15,19 @@
     model.loseDisk(wiped)
     for (const machine of [wiped, other, wiped, other]) decide(model, machine)
     model.remove(retired)
+    model.checkRecords()
+    model.settle()
+  },
+  'a member is removed for good during a retirement: the retirement is completed': model => {
+    const [retired, removed, other] = model.machines as [Machine, Machine, Machine]
+    append(model, retired, removed)
+    model.retire(retired)
+    decide(model, other)
+    model.remove(removed)
+    model.add()
+    model.run()
+    expect(model.view.members.map(({ name }) => name)).not.toContain(retired.name)
+    model.remove(retired)
   }
 }
 
@@ -35,5 +48,4 @@
   const model = new StorageModel(3, toleratedLosses, 1)
   history(model)
   model.checkRecords()
-  model.settle()
 })
