Storage membership: a removed member of a small system is evicted once another has joined

The removed member stayed in the view, so the new disk waited for its copy and the account quorum for its reply.

Cause: a member that is gone was evicted only if 2f+1 others serve and are present, which never comes true in a system that a retirement has made smaller. f+1 are enough now if another member has joined since the absent one was last reached, or after 15 s. A member that is only down for some seconds stays, as before, while no other has joined. The time without contact is 4.5 s, so that the removed one is out when its successor has had catch_up_s, also if the last contact was just before.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -3,6 +3,7 @@
   MemberState, canEvict, canLeave, hasCopied, isForming, requiredCopySources, withLeaving, withMember, withServing,
   withSynced
 } from './view.js'
+import type { AbsentMember } from './view.js'
 
 /// The latest complete pass over a peer's records, of which this instance has copied what it lacked.
 export interface CompletedPass {
@@ -23,8 +24,7 @@
   readonly passes: ReadonlyMap<string, CompletedPass>
   /// Disks that were reached a short time ago, this instance's own among them.
   readonly presentDiskIds: ReadonlySet<string>
-  /// Members that have not been reached for so long that they may be evicted.
-  readonly unreachable: readonly Member[]
+  readonly absent: readonly AbsentMember[]
 }
 
 /// The next change of the view that this instance should write, or the view itself if none is due.
@@ -62,9 +62,10 @@
 /// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
 /// one member leaves at a time.
 function findMemberToRemove (view: View, standpoint: Standpoint): string | null {
-  const { toleratedLosses, retiredNames, presentDiskIds, unreachable } = standpoint
+  const { toleratedLosses, retiredNames, presentDiskIds, absent } = standpoint
   if (view.members.some(member => member.state === MemberState.leaving)) return null
   const retired = view.members.find(({ name }) => retiredNames.has(name) && canLeave(view, name, toleratedLosses))
   if (retired !== undefined) return retired.name
-  return unreachable.find(({ diskId }) => canEvict(view, diskId, presentDiskIds, toleratedLosses))?.name ?? null
+  const evictable = absent.find(member => canEvict(view, member, presentDiskIds, toleratedLosses))
+  return view.members.find(({ diskId }) => diskId === evictable?.diskId)?.name ?? null
 }
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -32,6 +32,13 @@
   readonly accountQuorum: number
 }
 
+/// A member that has not been reached for so long that it may be evicted.
+export interface AbsentMember {
+  readonly diskId: string
+  /// Whether another one has joined since it was last reached, or it has been away for so long that it won't return.
+  readonly isReplaced: boolean
+}
+
 /// Computes the quorums for a number of disks that may be lost at the same time.
 /// A record is committed once one more disk than that holds it. The absence
 /// quorum is so large that it includes at least one of these disks.
@@ -140,17 +147,18 @@
   return remaining.length >= toleratedLosses + 1
 }
 
-/// Whether the serving members that are present, without `diskId`, are enough for a full system.
+/// Whether enough serving members are present without an absent one: enough for a full system, or for an append quorum
+/// if it `isReplaced`.
 export function canEvict (
   view: View,
-  diskId: string,
+  { diskId, isReplaced }: AbsentMember,
   presentDiskIds: ReadonlySet<string>,
   toleratedLosses: number
 ): boolean {
   const remaining = view.members.filter(member => {
     return member.state === MemberState.serving && member.diskId !== diskId && presentDiskIds.has(member.diskId)
   })
-  return remaining.length >= computeFullSize(toleratedLosses)
+  return remaining.length >= (isReplaced ? toleratedLosses + 1 : computeFullSize(toleratedLosses))
 }
 
 function withoutMember (view: View, name: string): View {
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -28,6 +28,18 @@
     model.run()
     expect(model.view.members.map(({ name }) => name)).not.toContain(retired.name)
     model.remove(retired)
+  },
+  'a member is removed for good after a retirement: its successor takes its place, and a later loss is borne': model => {
+    const [retired, removed, wiped] = model.machines as [Machine, Machine, Machine]
+    append(model, retired, removed)
+    model.retire(retired)
+    model.settle()
+    model.remove(retired)
+    model.remove(removed)
+    model.add()
+    model.settle()
+    model.loseDisk(wiped)
+    model.settle()
   }
 }
 
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -127,7 +127,7 @@
       retiredNames: retirements,
       passes: peers.passes,
       presentDiskIds: peers.getPresentDiskIds(nowMs),
-      unreachable: peers.findUnreachable(nowMs)
+      absent: peers.findAbsent(nowMs)
     })
   }
 
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -3,7 +3,7 @@
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
 import { MemberState, emptyView } from '#process/membership'
-import type { CompletedPass } from '#process/membership'
+import type { AbsentMember, CompletedPass } from '#process/membership'
 import { PeerCopier } from './copier.js'
 
 export interface StoragePeersOptions {
@@ -19,9 +19,11 @@
 /// Delay between two copy passes over a peer while this member is catching up.
 const catchUpCopyDelayMs = 100
 /// A peer that could not be reached for this long may be evicted.
-const evictionTimeoutMs = 5000
+const evictionTimeoutMs = 4500
+/// A peer that could not be reached for this long is given up, also if no other one has joined.
+const abandonTimeoutMs = 15_000
 /// A peer that was last reached within this time counts as present.
-const presenceTimeoutMs = 4500
+const presenceTimeoutMs = 4000
 /// Interval at which an instance that stands by probes the members.
 const standbyProbeDelayMs = 500
 /// An instance that stands by joins once a member has not been reached for this long.
@@ -46,6 +48,8 @@
   private view: View = emptyView
   private contactedAtMs = performance.now()
   private readonly peers = new Map<string, PeerState>()
+  /// When this instance first saw each member in the view, by name.
+  private readonly listedAtMs = new Map<string, number>()
 
   constructor (
     private readonly options: StoragePeersOptions,
@@ -55,6 +59,7 @@
 
   update (view: View): void {
     this.view = view
+    this.recordListing(performance.now())
     const others = view.members.filter(member => member.diskId !== this.ledger.diskId)
     for (const [diskId, state] of this.peers) {
       if (others.some(member => member.diskId === diskId && member.address === state.member.address)) continue
@@ -84,10 +89,13 @@
   }
 
   /// The members that could not be reached for so long that they may be evicted.
-  findUnreachable (nowMs: number): Member[] {
-    return [...this.peers.values()]
-      .filter(state => nowMs - state.lastContactMs >= evictionTimeoutMs)
-      .map(state => state.member)
+  findAbsent (nowMs: number): AbsentMember[] {
+    return [...this.peers]
+      .filter(([, { lastContactMs }]) => nowMs - lastContactMs >= evictionTimeoutMs)
+      .map(([diskId, { lastContactMs }]) => {
+        const isReplaced = nowMs - lastContactMs >= abandonTimeoutMs || this.hasJoinedSince(lastContactMs)
+        return { diskId, isReplaced }
+      })
   }
 
   /// The disks that are present, this instance's own among them.
@@ -105,6 +113,19 @@
     return this.view.members.some(member => member.name === this.options.name)
   }
 
+  /// Whether a member that serves has been listed since then.
+  private hasJoinedSince (timeMs: number): boolean {
+    return this.view.members.some(({ name, state }) => {
+      return state === MemberState.serving && this.listedAtMs.get(name)! > timeMs
+    })
+  }
+
+  private recordListing (nowMs: number): void {
+    const names = this.view.members.map(member => member.name)
+    for (const name of this.listedAtMs.keys()) if (!names.includes(name)) this.listedAtMs.delete(name)
+    for (const name of names) if (!this.listedAtMs.has(name)) this.listedAtMs.set(name, nowMs)
+  }
+
   /// The time in which this process was paused does not count as silence of the others.
   private forgivePause (nowMs: number): void {
     const elapsedMs = nowMs - this.contactedAtMs
