Quorum: a storage disk's reply from before it was complete does not count

Callers got 404 for a turn that had been answered whole, when a disk that was still joining replied without it, and served by the time the other replies came: its reply counted towards the absence quorum, since the newer view lists it as serving. The same held for the account quorum, where the account then lacked reservations.

Whether a disk counts is now decided before the request is sent, for reads and accounts; acknowledgements of records count as before.

Evidence: the two new cases in quorum.test.ts fail without the change (undefined in place of t1, no r1) and pass with it.

--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -123,9 +123,9 @@
     requiredAppends: number
   ): Collection {
     this.assertAvailable()
-    return this.collect(records, programId, timeoutMs, replies => {
+    return this.collect(records, programId, timeoutMs, (replies, completeDiskIds) => {
       return countVoters(replies.keys(), this.peers.quorums.appendVoters) >= requiredAppends &&
-        countVoters(replies.keys(), this.peers.quorums.readVoters) >= this.peers.quorums.accountQuorum
+        countVoters(completeDiskIds, this.peers.quorums.readVoters) >= this.peers.quorums.accountQuorum
     })
   }
 
@@ -145,12 +145,13 @@
       deadlineMs,
       send: async state => {
         const request = { viewVersion: this.peers.view.version, turnId }
+        const voterDiskId = this.findReadVoter(state)
         const reply = await this.peers.sendWithRetry(
           state, (peer, limitMs) => peer.findChain(request, limitMs), { deadlineMs, failsFast: true }
         )
         if (reply === null || chain !== null) return
         if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
-        else if (reply.chain.length === 0) absent.add(reply.standing!.diskId)
+        else if (reply.chain.length === 0 && reply.standing!.diskId === voterDiskId) absent.add(voterDiskId)
       }
     })
     await fanout.done
@@ -160,6 +161,12 @@
     throw new QuorumError(`turn neither found nor ruled out: absent on ${absent.size} storage instances, a quorum needs ${this.peers.quorums.absenceQuorum}`)
   }
 
+  /// The member's disk, if it holds what it must by the current view. Must be called before a request is sent: a reply
+  /// from before the disk was complete does not count, also if a newer view counts the disk.
+  private findReadVoter ({ member }: PeerState): string | null {
+    return this.peers.quorums.readVoters.has(member.diskId) ? member.diskId : null
+  }
+
   /// Whether a turn that is absent on these disks was not committed.
   private isRuledOut (absentDiskIds: ReadonlySet<string>): boolean {
     const { readVoters, absenceQuorum } = this.peers.quorums
@@ -176,27 +183,32 @@
     records: readonly LedgerRecord[],
     accountOf: string,
     timeoutMs: number,
-    hasQuorum: (replies: ReadonlyMap<string, AppendReply>) => boolean
+    hasQuorum: (replies: ReadonlyMap<string, AppendReply>, completeDiskIds: ReadonlySet<string>) => boolean
   ): Collection {
     const deadlineMs = performance.now() + timeoutMs
     const replies = new Map<string, AppendReply>()
+    // Those that were complete when they were sent the request.
+    const completeDiskIds = new Set<string>()
     const request = { viewVersion: this.peers.view.version, records: [...records], accountOf }
     const { appendQuorum, accountQuorum } = this.peers.quorums
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
       firstCount: Math.max(appendQuorum, accountQuorum),
-      isDone: () => hasQuorum(replies),
+      isDone: () => hasQuorum(replies, completeDiskIds),
       hedgeDelayMs: appendHedgeDelayMs,
       deadlineMs,
       send: async state => {
+        const voterDiskId = this.findReadVoter(state)
         const reply = await this.peers.sendWithRetry(
           state, (peer, limitMs) => peer.append(request, limitMs), { deadlineMs, failsFast: accountOf !== '' }
         )
-        if (reply !== null) replies.set(reply.standing!.diskId, reply)
+        if (reply === null) return
+        replies.set(reply.standing!.diskId, reply)
+        if (reply.standing!.diskId === voterDiskId) completeDiskIds.add(voterDiskId)
       }
     })
     const quorum = fanout.done.then(() => {
-      if (hasQuorum(replies)) return
+      if (hasQuorum(replies, completeDiskIds)) return
       this.log.event(Events.quorumMissed, {
         of: 'append',
         ids: records.map(record => record.id),
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -1,9 +1,10 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
 import type { LedgerRecord, View } from '#connection/rpc'
+import { sleep } from '#process/clock'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
 import { LedgerQuorum } from '#process/quorum'
@@ -131,6 +132,42 @@
   staleQuorum.close()
 })
 
+// Guards against a new disk that is asked before it has copied, and counts because it serves when the others reply.
+describe('a disk that serves only after it has replied', () => {
+  const replyDelayMs = 60
+  let servingView: View
+
+  function delay (index: number, method: 'append' | 'findChain', delayMs: number): void {
+    const ledger = ledgers[index]!
+    const handle = ledger[method].bind(ledger) as (request: unknown) => Promise<never>
+    vi.spyOn(ledger, method).mockImplementation(async (request: unknown) => {
+      await sleep(delayMs)
+      return await handle(request)
+    })
+  }
+
+  beforeEach(async () => {
+    const members = view.members.map((member, i) => i === 2 ? { ...member, state: 'joining', replacement: true } : member)
+    quorum.adoptView({ ...view, version: 4, members }, 'test')
+    servingView = { ...view, version: 5 }
+    await ledgers[1]!.persist([createRecord(RecordKind.turn, 't1', { programId: 'q' }), createRecord(RecordKind.reservation, 'r1')])
+    for (const method of ['append', 'findChain'] as const) {
+      delay(0, method, 2 * replyDelayMs)
+      delay(1, method, 3 * replyDelayMs)
+    }
+  })
+
+  test.each<[string, () => Promise<string[] | undefined>, string]>([
+    ['does not rule out a turn', async () => (await quorum.findChain('t1', 900))?.map(turn => turn.id), 't1'],
+    ['does not complete an account', async () => (await quorum.readAccount('p', 900)).map(entry => entry.id), 'r1']
+  ])('%s', async (_, read, id) => {
+    const found = read()
+    await sleep(replyDelayMs * 1.5)
+    quorum.adoptView(servingView, 'test')
+    expect(await found).toEqual([id])
+  })
+})
+
 test('a view with too few members is reported as stale without any request', async () => {
   let staleReports = 0
   const staleQuorum = new LedgerQuorum({
