Storage membership: a leaving member takes it back when it is needed, and a retired one's new disk joins

Two ways into a view that no change leads on from, both found by histories of the model of the view.

A member that had been evicted while it was down came back while another one had been removed: f+1 members that stay could not sync, so the first one stayed leaving for ever, its acknowledgements counted for nothing, and no turn was accepted. A leaving member that is present serves again now if fewer than f+1 others serve and are present. The order to retire a member is followed only while that many are present: before, one that was down counted.

The machine of a retired member lost its disk before the member could leave. Its new disk was not registered, so the lost one counted as serving for ever. A machine whose name is in the view registers its disk now also if it is retired.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -1,7 +1,7 @@
 import type { Member, View } from '#connection/rpc'
 import {
   MemberState, canEvict, canLeave, hasCopied, isForming, requiredCopySources, withLeaving, withMember, withServing,
-  withSynced
+  withSynced, withoutLeaving
 } from './view.js'
 import type { AbsentMember } from './view.js'
 
@@ -29,13 +29,16 @@
 
 /// The next change of the view that this instance should write, or the view itself if none is due.
 export function computeNextView (view: View, standpoint: Standpoint): View {
-  const { own, toleratedLosses, isFirstStart, retiredNames } = standpoint
+  const { own, toleratedLosses, isFirstStart, retiredNames, presentDiskIds } = standpoint
   const servesAtOnce = isFirstStart && isForming(view, toleratedLosses)
   const withOwnDisk = withMember(view, own, servesAtOnce)
-  if (withOwnDisk !== view) return retiredNames.has(own.name) ? view : withOwnDisk
+  const isListed = view.members.some(({ name }) => name === own.name)
+  if (withOwnDisk !== view) return isListed || !retiredNames.has(own.name) ? withOwnDisk : view
   const ownMember = view.members.find(member => member.diskId === own.diskId)
   const isJoining = ownMember?.state === MemberState.joining
   if (isJoining && holdsAllCommitted(view, standpoint)) return withServing(view, own.diskId)
+  const isNeeded = !canLeave(view, own.name, presentDiskIds, toleratedLosses)
+  if (ownMember?.state === MemberState.leaving && isNeeded) return withoutLeaving(view, own.diskId)
   const leavingName = findMemberToRemove(view, standpoint)
   if (leavingName !== null) return withLeaving(view, leavingName)
   const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
@@ -64,7 +67,10 @@
 function findMemberToRemove (view: View, standpoint: Standpoint): string | null {
   const { toleratedLosses, retiredNames, presentDiskIds, absent } = standpoint
   if (view.members.some(member => member.state === MemberState.leaving)) return null
-  const retired = view.members.find(({ name }) => retiredNames.has(name) && canLeave(view, name, toleratedLosses))
+  const isRetiring = (name: string): boolean => {
+    return retiredNames.has(name) && canLeave(view, name, presentDiskIds, toleratedLosses)
+  }
+  const retired = view.members.find(({ name }) => isRetiring(name))
   if (retired !== undefined) return retired.name
   const evictable = absent.find(member => canEvict(view, member, presentDiskIds, toleratedLosses))
   return view.members.find(({ diskId }) => diskId === evictable?.diskId)?.name ?? null
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -127,6 +127,14 @@
   return { ...updated, leaveVersion: updated.version }
 }
 
+/// Takes back that a member leaves. It is as before: serving, or joining if it had not served yet.
+export function withoutLeaving (view: View, diskId: string): View {
+  const member = view.members.find(other => other.diskId === diskId)
+  if (member === undefined || member.state !== MemberState.leaving) return view
+  const state = member.replacement ? MemberState.joining : MemberState.serving
+  return replaceMember(view, { ...member, state })
+}
+
 /// Sets the `syncedView` of a member that holds every record from before that view version. Removes the leaving members
 /// once so many serving ones have synced at `leaveVersion` or later that each record is on an append quorum of them.
 export function withSynced (view: View, diskId: string, syncedView: number, toleratedLosses: number): View {
@@ -141,9 +149,16 @@
   return { ...updated, members }
 }
 
-/// Whether enough serving members for an append quorum remain without `name`.
-export function canLeave (view: View, name: string, toleratedLosses: number): boolean {
-  const remaining = view.members.filter(member => member.state === MemberState.serving && member.name !== name)
+/// Whether enough serving members for an append quorum are present without `name`.
+export function canLeave (
+  view: View,
+  name: string,
+  presentDiskIds: ReadonlySet<string>,
+  toleratedLosses: number
+): boolean {
+  const remaining = view.members.filter(member => {
+    return member.state === MemberState.serving && member.name !== name && presentDiskIds.has(member.diskId)
+  })
   return remaining.length >= toleratedLosses + 1
 }
 
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -40,6 +40,23 @@
     model.settle()
     model.loseDisk(wiped)
     model.settle()
+  },
+  'a member is evicted, returns, and another one is removed: the first one serves again': model => {
+    const [evicted, removed] = model.machines as [Machine, Machine]
+    model.stop(evicted)
+    model.change(removed, true)
+    model.remove(removed)
+    model.settle()
+  },
+  'a retired member loses its disk before it can leave: its new disk copies, and a later loss is borne': model => {
+    const [wiped, retired] = model.machines as [Machine, Machine]
+    model.retire(wiped)
+    model.loseDisk(retired)
+    model.retire(retired)
+    model.settle()
+    model.loseDisk(wiped)
+    model.add()
+    model.settle()
   }
 }
 
