Relay: blank lines, HEAD, and lists in Connection are followed as RFC 9112 says

Callers on a relayed connection could lose a request, or the connection was cut where it should have been handed back: the entry that relays counts the requests and responses in the bytes, and counted wrongly.

Cause: two blank lines before a request (section 2.2) counted as a request, to which no response comes; a response with `connection: keep-alive, close` wasn't taken for the last one; a 304 that names a transfer coding was followed by a body; after a HEAD request nothing was counted any more.

Change: blank lines before a message are skipped; the field is read as a list; a head says whether a body follows before its framing is read; the response to HEAD has none.

Found by reading; not shown to be what the users saw.

--- a/process/relay/src/messagetracker.ts
+++ b/process/relay/src/messagetracker.ts
@@ -1,4 +1,5 @@
 const lineFeed = 0x0a
+const carriageReturn = 0x0d
 const headEnd = '\r\n\r\n'
 /// A head or line that is longer is no request that the other entry accepts.
 const maxTextBytes = 64 * 1024
@@ -21,7 +22,7 @@
 
   /// Whether all messages that have begun are complete.
   get isBetweenMessages (): boolean {
-    return this.part === Part.head && this.text.trim() === ''
+    return this.part === Part.head && this.text === ''
   }
 
   /// Messages that are complete.
@@ -29,11 +30,19 @@
     return this.part === Part.head ? this.begun : this.begun - 1
   }
 
-  /// Called with each head. Returns the length of a body without chunks.
-  protected abstract readHead (head: string): number
+  /// Called with each head. Returns the length of a body for which the head gives none, null if there is no body.
+  protected abstract readHead (head: string): number | null
 
   add (bytes: Buffer): void {
-    for (let at = 0; at < bytes.length;) at = this.addByPart[this.part](bytes, at)
+    for (let at = 0; at < bytes.length;) at += this.addMessage(bytes.subarray(at))
+  }
+
+  /// Adds bytes up to the end of a message, or all of them. Returns how many.
+  addMessage (bytes: Buffer): number {
+    const { count } = this
+    let at = 0
+    while (at < bytes.length && this.count === count) at = this.addByPart[this.part](bytes, at)
+    return at
   }
 
   /// Each adds bytes from `at` on and returns where the next part begins.
@@ -45,7 +54,8 @@
     [Part.trailer]: (bytes, at) => this.addLine(bytes, at, line => { if (line.trim() === '') this.part = Part.head })
   }
 
-  private addHead (bytes: Buffer, at: number): number {
+  private addHead (bytes: Buffer, from: number): number {
+    const at = this.text === '' ? skipBlankLines(bytes, from) : from
     const length = this.text.length
     this.text = (length === 0 ? '' : this.text) + bytes.toString('latin1', at)
     const end = this.text.indexOf(headEnd, Math.max(0, length - headEnd.length))
@@ -61,7 +71,9 @@
 
   private startBody (head: string): void {
     this.begun++
-    this.remainingBytes = this.readHead(head)
+    const defaultLength = this.readHead(head)
+    if (defaultLength === null) return
+    this.remainingBytes = findContentLength(head) ?? defaultLength
     if (/^transfer-encoding:/im.test(head)) this.part = Part.chunkSize
     else if (this.remainingBytes > 0) this.part = Part.body
   }
@@ -94,8 +106,15 @@
   }
 }
 
+/// Blank lines before a message don't belong to it (RFC 9112, section 2.2). Returns where it begins.
+function skipBlankLines (bytes: Buffer, from: number): number {
+  let at = from
+  while (bytes[at] === carriageReturn || bytes[at] === lineFeed) at++
+  return at
+}
+
 /// Returns the value of the header field, null without one.
-export function findContentLength (head: string): number | null {
+function findContentLength (head: string): number | null {
   const length = /^content-length:[ \t]*(\d+)/im.exec(head)?.[1]
   return length === undefined ? null : Number(length)
 }
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -119,6 +119,7 @@
   private readonly onPeerData = (length: number): boolean => {
     this.options.onChunk()
     const chunk = Buffer.from(readBuffer.subarray(0, length))
+    this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
     const readsOn = this.options.caller.write(chunk)
     if (this.isDraining) this.leaveBetweenRequests()
--- a/process/relay/src/responsetracker.ts
+++ b/process/relay/src/responsetracker.ts
@@ -1,4 +1,4 @@
-import { MessageTracker, findContentLength } from './messagetracker.js'
+import { MessageTracker } from './messagetracker.js'
 
 const statusNoContent = 204
 const statusNotModified = 304
@@ -7,14 +7,16 @@
 export class ResponseTracker extends MessageTracker {
   /// Whether a response says that the connection ends with it: what follows on it is no request.
   isLast = false
+  /// Whether the request that is answered has the method HEAD.
+  isToHead = false
 
-  protected override readHead (head: string): number {
+  protected override readHead (head: string): number | null {
     const status = Number(head.split(' ', 2)[1])
-    if (/^connection:[ \t]*close[ \t]*$/im.test(head)) this.isLast = true
+    if (/^connection:(?:[^\r\n]*,)?[ \t]*close[ \t]*(?:,|$)/im.test(head)) this.isLast = true
     // The response follows.
     if (status < 200) this.begun--
-    if (status < 200 || status === statusNoContent || status === statusNotModified) return 0
+    const hasNoBody = status < 200 || status === statusNoContent || status === statusNotModified || this.isToHead
     // Without a length it ends with the connection.
-    return findContentLength(head) ?? Infinity
+    return hasNoBody ? null : Infinity
   }
 }
--- a/process/relay/test/requesttracker.test.ts
+++ b/process/relay/test/requesttracker.test.ts
@@ -27,6 +27,31 @@
   }), { numRuns: 500 })
 })
 
+// Guards against requests without a response: blank lines counted as a request, to which none comes.
+test.each(['\r\n', '\r\n\r\n', '\r\n\r\n\r\n'])('blank lines before a request are none: %j', blankLines => {
+  const tracker = new RequestTracker()
+  for (const byte of blankLines) {
+    tracker.add(Buffer.from(byte))
+    expect([tracker.count, tracker.isBetweenMessages]).toEqual([0, true])
+  }
+  tracker.add(Buffer.from(get))
+  expect([tracker.count, tracker.isBetweenMessages]).toEqual([1, true])
+})
+
+test('requests are added one by one, in whatever pieces they come', () => {
+  fc.assert(fc.property(requests, fc.integer({ min: 1, max: 200 }), (texts, pieceBytes) => {
+    const bytes = Buffer.from(texts.join(''), 'latin1')
+    const tracker = new RequestTracker()
+    const ends: number[] = []
+    for (let at = 0; at < bytes.length;) {
+      const { count } = tracker
+      at += tracker.addMessage(bytes.subarray(at, at + pieceBytes))
+      if (tracker.count > count) ends.push(at)
+    }
+    expect(ends).toEqual(texts.map((_, i) => texts.slice(0, i + 1).join('').length))
+  }))
+})
+
 test('bytes that are no request take bounded memory, and are no end of one', () => {
   const tracker = new RequestTracker()
   for (let i = 0; i < 100; i++) tracker.add(Buffer.alloc(100_000, 'x'))
