Relay: requests are passed on one by one

Cause: all bytes of a caller were passed on as they came, so the other entry ran the requests behind one whose response closes the connection. When such a connection was drained, those behind were cut, too, as it half-closed the connection and stopped reading.

Change: the entry that relays passes a request on only after the response to the one before is complete. Behind a response with `connection: close` nothing is passed on. A drained connection with another request waiting isn't half-closed; after the response that request is served here. Up to 64 KB are held; then the caller isn't read on.

Evidence: `npx vitest run process/relay/test/relayedconnection`: 6 of 6 fail with the source before, 6 pass.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -23,10 +23,14 @@
 }
 
 const connectTimeoutMs = 300
+/// A caller that has sent more than this behind a request is not read until the response is complete.
+const maxHeldBytes = 64 * 1024
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
-/// Passes the bytes of a caller's connection on to another entry and back, until one of them closes.
+/// Passes the bytes of a caller's connection on to another entry and back, until one of them closes. Requests are
+/// passed on one by one, each after the response to the one before: a response that closes the connection leaves none
+/// behind it that an instance has run.
 export class RelayedConnection {
   private readonly peer: Socket
   private readonly connectTimer: ReturnType<typeof setTimeout>
@@ -35,6 +39,8 @@
   private isDraining = false
   /// It ends as soon as what has arrived is read.
   private isLeaving = false
+  /// What the caller has sent and has not been passed on.
+  private held: Buffer | null = null
   private readonly requests = new RequestTracker()
   private readonly responses = new ResponseTracker()
 
@@ -55,7 +61,7 @@
   readonly drain = (): void => {
     if (this.isDraining) return
     this.isDraining = true
-    if (this.isConnected) this.leaveBetweenRequests()
+    if (this.isConnected) this.leave()
     else this.giveBack()
   }
 
@@ -72,13 +78,18 @@
     return this.requests.isBetweenMessages && this.requests.count === this.responses.count
   }
 
-  /// Has the connection served here. `chunk` has been read from it, and not been passed on.
-  private giveBack (chunk: Buffer | null = null): void {
+  /// Whether a request has been passed on as a whole, and the response to it is not complete.
+  private get awaitsResponse (): boolean {
+    return this.requests.isBetweenMessages && this.requests.count > this.responses.count
+  }
+
+  /// Has the connection served here, from the first request on that has not been passed on.
+  private giveBack (): void {
     const { caller, onReturned } = this.options
     if (this.isEnded) return
     this.finish(null)
     this.peer.destroy()
-    if (chunk !== null) caller.unshift(chunk)
+    if (this.held !== null) caller.unshift(this.held)
     onReturned(this.requests.count > 0)
     caller.resume()
   }
@@ -94,7 +105,7 @@
     caller.on('data', this.onCallerData)
     caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
-    peer.on('drain', () => { if (!peer.writableEnded) caller.resume() })
+    peer.on('drain', () => this.updateReading())
     // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then,
     // as after an end on both sides.
     peer.on('end', () => {
@@ -105,12 +116,32 @@
   }
 
   private readonly onCallerData = (chunk: Buffer): void => {
-    const { caller, onChunk } = this.options
-    if (this.isDraining && this.isIdle) return this.responses.isLast ? this.endCaller() : this.giveBack(chunk)
-    onChunk()
-    this.requests.add(chunk)
-    if (!this.peer.write(chunk)) caller.pause()
-    if (this.isDraining) this.leaveBetweenRequests()
+    // What follows the last response is no request, and what is left of one that was refused early isn't needed.
+    if (this.responses.isLast) return
+    this.held = this.held === null ? chunk : Buffer.concat([this.held, chunk])
+    this.passOn()
+    this.updateReading()
+  }
+
+  /// Passes on what the caller has sent, up to the end of a request that needs a response first.
+  private passOn (): void {
+    while (this.held !== null && !this.awaitsResponse && !this.responses.isLast) {
+      if (this.isDraining && this.isIdle) return this.giveBack()
+      const { held } = this
+      const length = this.requests.addMessage(held)
+      this.held = length < held.length ? held.subarray(length) : null
+      this.options.onChunk()
+      this.peer.write(held.subarray(0, length))
+    }
+    if (this.isDraining) this.leave()
+  }
+
+  private updateReading (): void {
+    if (this.isEnded) return
+    const { caller } = this.options
+    const isFull = this.peer.writableNeedDrain || (this.held?.length ?? 0) > maxHeldBytes
+    if (isFull) caller.pause()
+    else caller.resume()
   }
 
   private readonly onCallerDrain = (): void => { this.peer.resume() }
@@ -122,17 +153,17 @@
     this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
     const readsOn = this.options.caller.write(chunk)
-    if (this.isDraining) this.leaveBetweenRequests()
+    this.passOn()
+    this.updateReading()
     return readsOn
   }
 
-  /// Within a request, its rest ends the connection.
-  private leaveBetweenRequests (): void {
+  /// Ends the connection, or has it served here, once no request is under way.
+  private leave (): void {
     if (this.isEnded || !this.requests.isBetweenMessages) return
     if (this.isIdle) return this.endAfterReading()
-    if (this.peer.writableEnded) return
-    this.options.caller.pause()
-    this.peer.end()
+    // Tells the other entry that the response is the last one, unless another request waits for it.
+    if (this.held === null && !this.peer.writableEnded) this.peer.end()
   }
 
   /// Ends the connection unless the caller has sent another request: if this process was busy, it may have waited.
--- /dev/null
+++ b/process/relay/test/relayedconnection.test.ts
@@ -0,0 +1,165 @@
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import type { OtherEntry } from '../src/directory.js'
+import { RelayedConnection } from '../src/relayedconnection.js'
+
+let servers: Server[]
+let sockets: Socket[]
+
+beforeEach(() => {
+  servers = []
+  sockets = []
+})
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy()
+  for (const server of servers) server.close()
+})
+
+/// One end of a connection, and what it has received.
+class End {
+  private readonly chunks: Buffer[] = []
+  isReset = false
+  isClosed = false
+
+  constructor (readonly socket: Socket) {
+    sockets.push(socket)
+    socket.on('data', chunk => this.chunks.push(chunk))
+    socket.on('error', () => { this.isReset = true })
+    // Node reports a reset that arrives with the last bytes as an ordinary end.
+    socket.on('end', () => { if (socket.remoteAddress === undefined) this.isReset = true })
+    socket.on('close', () => { this.isClosed = true })
+  }
+
+  get text (): string {
+    return Buffer.concat(this.chunks).toString('latin1')
+  }
+
+  /// The ids of the requests, or the statuses of the responses, that were received.
+  get messages (): string[] {
+    return this.text.match(/(?<=POST \/)\w+|(?<=HTTP\/1\.1 )\d+/g) ?? []
+  }
+
+  async receive (count: number): Promise<void> {
+    await vi.waitFor(() => expect(this.messages.length).toBeGreaterThanOrEqual(count))
+  }
+}
+
+/// A connection that is relayed: its caller, the other entry's end, and what the relay has told.
+interface Relayed {
+  readonly caller: End
+  readonly entry: End
+  readonly connection: RelayedConnection
+  readonly onReturned: ReturnType<typeof vi.fn>
+  /// The connection's end at the entry that relays.
+  readonly accepted: Socket
+}
+
+async function listen (): Promise<{ readonly server: Server, readonly port: number }> {
+  const server = createServer({ allowHalfOpen: true })
+  servers.push(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return { server, port: (server.address() as AddressInfo).port }
+}
+
+async function relay (): Promise<Relayed> {
+  const [front, other] = await Promise.all([listen(), listen()])
+  const caller = new End(connect({ port: front.port, host: '127.0.0.1', noDelay: true }))
+  const [accepted] = await once(front.server, 'connection') as [Socket]
+  sockets.push(accepted)
+  const onReturned = vi.fn()
+  const connection = new RelayedConnection({
+    caller: accepted,
+    entry: createOtherEntry(`127.0.0.1:${other.port}`),
+    origin: { entry: 'entry-0', configVersion: 1 },
+    onChunk: () => {},
+    onUnreachable: () => {},
+    onReturned,
+    onEnd: () => {}
+  })
+  const [socket] = await once(other.server, 'connection') as [Socket]
+  const entry = new End(socket)
+  await vi.waitFor(() => expect(entry.text).toMatch(/^RELAY 1 entry-0\n/))
+  return { caller, entry, connection, onReturned, accepted }
+}
+
+function createOtherEntry (address: string): OtherEntry {
+  return {
+    registration: { name: 'entry-1', address, zone: 'z', processors: 1 },
+    expectedMs: 1,
+    configVersion: 1,
+    isReady: true,
+    askersProcessors: 0,
+    askedTicks: 0,
+    ageTicks: 0,
+    unansweredQueries: 0,
+    avoidUntilMs: 0,
+    onUnavailable: new Set(),
+    onLoss: new Set()
+  }
+}
+
+function formatRequest (id: string, body = ''): string {
+  return `POST /${id} HTTP/1.1\r\nhost: h\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+}
+
+function formatResponse (status: number, fields = ''): string {
+  return `HTTP/1.1 ${status} X\r\n${fields}content-length: 2\r\n\r\nok`
+}
+
+const pipelined = ['a1', 'a2', 'a3'].map(id => formatRequest(id)).join('')
+
+// Guards against LOST: requests that were pipelined behind a response that closes the connection were run, unanswered.
+test.each([
+  ['in one piece', [pipelined]],
+  ['cut within a head', [pipelined.slice(0, 60), pipelined.slice(60)]],
+  ['after a body', [formatRequest('a0', 'hello') + pipelined]]
+])('pipelined requests, %s: the other entry gets none behind a response that closes the connection', async (_, pieces) => {
+  const { caller, entry } = await relay()
+  for (const piece of pieces) {
+    caller.socket.write(piece)
+    await vi.waitFor(() => expect(entry.messages.length).toBe(1))
+  }
+  entry.socket.end(formatResponse(200, 'connection: close\r\n'))
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true))
+  expect([caller.messages, caller.isReset]).toEqual([['200'], false])
+  expect(entry.messages.length).toBe(1)
+})
+
+test('pipelined requests are answered one after the other', async () => {
+  const { caller, entry } = await relay()
+  caller.socket.write(pipelined)
+  for (let i = 1; i <= 3; i++) {
+    await entry.receive(i)
+    expect(entry.messages.length).toBe(i)
+    entry.socket.write(formatResponse(200 + i))
+  }
+  await caller.receive(3)
+  expect([entry.messages, caller.messages]).toEqual([['a1', 'a2', 'a3'], ['201', '202', '203']])
+})
+
+// Guards against LOST: a change of the configuration or a stop ended the connection after the response to the first.
+test('drained while pipelined requests are under way: those behind the first are served here', async () => {
+  const { caller, entry, connection, onReturned, accepted } = await relay()
+  let served: End | null = null
+  onReturned.mockImplementation(() => { served = new End(accepted) })
+  caller.socket.write(pipelined)
+  await entry.receive(1)
+  connection.drain()
+  entry.socket.write(formatResponse(200))
+  await vi.waitFor(() => expect(served?.messages).toEqual(['a2', 'a3']))
+  expect(onReturned).toHaveBeenCalledWith(true)
+  expect([entry.messages, caller.messages]).toEqual([['a1'], ['200']])
+})
+
+test('a caller that sends much behind a request is not read until the response is complete', async () => {
+  const { caller, entry, accepted } = await relay()
+  caller.socket.write(formatRequest('a1') + 'x'.repeat(1_000_000))
+  await entry.receive(1)
+  await vi.waitFor(() => expect(accepted.isPaused()).toBe(true))
+  entry.socket.write(formatResponse(200))
+  await vi.waitFor(() => expect(entry.text.length).toBeGreaterThan(1_000_000))
+})
