Relay: a caller's connection is closed in order, so that the response before arrives

Callers on a relayed connection got a reset in place of a response that closes it, if they were still sending: a body whose request was refused early, or a request that crossed the close.

Cause: after the last response the entry that relays destroyed the connection. The system resets a connection that is closed with bytes unread, and the other side loses what it hasn't read. The same if the other entry reset its side after the last response: the connection was aborted although nothing of the response was missing.

A reset of the other entry after its whole last response counts as an end.

Not shown to be what the users saw.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { splitAddress } from '#connection/address'
+import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
@@ -83,6 +84,11 @@
     return this.requests.isBetweenMessages && this.requests.count > this.responses.count
   }
 
+  /// Whether the caller has got all that it gets on the connection.
+  private get hasLastResponse (): boolean {
+    return this.responses.isLast && this.responses.isBetweenMessages
+  }
+
   /// Has the connection served here, from the first request on that has not been passed on.
   private giveBack (): void {
     const { caller, onReturned } = this.options
@@ -110,6 +116,7 @@
     // as after an end on both sides.
     peer.on('end', () => {
       if (this.isIdle) this.endAfterReading()
+      else if (this.hasLastResponse) this.endCaller()
       else if (peer.remoteAddress === undefined && !this.isDraining) this.abort('the entry reset the connection')
       else this.endCaller()
     })
@@ -181,7 +188,7 @@
     const { caller } = this.options
     if (this.isEnded) return
     this.finish(null)
-    caller.end(() => caller.destroy())
+    closeInOrder(caller)
     this.peer.destroy()
   }
 
@@ -198,6 +205,7 @@
 
   private handlePeerError (reason: string): void {
     if (this.isEnded) return
+    if (this.hasLastResponse) return this.endCaller()
     if (this.isConnected) return this.isIdle ? this.endAfterReading() : this.abort(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -53,6 +53,7 @@
   readonly entry: End
   readonly connection: RelayedConnection
   readonly onReturned: ReturnType<typeof vi.fn>
+  readonly onEnd: ReturnType<typeof vi.fn>
   /// The connection's end at the entry that relays.
   readonly accepted: Socket
 }
@@ -71,6 +72,7 @@
   const [accepted] = await once(front.server, 'connection') as [Socket]
   sockets.push(accepted)
   const onReturned = vi.fn()
+  const onEnd = vi.fn()
   const connection = new RelayedConnection({
     caller: accepted,
     entry: createOtherEntry(`127.0.0.1:${other.port}`),
@@ -78,12 +80,12 @@
     onChunk: () => {},
     onUnreachable: () => {},
     onReturned,
-    onEnd: () => {}
+    onEnd
   })
   const [socket] = await once(other.server, 'connection') as [Socket]
   const entry = new End(socket)
   await vi.waitFor(() => expect(entry.text).toMatch(/^RELAY 1 entry-0\n/))
-  return { caller, entry, connection, onReturned, accepted }
+  return { caller, entry, connection, onReturned, onEnd, accepted }
 }
 
 function createOtherEntry (address: string): OtherEntry {
@@ -155,6 +157,25 @@
   expect([entry.messages, caller.messages]).toEqual([['a1'], ['200']])
 })
 
+// Guards against LOST: an answer on its way was lost, as the connection was reset with bytes of the caller unread.
+test.each<[string, (relayed: Relayed) => void]>([
+  ['ends', ({ entry }) => entry.socket.end(formatResponse(503, 'connection: close\r\n'))],
+  ['resets', ({ entry: { socket } }) => socket.write(formatResponse(503, 'connection: close\r\n'), () => {
+    setTimeout(() => socket.resetAndDestroy(), 20)
+  })]
+])('a request is refused before its body has arrived, and the other entry %s: the response arrives, and the connection isn\'t reset', async (_, refuse) => {
+  const relayed = await relay()
+  const { caller, entry, onEnd } = relayed
+  caller.socket.write('POST /a1 HTTP/1.1\r\nhost: h\r\ncontent-length: 99000000\r\n\r\n')
+  const writing = setInterval(() => { if (caller.socket.writable) caller.socket.write(Buffer.alloc(50_000)) }, 1)
+  await entry.receive(1)
+  refuse(relayed)
+  caller.socket.once('end', () => clearInterval(writing))
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true), { timeout: 3000 }).finally(() => clearInterval(writing))
+  expect([caller.messages, caller.isReset]).toEqual([['503'], false])
+  expect(onEnd).toHaveBeenCalledWith(null)
+})
+
 test('a caller that sends much behind a request is not read until the response is complete', async () => {
   const { caller, entry, accepted } = await relay()
   caller.socket.write(formatRequest('a1') + 'x'.repeat(1_000_000))
