Relay: a stall doesn't close connections whose first line has arrived

Callers of a busy entry lost requests without a line in a log: the entry to which their connection was relayed closed it unread.

Cause: an entry waits 1 s for the first line of a relayed connection, on a timer. After a stall of the event loop the timer fires before the loop reads, so the connection was closed although the line and a request had arrived.

Change: before the connection is closed, what has arrived is read, as elsewhere; the step stands once now, in process/clock.

Evidence: `npx vitest run process/relay/test/origin`: with the source before, the test of a line that has arrived failed 3 of 3 times; 2 of 2 pass, 5 times.

--- a/process/clock/src/index.ts
+++ b/process/clock/src/index.ts
@@ -1,3 +1,4 @@
+export { callAfterReading } from './afterreading.js'
 export { retry } from './retry.js'
 export type { RetryOptions } from './retry.js'
 export { sleep } from './sleep.js'
--- a/process/relay/src/origin.ts
+++ b/process/relay/src/origin.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import { callAfterReading } from '#process/clock'
 
 /// Where a relayed connection comes from. It is sent in the connection's first line, before the caller's bytes.
 export interface RelayOrigin {
@@ -20,8 +21,10 @@
 /// connection without a valid one.
 export function readOrigin (socket: Socket, accept: (origin: RelayOrigin) => void): void {
   let received: Buffer = Buffer.alloc(0)
-  const timer = setTimeout(() => socket.destroy(), lineTimeoutMs)
+  let isRead = false
+  const timer = setTimeout(() => callAfterReading(() => { if (!isRead) socket.destroy() }), lineTimeoutMs)
   const stop = (): void => {
+    isRead = true
     clearTimeout(timer)
     socket.off('data', onData)
     socket.off('error', stop)
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { splitAddress } from '#connection/address'
+import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
 import { formatOrigin } from './origin.js'
@@ -180,8 +181,7 @@
     this.isDraining = true
     this.isLeaving = true
     this.options.caller.resume()
-    // What has arrived is read by the end of the next event loop iteration.
-    setImmediate(() => setImmediate(() => { if (!this.isEnded) this.endCaller() }))
+    callAfterReading(() => { if (!this.isEnded) this.endCaller() })
   }
 
   private endCaller (): void {
--- /dev/null
+++ b/process/relay/test/origin.test.ts
@@ -0,0 +1,48 @@
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { formatOrigin, readOrigin } from '../src/origin.js'
+
+const origin = { entry: 'entry-0', configVersion: 7 }
+/// Longer than any wait for the line.
+const stallMs = 5000
+
+let server: Server
+let client: Socket
+
+beforeEach(() => { vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] }) })
+
+afterEach(() => {
+  vi.useRealTimers()
+  client.destroy()
+  server.close()
+})
+
+/// Resolves to what was accepted, or to null if the connection is closed without that. The event loop of the entry
+/// stalls between the accept and the first read, when the bytes have arrived.
+function acceptStalled (bytes: string): Promise<unknown> {
+  return new Promise(resolve => {
+    const accept = (socket: Socket): void => {
+      readOrigin(socket, accepted => resolve(accepted))
+      socket.resume()
+      vi.advanceTimersByTime(stallMs)
+    }
+    server = createServer({ pauseOnConnect: true }, socket => {
+      socket.on('error', () => {})
+      socket.on('close', () => resolve(null))
+      client.write(bytes, () => accept(socket))
+    })
+    server.listen(0, '127.0.0.1', () => {
+      client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+      client.on('error', () => {})
+    })
+  })
+}
+
+// Guards against LOST: after a stall, relayed connections were closed with the requests in them unread.
+test.each([
+  ['has arrived: it is read', formatOrigin(origin) + 'POST / HTTP/1.1\r\n\r\n', origin],
+  ['has not arrived: the connection is closed', '', null]
+])('the event loop stalls after it has accepted a relayed connection, and the first line %s', async (_, bytes, expected) => {
+  expect(await acceptStalled(bytes)).toEqual(expected)
+})
