Relay: a request that is read and not answered leaves a line at the entry of its caller

Change: `relay-unanswered` (512) has the request's id, the other entry, the caller's address, whether the request had been passed on whole, how many bytes behind it were held, and why the connection ended; `relayed_unanswered_total` counts them. The header codec finds the id in a head's text. Nothing is written for a caller that leaves: the other entry's `call-abandoned` says so. A response without a length is complete at the end of the other entry's connection.

Evidence: `npx vitest run process/relay/test/relayedconnection`: seven ways in which a connection ends with a request under way are reported once, three others aren't. Before, there was nothing to call. The cost per relayed request wasn't measured.

--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -81,6 +81,7 @@
 /// Reads and writes the system's header fields, under the names that it is given.
 export class HeaderCodec {
   private readonly droppedHeaders: ReadonlySet<string>
+  private readonly callIdPattern: RegExp
 
   constructor (private readonly names: HeaderNames) {
     this.droppedHeaders = new Set([
@@ -90,6 +91,14 @@
       names.callerTimeoutMs,
       names.lastEventId
     ])
+    this.callIdPattern = new RegExp(`^${names.callId}:[ \\t]*(\\S{1,200})[ \\t]*$`, 'im')
+  }
+
+  /// Returns the call id in a request head as it was received, null if there is none. The text is not kept in memory.
+  findCallId (head: string): string | null {
+    const id = this.callIdPattern.exec(head)?.[1]
+    // A substring would keep the whole text.
+    return id === undefined ? null : Buffer.from(id, 'latin1').toString('latin1')
   }
 
   /// Throws `InvalidCallError` if the call id or the host is missing or the call id has an invalid length. Malformed
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -125,6 +125,7 @@
       registration: { name, address: relayAddress, zone, processors },
       store: platform.store,
       getConfigVersion: () => this.configuration.version,
+      findCallId: head => platform.headers.findCallId(head),
       isReady: () => this.isReady,
       serve: (exchange, origin) => this.serve(exchange, origin),
       front: frontOptions
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -106,7 +106,8 @@
   readonly relay = new ConnectionRelay({
     directory: this.directory,
     serviceTime: this.serviceTime,
-    getConfigVersion: () => this.configVersion
+    getConfigVersion: () => this.configVersion,
+    findCallId: head => platformHeaders.findCallId(head)
   }, noopLog, new Metrics())
 
   /// Set by tests, to emulate a busy event loop.
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '#process/metrics'
 import type { EntryDirectory, OtherEntry } from './directory.js'
 import { RelayedConnection } from './relayedconnection.js'
+import type { FindCallId } from './requesttracker.js'
 import { CallCost } from './servicetime.js'
 import type { ServiceTime } from './servicetime.js'
 
@@ -13,6 +14,7 @@
   readonly serviceTime: ServiceTime
   /// Version of the configuration in force here, 0 for none.
   readonly getConfigVersion: () => number
+  readonly findCallId: FindCallId
 }
 
 /// Relays new connections to entries at which calls are expected to end sooner than here. All calls of a relayed
@@ -63,12 +65,13 @@
   }
 
   private relay (caller: Socket, entry: OtherEntry, serve: ServeConnection): void {
-    const { directory, serviceTime, getConfigVersion } = this.options
+    const { directory, serviceTime, getConfigVersion, findCallId } = this.options
     const { name } = entry.registration
+    const address = `${caller.remoteAddress}:${caller.remotePort}`
     this.metrics.increment('relays_total')
     this.log.event(Events.connectionRelayed, {
       entry: name,
-      caller: `${caller.remoteAddress}:${caller.remotePort}`,
+      caller: address,
       ownMs: Math.round(serviceTime.expectedMs),
       expectedMs: Math.round(entry.expectedMs),
       ageTicks: entry.ageTicks
@@ -77,12 +80,18 @@
       caller,
       entry,
       origin: { entry: directory.own.name, configVersion: getConfigVersion() },
+      findCallId,
       onChunk: () => serviceTime.countCall(CallCost.relayedChunk),
       onUnreachable: () => {
         directory.recordFailure(entry)
         serve(false)
       },
       onReturned: serve,
+      onUnanswered: ({ callId, ...request }) => {
+        this.metrics.increment('relayed_unanswered_total')
+        const fields = { callId: callId ?? undefined, entry: name, caller: address, ...request }
+        this.log.event(Events.relayUnanswered, fields)
+      },
       onEnd: reason => {
         this.connections.delete(connection)
         if (reason === null) return
--- a/process/relay/src/messagetracker.ts
+++ b/process/relay/src/messagetracker.ts
@@ -25,6 +25,11 @@
     return this.part === Part.head && this.text === ''
   }
 
+  /// Whether more messages have begun here than are complete there.
+  hasMoreThan (other: MessageTracker): boolean {
+    return this.begun > other.count
+  }
+
   /// Messages that are complete.
   get count (): number {
     return this.part === Part.head ? this.begun : this.begun - 1
@@ -37,6 +42,11 @@
     for (let at = 0; at < bytes.length;) at += this.addMessage(bytes.subarray(at))
   }
 
+  /// Completes a message that ends with the connection.
+  end (): void {
+    if (this.part === Part.body && this.remainingBytes === Infinity) this.part = Part.head
+  }
+
   /// Adds bytes up to the end of a message, or all of them. Returns how many.
   addMessage (bytes: Buffer): number {
     const { count } = this
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -7,12 +7,25 @@
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
 import { RequestTracker } from './requesttracker.js'
+import type { FindCallId } from './requesttracker.js'
 import { ResponseTracker } from './responsetracker.js'
 
+/// A request without a complete response on a relayed connection that this entry or the other one ends.
+export interface UnansweredRequest {
+  /// Null if it has none, or the request has not been passed on.
+  readonly callId: string | null
+  /// Whether all of the request has been passed on.
+  readonly isWhole: boolean
+  /// What the caller has sent behind it, and has not been passed on.
+  readonly heldBytes: number
+  readonly reason: string
+}
+
 export interface RelayedConnectionOptions {
   readonly caller: Socket
   readonly entry: OtherEntry
   readonly origin: RelayOrigin
+  readonly findCallId: FindCallId
   /// Called for each chunk that is passed on, either way.
   readonly onChunk: () => void
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
@@ -20,6 +33,8 @@
   /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
   /// answered all that it was sent (`wasUsed`). What the caller has sent since can be read from the connection.
   readonly onReturned: (wasUsed: boolean) => void
+  /// Called before `onEnd`.
+  readonly onUnanswered: (request: UnansweredRequest) => void
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
 }
@@ -27,6 +42,7 @@
 const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
+const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
@@ -43,11 +59,12 @@
   private isLeaving = false
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
-  private readonly requests = new RequestTracker()
+  private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
 
   constructor (private readonly options: RelayedConnectionOptions) {
-    const { caller, entry } = options
+    const { caller, entry, findCallId } = options
+    this.requests = new RequestTracker(findCallId)
     const [host, port] = splitAddress(entry.registration.address)
     this.peer = connect({ host, port, noDelay: true, onread: { buffer: readBuffer, callback: this.onPeerData } })
     this.connectTimer = setTimeout(() => this.peer.destroy(new Error('the connection timed out')), connectTimeoutMs)
@@ -70,6 +87,7 @@
   /// Breaks the connection, so that the caller can't take a response for complete that isn't.
   abort (reason: string): void {
     if (this.isEnded) return
+    this.reportUnanswered(reason)
     this.options.caller.resetAndDestroy()
     this.peer.resetAndDestroy()
     this.finish(reason)
@@ -113,14 +131,17 @@
     caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
     peer.on('drain', () => this.updateReading())
+    peer.on('end', this.onPeerEnd)
+  }
+
+  private readonly onPeerEnd = (): void => {
+    if (this.isIdle) return this.endAfterReading()
+    if (this.hasLastResponse) return this.endCaller(lastResponseReason)
     // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then,
     // as after an end on both sides.
-    peer.on('end', () => {
-      if (this.isIdle) this.endAfterReading()
-      else if (this.hasLastResponse) this.endCaller()
-      else if (peer.remoteAddress === undefined && !this.isDraining) this.abort('the entry reset the connection')
-      else this.endCaller()
-    })
+    if (this.peer.remoteAddress === undefined && !this.isDraining) return this.abort('the entry reset the connection')
+    this.responses.end()
+    this.endCaller('the entry ended the connection')
   }
 
   private readonly onCallerData = (chunk: Buffer): void => {
@@ -176,7 +197,7 @@
 
   /// Ends the connection unless the caller has sent another request: if this process was busy, it may have waited.
   private endAfterReading (): void {
-    if (this.responses.isLast) return this.endCaller()
+    if (this.responses.isLast) return this.endCaller(lastResponseReason)
     if (this.isLeaving) return
     this.isDraining = true
     this.isLeaving = true
@@ -184,14 +205,24 @@
     callAfterReading(() => { if (!this.isEnded) this.endCaller() })
   }
 
-  private endCaller (): void {
+  private endCaller (reason = 'the connection was idle'): void {
     const { caller } = this.options
     if (this.isEnded) return
+    this.reportUnanswered(reason)
     this.finish(null)
     closeInOrder(caller)
     this.peer.destroy()
   }
 
+  private reportUnanswered (reason: string): void {
+    const { requests, responses } = this
+    const heldBytes = this.held?.length ?? 0
+    const isUnderWay = requests.hasMoreThan(responses)
+    if (!isUnderWay && heldBytes === 0) return
+    const callId = isUnderWay ? requests.callId : null
+    this.options.onUnanswered({ callId, isWhole: requests.isBetweenMessages, heldBytes, reason })
+  }
+
   /// A caller that has sent its end has left, as for calls that are served here. The reset lets the other entry know at
   /// once.
   private readonly onCallerGone = (): void => {
@@ -205,7 +236,7 @@
 
   private handlePeerError (reason: string): void {
     if (this.isEnded) return
-    if (this.hasLastResponse) return this.endCaller()
+    if (this.hasLastResponse) return this.endCaller(lastResponseReason)
     if (this.isConnected) return this.isIdle ? this.endAfterReading() : this.abort(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -53,6 +53,7 @@
   readonly entry: End
   readonly connection: RelayedConnection
   readonly onReturned: ReturnType<typeof vi.fn>
+  readonly onUnanswered: ReturnType<typeof vi.fn>
   readonly onEnd: ReturnType<typeof vi.fn>
   /// The connection's end at the entry that relays.
   readonly accepted: Socket
@@ -72,6 +73,7 @@
   const [accepted] = await once(front.server, 'connection') as [Socket]
   sockets.push(accepted)
   const onReturned = vi.fn()
+  const onUnanswered = vi.fn()
   const onEnd = vi.fn()
   const connection = new RelayedConnection({
     caller: accepted,
@@ -79,13 +81,15 @@
     origin: { entry: 'entry-0', configVersion: 1 },
     onChunk: () => {},
     onUnreachable: () => {},
+    findCallId: head => /^POST \/(\w+)/.exec(head)?.[1] ?? null,
     onReturned,
+    onUnanswered,
     onEnd
   })
   const [socket] = await once(other.server, 'connection') as [Socket]
   const entry = new End(socket)
   await vi.waitFor(() => expect(entry.text).toMatch(/^RELAY 1 entry-0\n/))
-  return { caller, entry, connection, onReturned, onEnd, accepted }
+  return { caller, entry, connection, onReturned, onUnanswered, onEnd, accepted }
 }
 
 function createOtherEntry (address: string): OtherEntry {
@@ -184,3 +188,42 @@
   entry.socket.write(formatResponse(200))
   await vi.waitFor(() => expect(entry.text.length).toBeGreaterThan(1_000_000))
 })
+
+const ended = { callId: 'a1', isWhole: true, heldBytes: 0, reason: 'the entry ended the connection' }
+
+// Guards against requests without a response of which no log says anything.
+test.each<[string, string, (relayed: Relayed) => void, Record<string, unknown>]>([
+  ['no response', formatRequest('a1'), ({ entry }) => entry.socket.end(), ended],
+  ['a part of a response', formatRequest('a1'), ({ entry }) => entry.socket.end(formatResponse(200).slice(0, -1)), ended],
+  ['no response to a part of a request', formatRequest('a1', 'hello').slice(0, -1), ({ entry }) => entry.socket.end(), { ...ended, isWhole: false }],
+  ['no response, while others wait', pipelined, ({ entry }) => entry.socket.end(), { ...ended, heldBytes: formatRequest('a2').length * 2 }],
+  ['the last response, while others wait', pipelined, ({ entry }) => entry.socket.end(formatResponse(200, 'connection: close\r\n')), {
+    callId: null,
+    isWhole: true,
+    heldBytes: formatRequest('a2').length * 2,
+    reason: 'the response before closes the connection'
+  }],
+  ['no response, as it is aborted', formatRequest('a1'), ({ connection }) => connection.abort('why'), { ...ended, reason: 'why' }],
+  ['no response, as it is reset', formatRequest('a1'), ({ entry }) => entry.socket.resetAndDestroy(), { ...ended, reason: 'read ECONNRESET' }]
+])('the connection ends with %s: this is reported', async (_, sent, end, unanswered) => {
+  const relayed = await relay()
+  relayed.caller.socket.write(sent)
+  await relayed.entry.receive(1)
+  await vi.waitFor(() => expect(relayed.entry.text).toMatch(/\n\r\n/))
+  end(relayed)
+  await vi.waitFor(() => expect(relayed.onEnd).toHaveBeenCalled())
+  expect(relayed.onUnanswered.mock.calls).toEqual([[unanswered]])
+})
+
+test.each<[string, (relayed: Relayed) => void]>([
+  ['after a response', ({ entry }) => entry.socket.end(formatResponse(200))],
+  ['after a response without a length', ({ entry }) => entry.socket.end('HTTP/1.1 200 OK\r\n\r\nok')],
+  ['as the caller leaves', ({ caller }) => caller.socket.end()]
+])('the connection ends %s: no request is reported', async (_, end) => {
+  const relayed = await relay()
+  relayed.caller.socket.write(formatRequest('a1'))
+  await relayed.entry.receive(1)
+  end(relayed)
+  await vi.waitFor(() => expect(relayed.onEnd).toHaveBeenCalled())
+  expect(relayed.onUnanswered).not.toHaveBeenCalled()
+})
