Calls count as finished once the system has their whole response

Callers saw a connection that ended without a response, while the entry's log said `call-finished` with status 200.

Cause: `call-finished` was logged when the response was complete in the process. What became of it was not looked at; Node reports a response as finished, too, when its connection fails with a part of it unsent.

Change: `call-finished` follows the response's `finish` on a connection without an error.

--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -5,9 +5,22 @@
 import type { RequestMemory } from '#request/call'
 import { ByteCollector } from '#process/memory'
 
+/// Why a response did not reach the system's send buffer whole.
+export const DisconnectCause = {
+  /// The caller has ended its side of the connection, or closed it.
+  callerEnded: 'caller-ended',
+  connectionError: 'connection-error',
+  /// This process has closed the connection.
+  closedHere: 'closed-here'
+} as const
+
+export type DisconnectCause = typeof DisconnectCause[keyof typeof DisconnectCause]
+
 /// One request of a caller and the response to it.
 export class Exchange {
   private isStarted = false
+  private isAborted = false
+  private wasSent = false
 
   /// `arrivedAtMs`: when the request may have arrived, on the monotonic clock of `performance.now()`. It is before the
   /// request was read if the process was busy.
@@ -15,7 +28,12 @@
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     readonly arrivedAtMs: number
-  ) {}
+  ) {
+    response.once('finish', () => {
+      // Node calls it finished, too, when the connection fails with a part of it unsent.
+      this.wasSent = !request.socket.destroyed && request.socket.errored === null
+    })
+  }
 
   get head (): RequestHead {
     const { method, url, headers, rawHeaders } = this.request
@@ -41,9 +59,24 @@
     return this.response.writableLength
   }
 
-  /// Calls `listener` when the response has been sent or its connection is closed.
+  /// Whether the whole response has been passed to the operating system.
+  get isDelivered (): boolean {
+    return this.wasSent
+  }
+
+  /// Why the connection has closed, null while it is open.
+  get disconnectCause (): DisconnectCause | null {
+    const { socket } = this.request
+    if (!socket.destroyed) return null
+    if (this.isAborted) return DisconnectCause.closedHere
+    if (socket.errored !== null) return DisconnectCause.connectionError
+    return socket.readableEnded ? DisconnectCause.callerEnded : DisconnectCause.closedHere
+  }
+
+  /// Calls `listener` when the response has been sent or its connection is closed, at once if that was before.
   onClose (listener: () => void): void {
-    this.response.once('close', listener)
+    if (this.response.closed) listener()
+    else this.response.once('close', listener)
   }
 
   /// Calls `listener` if the connection closes before the response is complete: the caller disconnected, or `abort`
@@ -125,6 +158,7 @@
   /// Closes the connection, so that a partial response can't be taken for a complete one.
   abort (): void {
     this.isStarted = true
+    this.isAborted = true
     this.response.destroy()
   }
 
--- a/connection/front/src/index.ts
+++ b/connection/front/src/index.ts
@@ -1,4 +1,4 @@
-export { Exchange } from './exchange.js'
+export { DisconnectCause, Exchange } from './exchange.js'
 export type { ResponseHeaders } from './exchange.js'
 export { FrontServer } from './server.js'
 export type { FrontLimits, FrontOptions, ServeConnection } from './server.js'
--- a/process/cli/src/lines.ts
+++ b/process/cli/src/lines.ts
@@ -82,7 +82,7 @@
   readonly outcome: string
 }
 
-const finalEvents = new Set(['call-finished', 'call-refused', 'call-abandoned', 'answer-broken'])
+const finalEvents = new Set(['call-finished', 'call-refused', 'call-abandoned', 'answer-broken', 'answer-undelivered'])
 
 /// Returns the calls of a program in all processes, in order of their start.
 export function buildTimeline (lines: readonly LogLine[], programId: string): TimelineCall[] {
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -2,11 +2,12 @@
 import type { Call } from '#request/call'
 import { AbortReason, serveStream, serveUnary } from '#request/forward'
 import type { CallerResponse, ForwardContext, RoutedCall } from '#request/forward'
-import type { Exchange } from '#connection/front'
+import type { DisconnectCause, Exchange } from '#connection/front'
 import type { ResponseHead, HeaderCodec } from '#connection/header'
 import { RouteKind, pickTarget } from '#version/configuration'
 import type { RouteTable } from '#version/configuration'
 import { Events, formatError } from '#process/log'
+import type { EventFields } from '#process/log'
 import type { MemoryShare } from '#process/memory'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
@@ -147,22 +148,32 @@
       programId: call.program?.id,
       relayedBy: response.relayedBy,
       reason: String(signal.reason),
+      disconnect: response.disconnectCause,
       durationMs: Math.round(durationMs)
     })
     return
   }
   context.metrics.observeMs('call', durationMs)
-  context.metrics.increment(`answers_total{status="${response.status}"}`)
-  context.log.event(Events.callFinished, {
-    callId: call.id,
-    programId: call.program?.id,
-    relayedBy: response.relayedBy,
-    status: response.status,
-    bytes: response.bytes,
-    durationMs: Math.round(durationMs)
+  response.onClose(() => {
+    if (response.isDelivered) recordDelivered(call, receivedAtMs, response, context)
+    else recordUndelivered(call, receivedAtMs, response, context)
   })
 }
 
+function recordDelivered (call: Call, receivedAtMs: number, response: ExchangeResponse, context: ForwardContext): void {
+  context.metrics.increment(`answers_total{status="${response.status}"}`)
+  context.log.event(Events.callFinished, response.describe(call, receivedAtMs))
+}
+
+/// Records a response that was complete here and has not been passed to the operating system whole.
+function recordUndelivered (
+  call: Call | null, receivedAtMs: number, response: ExchangeResponse, context: ForwardContext
+): void {
+  context.metrics.increment('answers_undelivered_total')
+  const fields = response.describe(call, receivedAtMs)
+  context.log.event(Events.answerUndelivered, { ...fields, disconnect: response.disconnectCause })
+}
+
 function handleError (
   error: unknown,
   call: Call | null,
@@ -183,7 +194,7 @@
   const { relayedBy } = response
   const fields = { callId: call?.id ?? '', programId: call?.program?.id, relayedBy, refusal: refused.refusal, verdict: refused.verdict, reason: refused.message, durationMs }
   if (signal.aborted && signal.reason === AbortReason.callerDisconnected) {
-    context.log.event(Events.callAbandoned, fields)
+    context.log.event(Events.callAbandoned, { ...fields, disconnect: response.disconnectCause })
     return
   }
   context.metrics.increment(`refusals_total{refusal="${refused.refusal}"}`)
@@ -193,6 +204,7 @@
   } else {
     context.log.event(Events.callRefused, { ...fields, status: refused.status, retryAfterMs: refused.retryAfterMs })
     response.refuse(refused, call)
+    response.onClose(() => { if (!response.isDelivered) recordUndelivered(call, receivedAtMs, response, context) })
   }
 }
 
@@ -223,6 +235,30 @@
     return this.exchange.hasStarted
   }
 
+  get isDelivered (): boolean {
+    return this.exchange.isDelivered
+  }
+
+  get disconnectCause (): DisconnectCause | null {
+    return this.exchange.disconnectCause
+  }
+
+  onClose (listener: () => void): void {
+    this.exchange.onClose(listener)
+  }
+
+  /// Returns the fields of the event that ends the call. `call` is null if the request names none.
+  describe (call: Call | null, receivedAtMs: number): EventFields {
+    return {
+      callId: call?.id ?? '',
+      programId: call?.program?.id,
+      relayedBy: this.relayedBy,
+      status: this.status,
+      bytes: this.bytes,
+      durationMs: Math.round(performance.now() - receivedAtMs)
+    }
+  }
+
   private get isLast (): boolean {
     return this.state.shouldCloseConnection(this.origin)
   }
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -13,6 +13,7 @@
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
+import type { EventLog } from '#process/log'
 import { Metrics } from '#process/metrics'
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
@@ -111,6 +112,8 @@
 
   /// Set by tests, to emulate a busy event loop.
   delayMs = 0
+  /// Called with each exchange before it is served.
+  onExchange: (exchange: Exchange) => void = () => {}
   address = ''
   /// For connections that another entry relays.
   relayAddress = ''
@@ -120,7 +123,7 @@
   private readonly relayFront: FrontServer
   private readonly origins = new WeakMap<Socket, RelayOrigin>()
 
-  constructor (instances: readonly ListedInstance[]) {
+  constructor (instances: readonly ListedInstance[], log: EventLog = noopLog) {
     this.registry = new InstanceRegistry({
       parseInstance,
       connect: description => new InstanceClient(description.address, 8),
@@ -142,10 +145,11 @@
       cache: new ChainCache(1000),
       requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage),
       responseMemory: new MemoryBudget(plan.responseBytes, freeBytesPerMessage),
-      log: noopLog,
+      log,
       metrics: new Metrics()
     }
     const serve = (exchange: Exchange): Promise<void> => {
+      this.onExchange(exchange)
       const origin = this.origins.get(exchange.connection) ?? null
       const shouldCloseConnection = (): boolean => origin === null && this.relay.prefersNewConnections
       const { routes, drain } = this
