--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -6,7 +6,9 @@
 // Runs the soak of planned work with one seed after the other: npm run soak:planned -- [FIRST_SEED [SEEDS [SECONDS]]]
 // With TROUBLE=1 processes and the store fail too. Prints what broke a rule; with LINES=1 the log lines about
 // it, too. With LOGS=FOLDER everything that the processes of a run with findings have written is kept there.
-// CALLERS, ENTRIES and ENGINES say how many of them a run has.
+// CALLERS, ENTRIES and ENGINES say how many of them a run has. With CHANGES=1 storage machines are added, replaced and
+// retired; with FAULTY=1 instances break off, lose answers or refuse; with END=1 all processes are killed at the end,
+// and turns are gone on from after that. SHARE=0.5 gives each entry half a processor.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const graceMs = 8000
@@ -15,7 +17,7 @@
 
 let findingCount = 0
 for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
-  const { attempts, statuses, disturbances, findings, endsAtBoot, lines, logs } = await runSoak({
+  const { attempts, statuses, disturbances, findings, breaches, endsAtBoot, lines, logs } = await runSoak({
     command: [process.execPath, 'target/chicorynotchd.cjs'],
     seed,
     durationMs: durationS * 1000,
@@ -23,10 +25,15 @@
     entries: Number(process.env.ENTRIES ?? 4),
     engines: Number(process.env.ENGINES ?? 3),
     graceMs,
-    hasTrouble: process.env.TROUBLE === '1'
+    hasTrouble: process.env.TROUBLE === '1',
+    hasFaultyInstances: process.env.FAULTY === '1',
+    changesStorage: process.env.CHANGES === '1',
+    hasFinalFault: process.env.END === '1',
+    ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) }
   })
   findingCount += findings.length
   process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, ${disturbances.length} disturbances, ended at boot ${JSON.stringify(endsAtBoot)}, ${findings.length} findings\n`)
+  for (const breach of breaches) process.stdout.write(`  broken: ${breach}\n`)
   for (const { rule, text } of findings) process.stdout.write(`  ${rule}: ${text}\n`)
   if (process.env.LINES === '1') for (const line of lines) process.stdout.write(`    ${line}\n`)
   if (process.env.LOGS === undefined || findings.length === 0) continue
--- /dev/null
+++ b/standin/soak/src/breaches.ts
@@ -0,0 +1,57 @@
+import { isPlannedWork } from './circumstances.js'
+import type { Attempt, Disturbance, Observations } from './observations.js'
+import type { Finding } from './rules.js'
+
+// The users' rule LOST counts some sentences only from a number on. Each finding is a fault; this says which of them
+// break the rule.
+
+/// More than so many requests from kept connections break the rule.
+const maxLostOnKeptConnections = 3
+/// Beside a configuration an entry has to cut requests so many times as often as at other times.
+const minCutRatio = 3
+
+export type Breach = (findings: readonly Finding[], observations: Observations) => boolean
+
+/// By the name of the finding's rule: whether all findings of it together break the rule LOST.
+const breaches: Readonly<Record<string, Breach>> = {
+  'lost on a kept connection': findings => findings.length > maxLostOnKeptConnections,
+  'lost around planned work': (findings, observations) => findings.some(({ attempt }) => {
+    return isNearOwnWork(attempt, observations) || isCutMoreOften(attempt, findings, observations)
+  }),
+  'previous turn denied': findings => findings.length > 0,
+  'previous turn reaches no instance': findings => findings.length > 0,
+  'previous turn not reached by the end of recovery': findings => findings.length > 0,
+  'previous turn reaches no instance at the end': findings => findings.length > 0
+}
+
+export function findBreaches (findings: readonly Finding[], observations: Observations): string[] {
+  return Object.entries(breaches).flatMap(([rule, isBroken]) => {
+    const counted = findings.filter(finding => finding.rule === rule)
+    return counted.length > 0 && isBroken(counted, observations) ? [`${rule}: ${counted.length}`] : []
+  })
+}
+
+/// Whether a stop or a SIGHUP of the attempt's own entry was planned work for it.
+function isNearOwnWork (attempt: Attempt, { disturbances }: Observations): boolean {
+  return disturbances.some(disturbance => disturbance.kind !== 'configuration' && isPlannedWork(disturbance, attempt))
+}
+
+function isCutMoreOften ({ entry }: Attempt, findings: readonly Finding[], observations: Observations): boolean {
+  const { attempts, disturbances } = observations
+  const windows = disturbances.filter(({ kind }) => kind === 'configuration')
+  const isBeside = ({ endedAtMs }: Attempt): boolean => windows.some(window => isWithin(window, endedAtMs))
+  const own = attempts.filter(attempt => attempt.entry === entry)
+  const cuts = new Set(findings.map(({ attempt }) => attempt))
+  const share = (all: readonly Attempt[]): number => {
+    return all.length === 0 ? 0 : all.filter(attempt => cuts.has(attempt) || isCutAtAll(attempt)).length / all.length
+  }
+  return share(own.filter(isBeside)) > minCutRatio * share(own.filter(attempt => !isBeside(attempt)))
+}
+
+function isCutAtAll ({ isComplete, isLeft, isBehindLast }: Attempt): boolean {
+  return !isComplete && !isLeft && !isBehindLast
+}
+
+function isWithin ({ startMs, endMs }: Disturbance, atMs: number): boolean {
+  return atMs >= startMs && atMs <= endMs
+}
--- a/standin/soak/src/caller.ts
+++ b/standin/soak/src/caller.ts
@@ -1,130 +1,168 @@
 import { sleep } from '#process/clock'
 import type { Balancer } from './balancer.js'
-import { CallerConnection } from './connection.js'
-import type { RawRequest } from './connection.js'
+import { Following, Leaving } from './connection.js'
+import { charge, check, query, turn } from './kinds.js'
+import type { ProgramRequest, RequestKind } from './kinds.js'
+import { Lane } from './lane.js'
+import type { Outcome, SendingOptions } from './lane.js'
+import { isPromise } from './observations.js'
 import type { Attempt, Observations } from './observations.js'
 import type { Random } from './random.js'
-import type { SystemNode } from '#standin/system'
-
-/// A kind of request, as a caller sends it.
-interface RequestKind {
-  readonly path: string
-  readonly method: 'GET' | 'POST'
-  readonly deadlineMs: number
-  readonly maxBodyBytes: number
-  readonly weight: number
-}
 
-const turn: RequestKind = { path: '/chat/', method: 'POST', deadlineMs: 4000, maxBodyBytes: 17_000, weight: 4 }
-const kinds: readonly RequestKind[] = [
-  turn,
-  { path: '/query/', method: 'POST', deadlineMs: 4000, maxBodyBytes: 17_000, weight: 4 },
-  { path: '/check/', method: 'GET', deadlineMs: 1200, maxBodyBytes: 0, weight: 3 },
-  { path: '/charge/', method: 'POST', deadlineMs: 1500, maxBodyBytes: 1200, weight: 3 }
-]
-const weightedKinds = kinds.flatMap(kind => Array.from({ length: kind.weight }, () => kind))
 const maxTurns = 6
-const pausedUploadShare = 0.25
-const maxUploadPauseMs = 300
 const maxThinkMs = 60
 const reconnectDelayMs = 50
-const leaveMarginMs = 700
+const toolsAtOnce = 3
+const subAgents = 2
+const subAgentTurns = 2
+const maxBatch = 3
+const maxLeaveMs = 400
+/// Callers wait for so much of the time that they have left, at most.
+const maxRetryWaitShare = 1 / 3
+const minRetryDelayMs = 100
+const maxRetryDelayMs = 400
+const maxToolRetries = 2
+/// Tries of a turn that fails; the program then begins anew.
+const maxTurnTries = 7
+const newConnectionShare = 0.7
 
-/// Sends one request after the other, on a connection that it keeps until the entry closes it.
+/// Plays programs one after the other: turns, each with the tools and sub-agents that follow it, and other requests
+/// in between. Keeps its connections until the entries close them.
 export class Caller {
-  private connection: CallerConnection | null = null
-  private entry: SystemNode | null = null
+  private readonly main: Lane
+  private readonly others: readonly Lane[]
   private previousTurnId: string | null = null
   private turns = 0
-  private programId = ''
+  private failedTries = 0
+  private programId: string
+  private count = 0
 
   constructor (
-    private readonly name: string,
-    private readonly balancer: Balancer,
-    private readonly observations: Observations,
-    private readonly random: Random
-  ) {}
+    private readonly name: string, balancer: Balancer, observations: Observations, private readonly random: Random
+  ) {
+    this.main = new Lane(balancer, observations, random.fork())
+    this.others = Array.from({ length: toolsAtOnce }, () => new Lane(balancer, observations, random.fork()))
+    this.programId = `p${name}`
+  }
+
+  private readonly steps: readonly (() => Promise<void>)[] = [
+    () => this.takeTurn(),
+    () => this.takeTurn(),
+    () => this.takeTurn(),
+    () => this.takeTurn(),
+    () => this.callTool(this.main, query),
+    () => this.callTool(this.main, query),
+    () => this.callTool(this.main, check),
+    () => this.callTool(this.main, charge),
+    () => this.sendBatch(Following.pipelined),
+    () => this.sendBatch(Following.overlapping),
+    () => this.callTools(),
+    () => this.runSubAgents(),
+    () => this.leaveMidway()
+  ]
 
   async run (isOver: () => boolean): Promise<void> {
-    for (let number = 0; !isOver(); number++) {
-      if (this.connection?.isOpen !== true) await this.connect()
-      if (this.connection === null) await sleep(reconnectDelayMs)
-      else await this.call(`${this.name}x${number}`, this.connection, this.random.pick(weightedKinds))
+    while (!isOver()) {
+      await this.random.pick(this.steps)()
       await sleep(this.random.between(0, maxThinkMs))
     }
-    this.connection?.close()
+    for (const lane of [this.main, ...this.others]) lane.close()
   }
 
-  private async connect (): Promise<void> {
-    this.entry = this.balancer.choose(this.random)
-    this.connection = await CallerConnection.open(this.entry.callersAddress)
+  private createRequest (kind: RequestKind, previousTurnId: string | null = null): ProgramRequest {
+    return { id: `${this.name}x${this.count++}`, kind, programId: this.programId, previousTurnId }
   }
 
-  private async call (id: string, connection: CallerConnection, kind: RequestKind): Promise<void> {
-    const previousTurnId = kind === turn ? this.previousTurnId : null
-    const isKept = connection.requests > 0
-    const startedAtMs = performance.now()
-    const request = this.createRequest(id, kind, previousTurnId)
-    const response = await connection.exchange(request, kind.deadlineMs + leaveMarginMs)
-    const { path, method, deadlineMs } = kind
-    const { status, body, isComplete, sentAtMs, endedAtMs } = response
-    const attempt = {
-      id,
-      path,
-      method,
-      entry: this.entry!,
-      isKept,
-      deadlineMs,
-      previousTurnId,
-      startedAtMs,
-      sentAtMs,
-      endedAtMs,
-      status,
-      body,
-      isComplete,
-      isLeft: !isComplete && endedAtMs - startedAtMs >= deadlineMs
+  private createTurn (): ProgramRequest {
+    if (this.previousTurnId === null) this.programId = `p${this.name}x${this.count}`
+    return this.createRequest(turn, this.previousTurnId)
+  }
+
+  private async send (lane: Lane, requests: readonly ProgramRequest[], options?: SendingOptions): Promise<Outcome[]> {
+    const outcomes = await lane.send(requests, options)
+    if (outcomes.length === 0) await sleep(reconnectDelayMs)
+    return outcomes
+  }
+
+  private async takeTurn (): Promise<void> {
+    const [outcome] = await this.send(this.main, [this.createTurn()])
+    if (outcome === undefined) return
+    this.recordTurn(outcome.attempt)
+    if (isWhole(outcome.attempt)) return
+    if (this.random.next() < newConnectionShare) this.main.close()
+    await this.waitForRetry(outcome)
+  }
+
+  private recordTurn (attempt: Attempt): void {
+    if (isWhole(attempt)) {
+      this.failedTries = 0
+      this.previousTurnId = ++this.turns < maxTurns ? attempt.id : null
+    } else if (attempt.status === 402 || attempt.status === 404 || ++this.failedTries >= maxTurnTries) {
+      this.failedTries = 0
+      this.previousTurnId = null
     }
-    this.observations.attempts.push(attempt)
-    if (kind === turn) this.recordTurn(attempt)
-    if (!response.isLast) return
-    connection.close()
-    this.connection = null
+    if (this.previousTurnId === null) this.turns = 0
+  }
+
+  private async waitForRetry ({ attempt, retryAfterS }: Outcome): Promise<void> {
+    const { deadlineMs, startedAtMs, endedAtMs } = attempt
+    const maxWaitMs = Math.max(0, deadlineMs - (endedAtMs - startedAtMs)) * maxRetryWaitShare
+    const delayMs = retryAfterS === null ? this.random.between(minRetryDelayMs, maxRetryDelayMs) : retryAfterS * 1000
+    await sleep(Math.min(delayMs, maxWaitMs))
   }
 
-  private recordTurn ({ id, status, isComplete }: Attempt): void {
-    const isWhole = status === 200 && isComplete
-    if (isWhole && ++this.turns < maxTurns) {
-      this.previousTurnId = id
-      return
+  /// Calls a tool, and again on a new connection as long as that can't make it run twice.
+  private async callTool (lane: Lane, kind: RequestKind): Promise<void> {
+    for (let tries = 0; tries <= maxToolRetries; tries++) {
+      const [outcome] = await this.send(lane, [this.createRequest(kind)])
+      if (outcome === undefined || isWhole(outcome.attempt)) return
+      if (!kind.isRepeatable && !isPromise(outcome.attempt)) return
+      lane.close()
+      await this.waitForRetry(outcome)
     }
-    // A turn that failed is sent again: the next one names the same previous turn.
-    if (!isWhole && status !== 402 && status !== 404) return
-    this.previousTurnId = null
-    this.turns = 0
   }
 
-  private createRequest (id: string, kind: RequestKind, previousTurnId: string | null): RawRequest {
-    const { path, method, deadlineMs, maxBodyBytes } = kind
-    if (previousTurnId === null) this.programId = `p${id}`
-    const body = `${id} `.padEnd(Math.floor(this.random.between(0, maxBodyBytes)), '.')
-    const isPaused = method === 'POST' && this.random.next() < pausedUploadShare
-    const isChunked = method === 'POST' && this.random.next() < pausedUploadShare
-    const fields = [
-      `${method} ${path}1 HTTP/1.1`, 'host: demo.example', `attempt-id: ${id}`, `deadline-ms: ${deadlineMs}`,
-      `program-id: ${this.programId}`, `session-id: ${this.programId}`, 'program-deadline-ms: 20000',
-      ...path === turn.path ? ['token-budget: 100000', 'token-usage: 400,200'] : [],
-      ...previousTurnId === null ? [] : [`previous-turn: ${previousTurnId}`],
-      ...method === 'GET' ? [] : [isChunked ? 'transfer-encoding: chunked' : `content-length: ${body.length}`]
-    ]
-    const head = `${fields.join('\r\n')}\r\n\r\n`
-    if (method === 'GET') return { head, pieces: [] }
-    const pauseMs = isPaused ? this.random.between(0, maxUploadPauseMs) : 0
-    const half = Math.max(1, Math.floor(body.length / 2))
-    const parts = [body.slice(0, half), body.slice(half)].filter(part => part !== '')
-    const pieces = parts.map((part, i) => {
-      const bytes = isChunked ? `${part.length.toString(16)}\r\n${part}\r\n` : part
-      return { pauseMs: i === 0 ? 0 : pauseMs, bytes: isChunked && i === parts.length - 1 ? `${bytes}0\r\n\r\n` : bytes }
+  private async callTools (): Promise<void> {
+    const tools = this.others.map((_, i) => i === 0 ? check : this.random.pick([check, charge]))
+    await Promise.all(this.others.map((lane, i) => this.callTool(lane, tools[i]!)))
+  }
+
+  /// Sends several requests on one connection, one of them the next turn.
+  private async sendBatch (following: Following): Promise<void> {
+    const size = 2 + Math.floor(this.random.next() * (maxBatch - 1))
+    const place = Math.floor(this.random.next() * size)
+    const requests = Array.from({ length: size }, (_, i) => {
+      return i === place ? this.createTurn() : this.createRequest(this.random.pick([query, check, charge]))
     })
-    return { head, pieces }
+    const outcomes = await this.send(this.main, requests, { following })
+    const outcome = outcomes.find(({ attempt }) => attempt.id === requests[place]!.id)
+    if (outcome !== undefined) this.recordTurn(outcome.attempt)
+  }
+
+  /// Sub-agents go on from the last turn, side by side.
+  private async runSubAgents (): Promise<void> {
+    const parentId = this.previousTurnId
+    if (parentId === null) return
+    await Promise.all(this.others.slice(0, subAgents).map(lane => this.runSubAgent(lane, parentId)))
   }
+
+  private async runSubAgent (lane: Lane, parentId: string): Promise<void> {
+    let previousTurnId = parentId
+    for (let i = 0; i < subAgentTurns; i++) {
+      const [outcome] = await this.send(lane, [this.createRequest(turn, previousTurnId)])
+      if (outcome === undefined || !isWhole(outcome.attempt)) return
+      previousTurnId = outcome.attempt.id
+    }
+  }
+
+  private async leaveMidway (): Promise<void> {
+    const way = this.random.pick(Object.values(Leaving))
+    const leaving = { way, afterMs: this.random.between(0, maxLeaveMs) }
+    const request = this.createRequest(this.random.pick([query, check, charge]))
+    await this.send(this.random.pick([this.main, ...this.others]), [request], { leaving })
+  }
+}
+
+function isWhole ({ status, isComplete }: Attempt): boolean {
+  return status === 200 && isComplete
 }
--- /dev/null
+++ b/standin/soak/src/circumstances.ts
@@ -0,0 +1,55 @@
+import type { Attempt, Disturbance, Observations } from './observations.js'
+
+// What was the case while an attempt was under way.
+
+/// The users' bounds.
+const contactMs = 3000
+const configurationApplyMs = 2000
+/// An entry counts the time of a request from when it has read its head.
+const timeoutMarginMs = 50
+
+export function hasUnplanned ({ startedAtMs, endedAtMs }: Attempt, { disturbances }: Observations): boolean {
+  return disturbances.some(({ kind, startMs, endMs }) => {
+    return kind === 'unplanned' && startMs <= endedAtMs && endMs >= startedAtMs - contactMs
+  })
+}
+
+/// Whether the connection ended without a complete answer, and not for a reason that the rule LOST allows.
+export function isCut (attempt: Attempt, observations: Observations): boolean {
+  const { id, isComplete, isLeft, startedAtMs, endedAtMs, deadlineMs, path } = attempt
+  const isBrokenOff = observations.runs.get(id)?.at(-1)?.isBrokenOff === true
+  const isTurn = path === '/chat/' || path === '/query/'
+  const timeoutMs = isTurn ? lowestTimeoutMs(attempt, observations) : Infinity
+  const usedMs = endedAtMs - startedAtMs
+  return !isComplete && !isLeft && !isBrokenOff && usedMs < deadlineMs && usedMs < timeoutMs - timeoutMarginMs
+}
+
+/// The lowest timeout of turns in the configurations that may have been in force.
+function lowestTimeoutMs ({ startedAtMs, endedAtMs }: Attempt, { timeouts }: Observations): number {
+  const maybeInForce = timeouts.filter(({ sinceMs }, i) => {
+    const untilMs = (timeouts[i + 1]?.sinceMs ?? Infinity) + configurationApplyMs
+    return sinceMs <= endedAtMs && untilMs >= startedAtMs
+  })
+  return Math.min(...maybeInForce.map(({ timeoutMs }) => timeoutMs))
+}
+
+/// How late the process that runs the callers itself was between the end of a request and that of its connection.
+export function getOwnDelayMs ({ sentAtMs, endedAtMs }: Attempt, { delays }: Observations): number {
+  const meanwhile = delays.filter(({ atMs, delayMs }) => atMs >= sentAtMs && atMs - delayMs <= endedAtMs)
+  return Math.max(0, ...meanwhile.map(({ delayMs }) => delayMs))
+}
+
+/// Whether planned work concerned the attempt at its entry.
+export function isPlannedWork (disturbance: Disturbance, attempt: Attempt): boolean {
+  const { entry, sentAtMs, startedAtMs, endedAtMs } = attempt
+  const { kind, startMs, endMs } = disturbance
+  if (kind === 'unplanned' || kind === 'signal' || (disturbance.entry !== null && disturbance.entry !== entry)) return false
+  if (kind === 'settings') return sentAtMs >= startMs && sentAtMs <= startMs + configurationApplyMs
+  return endedAtMs >= startMs && startedAtMs <= endMs && endedAtMs <= endMs
+}
+
+export function describe (attempt: Attempt, isRun: boolean): string {
+  const { id, path, sentAtMs, endedAtMs, status, body, entry, way } = attempt
+  return `${id} ${path} at ${entry.name} (${way}), ${isRun ? 'run' : 'not run'}, status ${status}, ${body.length} bytes, ` +
+    `cut ${Math.round(endedAtMs - sentAtMs)} ms after it was sent`
+}
--- a/standin/soak/src/connection.ts
+++ b/standin/soak/src/connection.ts
@@ -1,37 +1,74 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { sleep } from '#process/clock'
+import { parseResponse } from './response.js'
+import type { ParsedResponse } from './response.js'
+import type { RequestPiece } from './sending.js'
 
-/// A request as it is written to the connection: a head, and pieces of the body with a pause before each.
-export interface RawRequest {
-  readonly head: string
-  readonly pieces: readonly { readonly pauseMs: number, readonly bytes: string }[]
+/// When a request is sent that follows another one on its connection.
+export const Following = {
+  /// At once, before any response.
+  pipelined: 'pipelined',
+  /// While the response before it is on its way.
+  overlapping: 'overlapping'
+} as const
+
+export type Following = typeof Following[keyof typeof Following]
+
+/// How a caller gives up.
+export const Leaving = { end: 'end', reset: 'reset' } as const
+
+export type Leaving = typeof Leaving[keyof typeof Leaving]
+
+export interface ExchangeOptions {
+  readonly timeoutMs: number
+  readonly following: Following
+  /// How long after the start the caller leaves, and how; null if it waits for the responses.
+  readonly leaving: { readonly way: Leaving, readonly afterMs: number } | null
 }
 
 /// What came back on the connection.
-export interface RawResponse {
-  /// 0 if the connection ended before the response had a whole head.
-  readonly status: number
-  readonly body: string
-  /// Whether the response is complete as its head says.
-  readonly isComplete: boolean
-  /// Whether the connection can't be used again.
-  readonly isLast: boolean
-  /// When the last byte of the request was written, and when the response was complete or the connection ended.
+export interface RawResponse extends Omit<ParsedResponse, 'length'> {
+  /// Whether a response before it had said that the connection ends.
+  readonly isBehindLast: boolean
+  /// Whether the caller left before.
+  readonly isLeft: boolean
+  /// When the first and the last byte of the request were written, and when the response was complete or the connection
+  /// ended.
+  readonly startedAtMs: number
   readonly sentAtMs: number
   readonly endedAtMs: number
 }
 
+interface Pending {
+  readonly startedAtMs: number
+  sentAtMs: number
+  resolve: (response: RawResponse) => void
+}
+
 const connectTimeoutMs = 1000
+const pollIntervalMs = 4
 
-/// A caller's connection to an entry, with one request at a time. It is used until the entry closes it.
+/// A caller's connection to an entry. It is used until the entry closes it.
 export class CallerConnection {
   requests = 0
   private isClosed = false
+  private isLeft = false
+  private hasLast = false
+  private received = ''
+  private waiting: Pending[] = []
 
   private constructor (private readonly socket: Socket) {
     socket.on('error', () => {})
-    socket.on('close', () => { this.isClosed = true })
+    socket.on('data', (chunk: Buffer) => {
+      this.received += chunk.toString('latin1')
+      this.deliver()
+    })
+    socket.on('close', () => {
+      this.isClosed = true
+      this.deliver()
+      this.giveUp()
+    })
   }
 
   /// Resolves to null if no connection could be opened.
@@ -53,72 +90,80 @@
   }
 
   get isOpen (): boolean {
-    return !this.isClosed
+    return !this.isClosed && !this.hasLast && !this.isLeft
   }
 
-  /// Sends a request and receives its response, or what comes of it within the time.
-  async exchange (request: RawRequest, timeoutMs: number): Promise<RawResponse> {
-    this.requests++
-    const receiving = this.receive(timeoutMs)
-    this.socket.write(request.head)
-    let sentAtMs = performance.now()
-    for (const { pauseMs, bytes } of request.pieces) {
-      if (pauseMs > 0) await sleep(pauseMs)
-      if (this.isClosed) break
-      this.socket.write(bytes)
-      sentAtMs = performance.now()
+  /// Sends requests and receives their responses, or what comes of them within the time. A request of which nothing was
+  /// written has null.
+  async exchange (
+    requests: readonly (readonly RequestPiece[])[], options: ExchangeOptions
+  ): Promise<(RawResponse | null)[]> {
+    const timer = setTimeout(() => this.close(), options.timeoutMs)
+    const { leaving } = options
+    const leaveTimer = leaving === null ? null : setTimeout(() => this.leave(leaving.way), leaving.afterMs)
+    const responses: (Promise<RawResponse> | null)[] = []
+    for (const [i, pieces] of requests.entries()) {
+      if (i > 0 && options.following === Following.overlapping) await this.waitForBytes()
+      const sent = this.isOpen ? await this.send(pieces) : null
+      responses.push(sent === null ? null : sent.response)
     }
-    return { ...await receiving, sentAtMs }
+    const received = await Promise.all(responses)
+    clearTimeout(timer)
+    if (leaveTimer !== null) clearTimeout(leaveTimer)
+    return received
   }
 
   close (): void {
     this.socket.destroy()
   }
 
-  private receive (timeoutMs: number): Promise<Omit<RawResponse, 'sentAtMs'>> {
-    const { socket } = this
-    return new Promise(resolve => {
-      let received = ''
-      const finish = (isTimedOut: boolean): void => {
-        clearTimeout(timer)
-        socket.off('data', onData)
-        socket.off('close', onClose)
-        const response = parseResponse(received)
-        const isLast = isTimedOut || this.isClosed || !response.isComplete || /^connection: close\r$/im.test(received)
-        resolve({ ...response, isLast, endedAtMs: performance.now() })
-      }
-      const onData = (chunk: Buffer): void => {
-        received += chunk.toString('latin1')
-        if (parseResponse(received).isComplete) finish(false)
-      }
-      const onClose = (): void => finish(false)
-      const timer = setTimeout(() => finish(true), timeoutMs)
-      socket.on('data', onData)
-      socket.on('close', onClose)
-      if (this.isClosed) finish(false)
-    })
+  private async send (pieces: readonly RequestPiece[]): Promise<{ response: Promise<RawResponse> }> {
+    this.requests++
+    const pending: Pending = { startedAtMs: performance.now(), sentAtMs: performance.now(), resolve: () => {} }
+    const response = new Promise<RawResponse>(resolve => { pending.resolve = resolve })
+    this.waiting.push(pending)
+    for (const { pauseMs, awaitsContinue, bytes } of pieces) {
+      if (awaitsContinue === true) await this.waitForBytes(pauseMs)
+      else if (pauseMs > 0) await sleep(pauseMs)
+      if (this.isClosed || this.isLeft) break
+      this.socket.write(bytes)
+      pending.sentAtMs = performance.now()
+    }
+    // A promise inside an object isn't awaited by the one who awaits this.
+    return { response }
   }
-}
 
-function parseResponse (received: string): Pick<RawResponse, 'status' | 'body' | 'isComplete'> {
-  const headEnd = received.indexOf('\r\n\r\n')
-  if (headEnd < 0) return { status: 0, body: '', isComplete: false }
-  const head = received.slice(0, headEnd + 2)
-  const status = Number(head.split(' ')[1])
-  const rest = received.slice(headEnd + 4)
-  const length = /^content-length: (\d+)\r$/im.exec(head)
-  if (length !== null) return { status, body: rest, isComplete: rest.length >= Number(length[1]) }
-  return { status, ...joinChunks(rest) }
-}
+  private async waitForBytes (timeoutMs = Infinity): Promise<void> {
+    const deadlineMs = performance.now() + timeoutMs
+    while (this.received === '' && this.waiting.length > 0 && this.isOpen && performance.now() < deadlineMs) await sleep(pollIntervalMs)
+  }
+
+  private leave (way: Leaving): void {
+    this.isLeft = true
+    if (way === Leaving.reset) this.socket.resetAndDestroy()
+    else this.socket.end(() => this.socket.destroy())
+  }
+
+  private deliver (): void {
+    while (this.waiting.length > 0 && !this.hasLast) {
+      const response = parseResponse(this.received, this.isClosed)
+      if (!response.isComplete) return
+      this.received = this.received.slice(response.length)
+      this.settle(this.waiting.shift()!, response, false)
+      this.hasLast = response.isLast
+    }
+  }
+
+  private giveUp (): void {
+    for (const [i, pending] of this.waiting.splice(0).entries()) {
+      const isFirst = i === 0 && !this.hasLast
+      this.settle(pending, parseResponse(isFirst ? this.received : '', true), this.hasLast)
+    }
+  }
 
-function joinChunks (text: string): { body: string, isComplete: boolean } {
-  let body = ''
-  for (let at = 0; ;) {
-    const lineEnd = text.indexOf('\r\n', at)
-    if (lineEnd < 0) return { body, isComplete: false }
-    const size = Number.parseInt(text.slice(at, lineEnd), 16)
-    if (size === 0) return { body, isComplete: text.startsWith('\r\n', lineEnd + 2) }
-    body += text.slice(lineEnd + 2, lineEnd + 2 + size)
-    at = lineEnd + 2 + size + 2
+  private settle (pending: Pending, { length, ...response }: ParsedResponse, isBehindLast: boolean): void {
+    const { startedAtMs, sentAtMs } = pending
+    const { isLeft } = this
+    pending.resolve({ ...response, isBehindLast, isLeft, startedAtMs, sentAtMs, endedAtMs: performance.now() })
   }
 }
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -3,14 +3,21 @@
 import { createConfiguration } from '#standin/system'
 import type { StandinSystem, SystemNode } from '#standin/system'
 import { StoreFault } from '#standin/store'
+import { UpstreamFault } from '#standin/upstream'
+import type { StandinUpstream } from '#standin/upstream'
 import type { Disturbance, Observations } from './observations.js'
 import type { Random } from './random.js'
+import { StorageChanges } from './storagechanges.js'
 import { hasStopSignal } from './supervisor.js'
 import type { Supervisor } from './supervisor.js'
 
 export interface DisturberOptions {
   readonly graceMs: number
   readonly hasTrouble: boolean
+  /// Whether storage machines are added, replaced and retired.
+  readonly changesStorage: boolean
+  /// Whether instances break off, lose answers or refuse at times.
+  readonly hasFaultyInstances: boolean
 }
 
 const minIntervalMs = 150
@@ -39,12 +46,24 @@
 const maxOutageMs = 2500
 const catchUpMs = 4900
 const maxIdleRoutes = 40
+const manyIdleRoutes = 350
+const manyRoutesShare = 0.15
+/// Most configurations leave the timeout of turns as it is.
+const turnTimeoutsMs = [4000, 4000, 4000, 1500, 2500, 6000]
+const instanceFaults = [
+  UpstreamFault.full, UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframed,
+  UpstreamFault.unframedReset
+]
+/// How long the last disturbances may take to be over.
+const maxSettleMs = 20_000
 
 /// Stops, signals, changes and troubles, in series and overlapping, as a seed orders them.
 export class Disturber {
   private version = 1
   private readonly pending = new Set<Promise<void>>()
   private storageFreeAtMs = 0
+  private readonly instances: readonly StandinUpstream[]
+  private readonly storageChanges: StorageChanges
 
   constructor (
     private readonly system: StandinSystem,
@@ -53,7 +72,15 @@
     private readonly random: Random,
     private readonly options: DisturberOptions
   ) {
+    this.instances = [...system.engines, ...system.services]
     supervisor.onStart = node => { this.start(() => this.signalStarting(node)) }
+    const note = (text: string): void => { this.add('signal', null, 0, text) }
+    this.storageChanges = new StorageChanges(system, supervisor, random.fork(), note)
+  }
+
+  /// Whether a disk was lost that no other one has made up for yet: another one must not be lost then.
+  get isDiskMissing (): boolean {
+    return this.storageChanges.isDiskMissing
   }
 
   private readonly planned = [
@@ -66,6 +93,12 @@
     () => this.cutWatches()
   ]
 
+  private readonly changes = [
+    () => this.changeStorage(),
+    () => this.changeStorage(),
+    () => this.changeStorage()
+  ]
+
   private readonly unplanned = [
     () => this.killEntry(),
     () => this.freezeEntry(),
@@ -74,12 +107,23 @@
   ]
 
   async run (isOver: () => boolean): Promise<void> {
-    const actions = this.options.hasTrouble ? [...this.planned, ...this.unplanned] : this.planned
+    const { hasTrouble, changesStorage, hasFaultyInstances } = this.options
+    const actions = [
+      ...this.planned,
+      ...hasTrouble ? this.unplanned : [],
+      ...changesStorage ? this.changes : [],
+      ...hasFaultyInstances ? [() => this.failInstance()] : []
+    ]
     while (!isOver()) {
       this.start(this.random.pick(actions))
       await sleep(this.random.between(minIntervalMs, maxIntervalMs))
     }
-    while (this.pending.size > 0) await Promise.all(this.pending)
+  }
+
+  /// Resolves when all disturbances are over, or when the time is.
+  async settle (): Promise<void> {
+    const isOver = sleep(maxSettleMs).then(() => true)
+    while (this.pending.size > 0 && await Promise.race([isOver, Promise.all(this.pending)]) !== true);
   }
 
   private start (action: () => Promise<void>): void {
@@ -164,8 +208,12 @@
     const count = 1 + Math.floor(this.random.next() * configurationsInSeries)
     for (let i = 0; i < count; i++) {
       this.version += 1 + Math.floor(this.random.next() * 3)
-      this.system.store.put('config', 'main', createConfiguration(this.version, Math.floor(this.random.next() * maxIdleRoutes)))
-      this.add('configuration', null, configurationWindowMs, `configuration ${this.version}`)
+      const hasMany = this.random.next() < manyRoutesShare
+      const idleRoutes = hasMany ? manyIdleRoutes : Math.floor(this.random.next() * maxIdleRoutes)
+      const timeoutMs = this.random.pick(turnTimeoutsMs)
+      this.system.store.put('config', 'main', createConfiguration(this.version, idleRoutes, timeoutMs))
+      this.observations.timeouts.push({ sinceMs: performance.now(), timeoutMs })
+      this.add('configuration', null, configurationWindowMs, `configuration ${this.version} with ${idleRoutes} idle routes and ${timeoutMs} ms`)
       await sleep(seriesIntervalMs)
     }
   }
@@ -204,14 +252,39 @@
     if (performance.now() < this.storageFreeAtMs || !this.supervisor.areStoragesSteady()) return
     this.storageFreeAtMs = Infinity
     await disturb(this.random.pick(this.system.storages))
-    const size = Math.min(this.system.storages.length, computeFullSize(1))
-    while (!this.supervisor.areStoragesSteady() || this.system.countServingMembers() < size) await sleep(100)
-    this.storageFreeAtMs = performance.now() + catchUpMs
+    await this.waitForStorages()
+    this.storageChanges.isDiskMissing = false
+    this.storageFreeAtMs = performance.now()
+  }
+
+  /// Resolves when all storage instances have caught up.
+  private async waitForStorages (): Promise<void> {
+    const size = (): number => Math.min(this.system.storages.length, computeFullSize(1))
+    while (!this.supervisor.areStoragesSteady() || this.system.countServingMembers() < size()) await sleep(100)
+    await sleep(catchUpMs)
+  }
+
+  private async changeStorage (): Promise<void> {
+    await this.disturbStorage(storage => this.storageChanges.play(storage))
   }
 
   private async killStorage (): Promise<void> {
     const losesDisk = this.random.next() < 0.5
-    await this.disturbStorage(storage => this.kill(storage, losesDisk))
+    await this.disturbStorage(async storage => {
+      if (losesDisk) this.storageChanges.isDiskMissing = true
+      await this.kill(storage, losesDisk)
+    })
+  }
+
+  /// The rules say themselves what doesn't count of a request that a faulty instance ran.
+  private async failInstance (): Promise<void> {
+    const upstream = this.random.pick(this.instances)
+    if (upstream.fault !== UpstreamFault.none) return
+    upstream.fault = this.random.pick(instanceFaults)
+    const durationMs = this.random.between(minOutageMs, maxOutageMs)
+    this.add('signal', null, durationMs, `${upstream.options.id} is ${upstream.fault} for ${Math.round(durationMs)} ms`)
+    await sleep(durationMs)
+    upstream.fault = UpstreamFault.none
   }
 
   private async failStore (): Promise<void> {
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -18,6 +18,10 @@
   readonly isComplete: boolean
   /// The caller gave up.
   readonly isLeft: boolean
+  /// Whether an answer before it on its connection said that the connection ends, so that it may have to be sent again.
+  readonly isBehindLast: boolean
+  /// How it was sent.
+  readonly way: string
 }
 
 /// A run of an attempt at an instance.
@@ -26,6 +30,8 @@
   readonly startedAtMs: number
   /// Infinity while it is at work.
   endedAtMs: number
+  /// Whether the instance itself broke off.
+  isBrokenOff: boolean
 }
 
 /// A process from its start to its end, with the signals that it was sent.
@@ -57,11 +63,34 @@
 /// All that was seen from outside.
 export class Observations {
   readonly attempts: Attempt[] = []
+  /// When all processes were killed at the end, and when they were started again; null without such an end.
+  finalFault: { readonly startMs: number, readonly backAtMs: number } | null = null
+  /// Called with each attempt when it is over.
+  onAttempt: (attempt: Attempt) => void = () => {}
   readonly runs = new Map<string, Run[]>()
   readonly disturbances: Disturbance[] = []
   readonly lives: ProcessLife[] = []
+  /// The timeouts of turns in the configurations, in order of their acknowledgement.
+  readonly timeouts: { readonly sinceMs: number, readonly timeoutMs: number }[] = [{ sinceMs: 0, timeoutMs: 4000 }]
   /// How late this process itself was, which runs the callers and all stand-ins.
   readonly delays: { readonly atMs: number, readonly delayMs: number }[] = []
   /// When the run was over, Infinity before.
   endedAtMs = Infinity
+
+  addAttempt (attempt: Attempt): void {
+    this.attempts.push(attempt)
+    this.onAttempt(attempt)
+  }
+}
+
+const promiseStatuses: readonly number[] = [408, 421, 429, 503]
+
+/// Whether the answer promises that the request has not run and will not.
+export function isPromise ({ status, isComplete }: Attempt): boolean {
+  return isComplete && promiseStatuses.includes(status)
+}
+
+/// Whether the attempt is a turn that was answered whole.
+export function isWholeTurn ({ path, status, isComplete }: Attempt): boolean {
+  return path.startsWith('/chat/') && status === 200 && isComplete
 }
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -1,13 +1,17 @@
 import { LoopMonitor, sleep } from '#process/clock'
 import { StandinSystem } from '#standin/system'
+import { UpstreamFault } from '#standin/upstream'
 import type { ExecutedRequest, StandinUpstream } from '#standin/upstream'
 import { unitHash } from '#version/configuration'
 import { Balancer } from './balancer.js'
+import { findBreaches } from './breaches.js'
 import { Caller } from './caller.js'
 import { Disturber } from './disturber.js'
+import { FinalFault } from './finalfault.js'
 import { findLifeViolations, isEndedAtBoot } from './liferules.js'
 import type { LifeFinding } from './liferules.js'
 import { Observations } from './observations.js'
+import type { Run } from './observations.js'
 import { Random } from './random.js'
 import { findViolations } from './rules.js'
 import type { Finding } from './rules.js'
@@ -21,6 +25,14 @@
   readonly graceMs: number
   /// Whether processes and the store fail too, beside planned work.
   readonly hasTrouble: boolean
+  /// Whether storage machines are added, replaced and retired.
+  readonly changesStorage?: boolean
+  /// Whether instances break off, lose answers or refuse at times.
+  readonly hasFaultyInstances?: boolean
+  /// Whether all processes are killed at the end, one storage instance loses its disk, and turns are gone on from then.
+  readonly hasFinalFault?: boolean
+  /// The share of a processor that each entry gets; without it there is no limit.
+  readonly entryShare?: number
   readonly entries?: number
   readonly engines?: number
 }
@@ -31,6 +43,8 @@
   readonly statuses: Readonly<Record<number, number>>
   readonly disturbances: readonly string[]
   readonly findings: readonly (Finding | LifeFinding)[]
+  /// Sentences of the rule LOST that are broken, counted as it counts them.
+  readonly breaches: readonly string[]
   /// How many processes a signal ended before any code of the daemon ran, by the signal.
   readonly endsAtBoot: Readonly<Record<string, number>>
   /// The log lines about each finding's request and its previous turn, and the last ones of processes that ended.
@@ -47,6 +61,10 @@
 const settleMs = 2500
 /// For the processes to be ready again at the end; longer than a start may take.
 const maxSettleMs = 20_000
+/// Faults with which the instance breaks off what it has begun.
+const breakingFaults: readonly UpstreamFault[] = [
+  UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframedReset
+]
 const lastLines = 15
 /// Of the streams, so many pause at some events, at whichever instance.
 const pausingShare = 0.08
@@ -58,6 +76,7 @@
 /// Runs the system as real processes under load and disturbances, and checks what was seen from outside.
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
   const { command, seed, durationMs, graceMs, hasTrouble, entries = defaultEntries, engines = defaultEngines } = options
+  const { changesStorage = false, hasFaultyInstances = false, hasFinalFault = false, entryShare } = options
   const random = new Random(seed)
   const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs })
   const observations = new Observations()
@@ -72,13 +91,22 @@
   try {
     for (const upstream of [...system.engines, ...system.services]) observe(upstream, observations)
     const startMs = performance.now()
-    const isOver = (): boolean => performance.now() - startMs > durationMs
+    let isTrafficOver = false
+    const isDisturbed = (): boolean => performance.now() - startMs <= durationMs
+    if (entryShare !== undefined) for (const entry of system.entries) supervisor.throttle(entry, entryShare)
     const callers = Array.from({ length: options.callers }, (_, i) => {
-      return new Caller(`s${seed}c${i}`, balancer, observations, random.fork()).run(isOver)
+      return new Caller(`s${seed}c${i}`, balancer, observations, random.fork()).run(() => isTrafficOver)
     })
-    const disturber = new Disturber(system, supervisor, observations, random.fork(), { graceMs, hasTrouble })
+    const disturbances = { graceMs, hasTrouble, changesStorage, hasFaultyInstances }
+    const disturber = new Disturber(system, supervisor, observations, random.fork(), disturbances)
     await sleep(settleMs)
-    await disturber.run(isOver)
+    await disturber.run(isDisturbed)
+    if (hasFinalFault) {
+      const mayLoseDisk = (): boolean => !disturber.isDiskMissing
+      await new FinalFault({ system, supervisor, balancer, observations, random: random.fork(), mayLoseDisk }).play()
+    }
+    isTrafficOver = true
+    await disturber.settle()
     await Promise.all(callers)
     await supervisor.waitUntilAllReady(maxSettleMs)
     observations.endedAtMs = performance.now()
@@ -92,14 +120,18 @@
 }
 
 function observe (upstream: StandinUpstream, { runs }: Observations): void {
-  const open = new Map<ExecutedRequest, { endedAtMs: number }>()
+  const open = new Map<ExecutedRequest, Run>()
+  const breaksOff = (): boolean => breakingFaults.some(fault => fault === upstream.fault)
   upstream.onRun = request => {
-    const run = { instanceId: upstream.options.id, startedAtMs: performance.now(), endedAtMs: Infinity }
+    const instanceId = upstream.options.id
+    const run = { instanceId, startedAtMs: performance.now(), endedAtMs: Infinity, isBrokenOff: breaksOff() }
     open.set(request, run)
     runs.set(request.callId, [...runs.get(request.callId) ?? [], run])
   }
   upstream.onDone = request => {
-    open.get(request)!.endedAtMs = performance.now()
+    const run = open.get(request)!
+    run.endedAtMs = performance.now()
+    run.isBrokenOff ||= breaksOff()
     open.delete(request)
   }
   upstream.getEventIntervalMs = ({ callId }, eventId) => {
@@ -121,7 +153,8 @@
   const isAbout = (line: string): boolean => {
     return line.includes('"relay-failed"') || [...ids].some(id => line.includes(`"${id}"`))
   }
-  const lines = system.nodes.flatMap(({ name, outputLines }) => outputLines.filter(isAbout).map(line => `${name}: ${line}`))
+  const nodes = [...system.nodes, ...system.removedNodes]
+  const lines = nodes.flatMap(({ name, outputLines }) => outputLines.filter(isAbout).map(line => `${name}: ${line}`))
   const lastOfLives = lifeFindings.flatMap(({ life }) => life.lines.slice(-lastLines).map(line => `${life.node.name}: ${line}`))
   const endsAtBoot: Record<string, number> = {}
   for (const life of observations.lives.filter(isEndedAtBoot)) {
@@ -132,8 +165,9 @@
     statuses,
     disturbances: disturbances.map(({ text }) => text),
     findings: [...lifeFindings, ...requestFindings],
+    breaches: findBreaches(requestFindings, observations),
     endsAtBoot,
     lines: ids.size === 0 ? lastOfLives : [...lastOfLives, ...lines],
-    logs: Object.fromEntries(system.nodes.map(({ name, outputLines }) => [name, outputLines]))
+    logs: Object.fromEntries(nodes.map(({ name, outputLines }) => [name, outputLines]))
   }
 }
--- /dev/null
+++ b/standin/soak/src/storagechanges.ts
@@ -0,0 +1,99 @@
+import { sleep } from '#process/clock'
+import type { StandinSystem, SystemNode } from '#standin/system'
+import type { Random } from './random.js'
+import type { Supervisor } from './supervisor.js'
+
+/// Writes that a change begins, as the operator would note it.
+type Note = (text: string) => void
+
+const maxReadyMs = 15_000
+const maxRetirementMs = 9000
+const pollIntervalMs = 50
+const minReplacementMs = 200
+const maxReplacementMs = 1500
+const minStorages = 3
+const maxStorages = 4
+/// Retirements after which another machine loses its disk at once.
+const wipeShare = 0.3
+
+/// Changes among the storage machines that the operator plans, or that a lost machine brings with it.
+export class StorageChanges {
+  /// Whether a disk was lost that no other one has made up for yet.
+  isDiskMissing = false
+
+  constructor (
+    private readonly system: StandinSystem,
+    private readonly supervisor: Supervisor,
+    private readonly random: Random,
+    private readonly note: Note
+  ) {}
+
+  private readonly changes = [
+    (storage: SystemNode) => this.add(storage),
+    (storage: SystemNode) => this.replace(storage),
+    (storage: SystemNode) => this.retire(storage),
+    (storage: SystemNode) => this.replaceAndRetire(storage)
+  ]
+
+  /// Plays one change. A disk that it loses counts as missing until the one who called it says otherwise.
+  async play (storage: SystemNode): Promise<void> {
+    const isFull = this.system.storages.length > maxStorages
+    await (isFull ? this.retire(storage) : this.random.pick(this.changes)(storage))
+  }
+
+  private async add (_: SystemNode): Promise<void> {
+    this.note('a storage machine is added')
+    await this.addReady()
+  }
+
+  /// The machine is gone for good, and an empty one comes at another address.
+  private async replace (storage: SystemNode): Promise<void> {
+    this.note(`${storage.name} is gone for good`)
+    this.isDiskMissing = true
+    await this.supervisor.remove(storage)
+    await sleep(this.random.between(minReplacementMs, maxReplacementMs))
+    this.note(`a storage machine replaces ${storage.name}`)
+    await this.addReady()
+  }
+
+  /// Asks that a machine be emptied, and takes it away with its disk as soon as that is completed.
+  private async retire (storage: SystemNode): Promise<void> {
+    const { store } = this.system
+    this.note(`${storage.name} is to be retired`)
+    store.put('retirements', storage.name, { finish_by_s: maxRetirementMs / 1000 })
+    const deadlineMs = performance.now() + maxRetirementMs
+    const isCompleted = (): boolean => {
+      const status = store.get('retirements', storage.name)?.status as { state?: string } | null | undefined
+      return status?.state === 'completed'
+    }
+    while (!isCompleted() && performance.now() < deadlineMs) await sleep(pollIntervalMs)
+    if (!isCompleted()) {
+      this.note(`the retirement of ${storage.name} isn't completed`)
+      store.remove('retirements', storage.name)
+      return
+    }
+    this.note(`${storage.name} is retired and taken away`)
+    await this.supervisor.remove(storage)
+    if (this.random.next() < wipeShare) this.wipeAnother()
+    if (this.system.storages.length < minStorages) await this.add(storage)
+  }
+
+  /// Right after a retirement another machine loses its disk.
+  private wipeAnother (): void {
+    const wiped = this.random.pick(this.system.storages)
+    this.note(`${wiped.name} is killed and loses its disk`)
+    this.isDiskMissing = true
+    this.supervisor.kill(wiped, true)
+  }
+
+  private async replaceAndRetire (storage: SystemNode): Promise<void> {
+    await this.add(storage)
+    await this.retire(storage)
+  }
+
+  private async addReady (): Promise<void> {
+    const added = await this.supervisor.addStorage()
+    const deadlineMs = performance.now() + maxReadyMs
+    while (!this.supervisor.isSteady(added) && performance.now() < deadlineMs) await sleep(pollIntervalMs)
+  }
+}
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net'
 import { sleep } from '#process/clock'
+import { throttle } from '#standin/system'
 import type { StandinSystem, SystemNode } from '#standin/system'
 import type { Observations, ProcessLife } from './observations.js'
 
@@ -26,6 +27,10 @@
 export class Supervisor {
   private readonly lives = new Map<SystemNode, ProcessLife>()
   private readonly diskLosers = new Set<SystemNode>()
+  private readonly removed = new Set<SystemNode>()
+  private readonly shares = new Map<SystemNode, number>()
+  private readonly throttles = new Map<SystemNode, () => void>()
+  private delayMs = restartDelayMs
   private isOver = false
   /// Called right after the start of a process that has ended.
   onStart: (node: SystemNode) => void = () => {}
@@ -59,6 +64,33 @@
     this.signal(node, 'SIGKILL')
   }
 
+  /// Kills all processes at one moment, whatever they do. They are started again after `delayMs`.
+  killAll (diskLoser: SystemNode | null, delayMs: number): void {
+    this.delayMs = delayMs
+    for (const node of this.system.nodes) this.kill(node, node === diskLoser)
+    setTimeout(() => { this.delayMs = restartDelayMs }, delayMs)
+  }
+
+  /// Gives the processes of a node only this share of a processor.
+  throttle (node: SystemNode, share: number): void {
+    this.shares.set(node, share)
+    this.throttleProcess(node)
+  }
+
+  /// Adds an empty storage instance.
+  async addStorage (): Promise<SystemNode> {
+    const node = await this.system.addStorage()
+    this.watch(node)
+    return node
+  }
+
+  /// Takes a node away for good, with its disk.
+  async remove (node: SystemNode): Promise<void> {
+    this.removed.add(node)
+    this.signal(node, 'SIGKILL')
+    await this.system.remove(node)
+  }
+
   /// Resolves when the process that runs after `life` is ready, or when the time is over.
   async waitUntilReadyAfter (life: ProcessLife, timeoutMs: number): Promise<void> {
     const deadlineMs = performance.now() + timeoutMs
@@ -86,6 +118,14 @@
   /// Leaves the processes to themselves.
   stop (): void {
     this.isOver = true
+    for (const unthrottle of this.throttles.values()) unthrottle()
+  }
+
+  private throttleProcess (node: SystemNode): void {
+    const share = this.shares.get(node)
+    if (share === undefined) return
+    this.throttles.get(node)?.()
+    this.throttles.set(node, throttle(node, share))
   }
 
   private watch (node: SystemNode): void {
@@ -113,15 +153,16 @@
   }
 
   private async startAgain (node: SystemNode): Promise<void> {
-    await sleep(restartDelayMs)
-    if (this.isOver) return
+    await sleep(this.delayMs)
+    if (this.isOver || this.removed.has(node)) return
     await this.system.startAgain(node, this.diskLosers.delete(node))
+    this.throttleProcess(node)
     this.watch(node)
     this.onStart(node)
   }
 
   private async waitUntilReady (life: ProcessLife): Promise<void> {
-    while (life.readyAtMs === null && life.endedAtMs === Infinity && !this.isOver) {
+    while (life.readyAtMs === null && life.endedAtMs === Infinity && !this.isOver && !this.removed.has(life.node)) {
       const isReady = await readinessChecks[life.node.role](life.node)
       if (isReady && life.endedAtMs === Infinity) life.readyAtMs = performance.now()
       else await sleep(readyIntervalMs)
--- /dev/null
+++ b/standin/soak/src/turnrules.ts
@@ -0,0 +1,100 @@
+import { hasUnplanned } from './circumstances.js'
+import { isWholeTurn } from './observations.js'
+import type { Attempt, Observations } from './observations.js'
+
+// The sentences of the users' rule LOST on turns that go on from an earlier one.
+
+/// The users' bounds.
+export const retentionMs = 60_000
+export const recoveryMs = 12_000
+/// After a final fault the last part of the traffic counts.
+export const finalWindowMs = 4000
+/// So many tries that reach no instance break the rule.
+export const maxTriesInVain = 5
+/// While fewer of the first turns reach an instance, they don't.
+const minReachedShare = 0.9
+const firstTurnWindowMs = 500
+/// While fewer of the other turns are served in the last part, turns that reach no instance by then don't count.
+const minServedShare = 4 / 5
+
+export type TurnCheck = (attempt: Attempt, observations: Observations) => string | null
+
+export const findDeniedTurn: TurnCheck = (attempt, observations) => {
+  const { previousTurnId, status, isComplete } = attempt
+  if (previousTurnId === null || !isComplete || (status !== 404 && status !== 410)) return null
+  const ageMs = findAgeMs(attempt, observations)
+  if (ageMs === null) return null
+  return `answered ${status}, the previous turn ${previousTurnId} was answered whole ${Math.round(ageMs)} ms before`
+}
+
+/// The entries are asked in vain for the same turn, time after time, while nothing is wrong and programs start.
+export const findUnreachableTurn: TurnCheck = (attempt, observations) => {
+  const { runs } = observations
+  if (attempt.previousTurnId === null || runs.has(attempt.id)) return null
+  const tries = triesUntil(attempt, observations).slice(-maxTriesInVain)
+  if (tries.length < maxTriesInVain || findAgeMs(attempt, observations) === null) return null
+  const isInVain = tries.every(other => !runs.has(other.id) && !hasUnplanned(other, observations))
+  if (!isInVain || !areProgramsStarted(tries, observations)) return null
+  return `${maxTriesInVain} tries to go on from ${attempt.previousTurnId}${formatStatuses(tries)}`
+}
+
+/// After the final fault a turn reaches no instance by the end of the recovery time, though others are served.
+export const findUnrecoveredTurn: TurnCheck = (attempt, observations) => {
+  const { finalFault, runs, attempts } = observations
+  if (finalFault === null || attempt.startedAtMs < finalFault.backAtMs) return null
+  const recoveredAtMs = finalFault.backAtMs + recoveryMs
+  const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= finalFault.startMs)
+  const isFirstAfter = tries.findIndex(({ startedAtMs }) => startedAtMs >= recoveredAtMs) === tries.indexOf(attempt)
+  if (attempt.startedAtMs < recoveredAtMs || !isFirstAfter) return null
+  if (findAgeMs(attempt, observations) === null || tries.some(({ id }) => runs.has(id))) return null
+  const others = attempts.filter(other => {
+    return isTurn(other) && other.previousTurnId !== attempt.previousTurnId && other.startedAtMs >= recoveredAtMs
+  })
+  const servedCount = others.filter(isWholeTurn).length
+  if (others.length === 0 || servedCount < others.length * minServedShare) return null
+  return `${tries.length} tries to go on from ${attempt.previousTurnId} in ${Math.round(attempt.endedAtMs - finalFault.backAtMs)} ms ` +
+    `after all are back${formatStatuses(tries)}; ${servedCount} of ${others.length} others were served`
+}
+
+/// In the last part of the traffic after the final fault a turn reaches no instance, whatever is answered.
+export const findUnreachableAtEnd: TurnCheck = (attempt, observations) => {
+  const { finalFault, runs } = observations
+  if (finalFault === null) return null
+  const recoveredAtMs = finalFault.backAtMs + recoveryMs
+  const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= recoveredAtMs)
+  if (tries.length !== maxTriesInVain || tries.some(({ id }) => runs.has(id))) return null
+  if (findAgeMs(attempt, observations) === null || !areProgramsStarted(tries, observations)) return null
+  return `${maxTriesInVain} tries to go on from ${attempt.previousTurnId} after the recovery time${formatStatuses(tries)}`
+}
+
+function isTurn ({ path }: Attempt): boolean {
+  return path === '/chat/'
+}
+
+/// How long before the attempt its previous turn was answered whole; null if it wasn't or isn't kept any more.
+function findAgeMs ({ previousTurnId, startedAtMs }: Attempt, { attempts }: Observations): number | null {
+  const previous = attempts.find(other => other.id === previousTurnId && isWholeTurn(other))
+  if (previous === undefined) return null
+  const ageMs = startedAtMs - previous.endedAtMs
+  return ageMs > retentionMs ? null : ageMs
+}
+
+function triesUntil ({ previousTurnId, startedAtMs }: Attempt, { attempts }: Observations): Attempt[] {
+  if (previousTurnId === null) return []
+  return attempts.filter(other => other.previousTurnId === previousTurnId && other.startedAtMs <= startedAtMs)
+}
+
+/// Whether nine tenths of the first turns beside these tries reach an instance: else the entries are too busy.
+function areProgramsStarted (tries: readonly Attempt[], { attempts, runs }: Observations): boolean {
+  const startMs = Math.min(...tries.map(({ startedAtMs }) => startedAtMs)) - firstTurnWindowMs
+  const endMs = Math.max(...tries.map(({ endedAtMs }) => endedAtMs)) + firstTurnWindowMs
+  const firstTurns = attempts.filter(other => {
+    return isTurn(other) && other.previousTurnId === null && other.startedAtMs >= startMs && other.startedAtMs <= endMs
+  })
+  const reached = firstTurns.filter(({ id }) => runs.has(id))
+  return reached.length >= firstTurns.length * minReachedShare
+}
+
+function formatStatuses (tries: readonly Attempt[]): string {
+  return `, answered ${tries.map(({ status }) => status).join(', ')}`
+}
--- /dev/null
+++ b/standin/soak/test/rules.test.ts
@@ -0,0 +1,243 @@
+import { expect, test } from 'vitest'
+import { findBreaches } from '../src/breaches.js'
+import type { Attempt } from '../src/observations.js'
+import { findViolations } from '../src/rules.js'
+import { createDisturbance, createObservations, cut, entry, observe, otherEntry, refused } from './observed.js'
+import type { Observed } from './observed.js'
+
+const graceMs = 8000
+const faultMs = 10_000
+const backMs = 11_000
+const recoveredMs = backMs + 12_000
+const finalFault = { startMs: faultMs, backAtMs: backMs }
+
+interface Case {
+  readonly name: string
+  readonly observed: Observed
+  /// Rules with findings, and those of them that are broken.
+  readonly found: readonly string[]
+  readonly broken?: readonly string[]
+}
+
+const planned = 'lost around planned work'
+const kept = 'lost on a kept connection'
+const stop = createDisturbance('stop', 0, 9000, entry)
+const failed = { status: 502 }
+const onKept = { ...cut, isKept: true }
+const ids = (count: number): string[] => Array.from({ length: count }, (_, i) => `a${i}`)
+const goOnFrom = (id: string, startedAtMs: number, fields: Partial<Attempt>): Attempt => {
+  return observe(id, startedAtMs, { previousTurnId: 't', ...fields })
+}
+const tries = (count: number, startMs: number, fields: Partial<Attempt> = refused): Attempt[] => {
+  return ids(count).map((id, i) => goOnFrom(id, startMs + i * 700, fields))
+}
+const previous = observe('t', 0)
+const others = (count: number, startMs: number, fields: Partial<Attempt> = {}): Attempt[] => {
+  return ids(count).map((id, i) => observe(`o${id}`, startMs + i * 10, fields))
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'a request that was run and cut beside a stop of its entry',
+    observed: { attempts: [observe('a', 1000, cut)], runIds: ['a'], disturbances: [stop] },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was not run and cut later than the slack beside a stop',
+    observed: { attempts: [observe('a', 1000, cut)], disturbances: [stop] },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was not run and cut within the slack',
+    observed: { attempts: [observe('a', 1000, { ...cut, endedAtMs: 1200 })], disturbances: [stop] },
+    found: []
+  },
+  {
+    name: 'a request that was cut within the slack and the lateness of the callers themselves',
+    observed: {
+      attempts: [observe('a', 1000, cut)], disturbances: [stop], fields: { delays: [{ atMs: 1200, delayMs: 150 }] }
+    },
+    found: []
+  },
+  {
+    name: 'a request that was cut beside the stop of another entry',
+    observed: { attempts: [observe('a', 1000, cut)], disturbances: [createDisturbance('stop', 0, 9000, otherEntry)] },
+    found: []
+  },
+  {
+    name: 'a request that was cut beside a stop, but right after trouble',
+    observed: {
+      attempts: [observe('a', 1000, cut)], runIds: ['a'], disturbances: [stop, createDisturbance('unplanned', 0, 100)]
+    },
+    found: []
+  },
+  {
+    name: 'a request behind an answer that said close, which was not run',
+    observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true })], disturbances: [stop] },
+    found: []
+  },
+  {
+    name: 'a request behind an answer that said close, which was run',
+    observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true })], runIds: ['a'], disturbances: [stop] },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that its caller left',
+    observed: { attempts: [observe('a', 1000, { ...onKept, isLeft: true })], runIds: ['a'], disturbances: [stop] },
+    found: []
+  },
+  {
+    name: 'a request whose instance broke off',
+    observed: {
+      attempts: [observe('a', 1000, onKept)],
+      disturbances: [stop],
+      fields: { runs: new Map([['a', [{ instanceId: 'm', startedAtMs: 0, endedAtMs: 0, isBrokenOff: true }]]]) }
+    },
+    found: []
+  },
+  {
+    name: 'a stream that was cut at a timeout that a configuration has lowered',
+    observed: {
+      attempts: [observe('a', 1000, { ...onKept, endedAtMs: 2500 })],
+      runIds: ['a'],
+      fields: { timeouts: [{ sinceMs: 0, timeoutMs: 4000 }, { sinceMs: 500, timeoutMs: 1500 }] }
+    },
+    found: []
+  },
+  {
+    name: 'a request that was cut beside a SIGHUP of its entry',
+    observed: {
+      attempts: [observe('a', 1000, cut)], runIds: ['a'], disturbances: [createDisturbance('settings', 900, 900, entry)]
+    },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was cut beside a configuration, where none is cut at other times',
+    observed: {
+      attempts: [observe('a', 1000, cut), ...others(9, 20_000)],
+      runIds: ['a'],
+      disturbances: [createDisturbance('configuration', 900, 3900)]
+    },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was cut beside a configuration, where as many are cut at other times',
+    observed: {
+      attempts: [observe('a', 1000, cut), observe('b', 1500), observe('c', 20_000, cut), observe('d', 20_500)],
+      runIds: ['a'],
+      disturbances: [createDisturbance('configuration', 900, 3900)]
+    },
+    found: [planned]
+  },
+  {
+    name: 'a request that was cut beside a configuration after most of its time',
+    observed: {
+      attempts: [observe('a', 1000, { ...cut, endedAtMs: 3850 })],
+      disturbances: [createDisturbance('configuration', 900, 3900)]
+    },
+    found: []
+  },
+  {
+    name: 'three requests that were run and cut on kept connections',
+    observed: { attempts: ids(3).map(id => observe(id, 1000, onKept)), runIds: ids(3) },
+    found: [kept]
+  },
+  {
+    name: 'four requests that were run and cut on kept connections',
+    observed: { attempts: ids(4).map(id => observe(id, 1000, onKept)), runIds: ids(4) },
+    found: [kept],
+    broken: [kept]
+  },
+  {
+    name: 'a request that was run and cut on a new connection in calm',
+    observed: { attempts: [observe('a', 1000, cut)], runIds: ['a'] },
+    found: ['run and cut']
+  },
+  {
+    name: 'a turn that is denied though its previous turn is kept',
+    observed: { attempts: [previous, goOnFrom('a', 59_000, { status: 404 })] },
+    found: ['previous turn denied'],
+    broken: ['previous turn denied']
+  },
+  {
+    name: 'a turn that is denied during trouble',
+    observed: {
+      attempts: [previous, goOnFrom('a', 1000, { status: 410 })], disturbances: [createDisturbance('unplanned', 900, 2000)]
+    },
+    found: ['previous turn denied'],
+    broken: ['previous turn denied']
+  },
+  {
+    name: 'a turn that is denied after the retention time',
+    observed: { attempts: [previous, goOnFrom('a', 61_000, { status: 404 })] },
+    found: []
+  },
+  {
+    name: 'five tries in vain',
+    observed: { attempts: [previous, ...tries(5, 1000)] },
+    found: ['previous turn reaches no instance'],
+    broken: ['previous turn reaches no instance']
+  },
+  {
+    name: 'four tries in vain',
+    observed: { attempts: [previous, ...tries(4, 1000)] },
+    found: []
+  },
+  {
+    name: 'five tries in vain while first turns reach no instance',
+    observed: { attempts: [previous, ...tries(5, 1000), ...others(9, 1000, refused)] },
+    found: []
+  },
+  {
+    name: 'a turn that reaches no instance by the end of the recovery time, though others are served',
+    observed: {
+      attempts: [previous, ...tries(2, backMs), goOnFrom('z', recoveredMs, refused), ...others(8, recoveredMs)],
+      runIds: ids(8).map(id => `o${id}`),
+      fields: { finalFault }
+    },
+    found: ['previous turn not reached by the end of recovery'],
+    broken: ['previous turn not reached by the end of recovery']
+  },
+  {
+    name: 'a turn that reaches no instance by the end of the recovery time, as few others are served',
+    observed: {
+      attempts: [previous, ...tries(2, backMs), goOnFrom('z', recoveredMs, refused), ...others(8, recoveredMs, refused)],
+      fields: { finalFault }
+    },
+    found: []
+  },
+  {
+    name: 'a turn that reached an instance before the end of the recovery time',
+    observed: {
+      attempts: [
+        previous, ...tries(2, backMs, failed), goOnFrom('z', recoveredMs, refused), ...others(8, recoveredMs)
+      ],
+      runIds: ['a1', ...ids(8).map(id => `o${id}`)],
+      fields: { finalFault }
+    },
+    found: []
+  },
+  {
+    name: 'five tries in vain after the recovery time, during other trouble',
+    observed: {
+      attempts: [previous, ...tries(5, recoveredMs), ...others(8, recoveredMs, failed)],
+      runIds: ids(8).map(id => `o${id}`),
+      disturbances: [createDisturbance('unplanned', recoveredMs, recoveredMs + 9000)],
+      fields: { finalFault }
+    },
+    found: ['previous turn reaches no instance at the end'],
+    broken: ['previous turn reaches no instance at the end']
+  }
+]
+
+test.each(cases)('$name: found as the rule LOST says', ({ observed, found, broken = [] }) => {
+  const observations = createObservations(observed)
+  const findings = findViolations(observations, graceMs)
+  expect([...new Set(findings.map(({ rule }) => rule))]).toEqual(found)
+  expect(findBreaches(findings, observations).map(text => text.split(':')[0])).toEqual(broken)
+})
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -49,6 +49,7 @@
 const defaultStopGraceMs = 4000
 const startTimeoutMs = 15_000
 const toleratedLosses = 1
+const defaultTurnTimeoutMs = 4000
 
 export const tokensPerEvent = 10
 
@@ -58,6 +59,8 @@
   readonly engines: StandinUpstream[] = []
   readonly services: StandinUpstream[] = []
   readonly nodes: SystemNode[] = []
+  /// Nodes that are gone for good.
+  readonly removedNodes: SystemNode[] = []
   private folder = ''
   /// HOST:PORT of the store.
   storeAddress = ''
@@ -107,6 +110,21 @@
     node.process = this.launch(node)
   }
 
+  /// Adds an empty storage instance at an address of its own.
+  async addStorage (): Promise<SystemNode> {
+    const all = [...this.nodes, ...this.removedNodes].filter(({ role }) => role === 'storage')
+    return await this.addNode('storage', all.length)
+  }
+
+  /// Takes a node away for good, with its data folder. Its process must have been killed or be about to end.
+  async remove (node: SystemNode): Promise<void> {
+    this.nodes.splice(this.nodes.indexOf(node), 1)
+    this.removedNodes.push(node)
+    await terminate(node.process, 'SIGKILL')
+    await rm(node.dataDir, { recursive: true, force: true })
+    await rm(node.runRecordFile, { force: true })
+  }
+
   /// Replaces the text of a process's settings file while the process runs.
   async changeSettings (node: SystemNode, edit: (settings: string) => string): Promise<void> {
     const path = this.settingsPath(node)
@@ -151,7 +169,7 @@
     this.store.put('servers', id, { service, address, zone, version: 'v1', slots: 32, state: 'ready', cold_remaining_ms: 0, seq: 1 })
   }
 
-  private async addNode (role: SystemNode['role'], index: number): Promise<void> {
+  private async addNode (role: SystemNode['role'], index: number): Promise<SystemNode> {
     const name = `${role}-${index}`
     const [callerPort, readinessPort, peerPort, metricsPort] = await findFreePorts(4)
     const dataDir = join(this.folder, name, 'data')
@@ -174,6 +192,7 @@
     await this.writeSettings(node)
     node.process = this.launch(node)
     this.nodes.push(node)
+    return node
   }
 
   private async writeSettings (node: SystemNode): Promise<void> {
@@ -222,8 +241,8 @@
 }
 
 /// Builds the operator's configuration for the stand-in upstream instances, with further routes that get no calls.
-export function createConfiguration (version: number, idleRoutes = 0): unknown {
-  const turn = { hostname: 'demo.example', route_kind: 'streaming', timeout_ms: 4000, target_latency_ms: 250, service: 'models', max_attempts: 2, retention_s: 60, sticky: true, target_gap_ms: 200 }
+export function createConfiguration (version: number, idleRoutes = 0, turnTimeoutMs = defaultTurnTimeoutMs): unknown {
+  const turn = { hostname: 'demo.example', route_kind: 'streaming', timeout_ms: turnTimeoutMs, target_latency_ms: 250, service: 'models', max_attempts: 2, retention_s: 60, sticky: true, target_gap_ms: 200 }
   const tool = { hostname: 'demo.example', timeout_ms: 1500, target_latency_ms: 100, priority: 2, service: 'tools' }
   return {
     version,
