Soak: the run lasts as long as asked, bytes that are no response are a finding, and ALONE=1

With ALONE=1 callers send one request after the other, to see what else is lost beside pipelined requests.

--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -8,7 +8,8 @@
 // it, too. With LOGS=FOLDER everything that the processes of a run with findings have written is kept there.
 // CALLERS, ENTRIES and ENGINES say how many of them a run has. With CHANGES=1 storage machines are added, replaced and
 // retired; with FAULTY=1 instances break off, lose answers or refuse; with END=1 all processes are killed at the end,
-// and turns are gone on from after that. SHARE=0.5 gives each entry half a processor.
+// and turns are gone on from after that. SHARE=0.5 gives each entry half a processor. With ALONE=1 callers send one
+// request after the other.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const graceMs = 8000
@@ -26,6 +27,7 @@
     engines: Number(process.env.ENGINES ?? 3),
     graceMs,
     hasTrouble: process.env.TROUBLE === '1',
+    sendsBatches: process.env.ALONE !== '1',
     hasFaultyInstances: process.env.FAULTY === '1',
     changesStorage: process.env.CHANGES === '1',
     hasFinalFault: process.env.END === '1',
--- a/standin/soak/src/caller.ts
+++ b/standin/soak/src/caller.ts
@@ -38,7 +38,8 @@
   private count = 0
 
   constructor (
-    private readonly name: string, balancer: Balancer, observations: Observations, private readonly random: Random
+    private readonly name: string, balancer: Balancer, observations: Observations, private readonly random: Random,
+    private readonly sendsBatches: boolean
   ) {
     this.main = new Lane(balancer, observations, random.fork())
     this.others = Array.from({ length: toolsAtOnce }, () => new Lane(balancer, observations, random.fork()))
@@ -129,7 +130,7 @@
 
   /// Sends several requests on one connection, one of them the next turn.
   private async sendBatch (following: Following): Promise<void> {
-    const size = 2 + Math.floor(this.random.next() * (maxBatch - 1))
+    const size = !this.sendsBatches ? 1 : 2 + Math.floor(this.random.next() * (maxBatch - 1))
     const place = Math.floor(this.random.next() * size)
     const requests = Array.from({ length: size }, (_, i) => {
       return i === place ? this.createTurn() : this.createRequest(this.random.pick([query, check, charge]))
--- a/standin/soak/src/response.ts
+++ b/standin/soak/src/response.ts
@@ -1,3 +1,6 @@
+/// The status of bytes that are no response.
+export const noStatus = -1
+
 /// A response at the start of what a connection has received.
 export interface ParsedResponse {
   /// 0 without a whole head.
@@ -20,8 +23,9 @@
   if (headEnd < 0) return nothing
   const head = received.slice(0, headEnd + 2)
   const bodyStart = headEnd + 4
-  const status = Number(head.split(' ')[1])
+  const status = Number(/^HTTP\/1\.1 (\d{3}) /.exec(head)?.[1] ?? noStatus)
   const rest = received.slice(bodyStart)
+  if (status === noStatus) return { ...nothing, status, body: received, isComplete: isEnded, isLast: true }
   if (status < 200) return addLength(parseResponse(rest, isEnded), bodyStart)
   const length = /^content-length: (\d+)\r$/im.exec(head)
   const isChunked = /^transfer-encoding: chunked\r$/im.test(head)
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,5 +1,6 @@
 import { describe, getOwnDelayMs, hasUnplanned, isCut, isPlannedWork } from './circumstances.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
+import { noStatus } from './response.js'
 import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
 
 // The sentences of the users' rule LOST, and those near it, as the callers and instances saw them.
@@ -10,6 +11,7 @@
 /// no later than this after the signal.
 const lastGraceShare = 1 / 6
 const earlyRequestMs = 3000
+const maxShownBytes = 300
 /// A request that has used more of its time doesn't count beside a change of the configuration.
 const maxUsedShare = 0.7
 
@@ -44,6 +46,9 @@
     const count = runs.get(id)?.length ?? 0
     return path.startsWith('/charge') && count > 1 ? `${count} runs` : null
   },
+  'bytes that are no response': ({ status, body }) => {
+    return status === noStatus ? JSON.stringify(body.slice(0, maxShownBytes)) : null
+  },
   'answer of another request': ({ id, status, isComplete, path, body }) => {
     return isComplete && status === 200 && path.startsWith('/charge') && !body.includes(id) ? `body ${body.slice(0, 60)}` : null
   }
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -25,6 +25,8 @@
   readonly graceMs: number
   /// Whether processes and the store fail too, beside planned work.
   readonly hasTrouble: boolean
+  /// Whether callers send further requests before they have the answers to earlier ones; true without it.
+  readonly sendsBatches?: boolean
   /// Whether storage machines are added, replaced and retired.
   readonly changesStorage?: boolean
   /// Whether instances break off, lose answers or refuse at times.
@@ -76,7 +78,8 @@
 /// Runs the system as real processes under load and disturbances, and checks what was seen from outside.
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
   const { command, seed, durationMs, graceMs, hasTrouble, entries = defaultEntries, engines = defaultEngines } = options
-  const { changesStorage = false, hasFaultyInstances = false, hasFinalFault = false, entryShare } = options
+  const { sendsBatches = true, changesStorage = false, hasFaultyInstances = false } = options
+  const { hasFinalFault = false, entryShare } = options
   const random = new Random(seed)
   const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs })
   const observations = new Observations()
@@ -92,15 +95,15 @@
     for (const upstream of [...system.engines, ...system.services]) observe(upstream, observations)
     const startMs = performance.now()
     let isTrafficOver = false
-    const isDisturbed = (): boolean => performance.now() - startMs <= durationMs
+    const isOver = (): boolean => performance.now() - startMs > durationMs
     if (entryShare !== undefined) for (const entry of system.entries) supervisor.throttle(entry, entryShare)
     const callers = Array.from({ length: options.callers }, (_, i) => {
-      return new Caller(`s${seed}c${i}`, balancer, observations, random.fork()).run(() => isTrafficOver)
+      return new Caller(`s${seed}c${i}`, balancer, observations, random.fork(), sendsBatches).run(() => isTrafficOver)
     })
     const disturbances = { graceMs, hasTrouble, changesStorage, hasFaultyInstances }
     const disturber = new Disturber(system, supervisor, observations, random.fork(), disturbances)
     await sleep(settleMs)
-    await disturber.run(isDisturbed)
+    await disturber.run(isOver)
     if (hasFinalFault) {
       const mayLoseDisk = (): boolean => !disturber.isDiskMissing
       await new FinalFault({ system, supervisor, balancer, observations, random: random.fork(), mayLoseDisk }).play()
