Storage instances go on replying while a slow disk syncs

Callers got 503 for most turns, and some streams were cut, while syncs of the storage instances' disks took longer than about 100 ms. Cause: the sync blocks the event loop, so that a storage instance replies to nothing meanwhile, reads and probes included, reads few of the requests that wait per sync, and entries take it for down.

After a sync that took more than 20 ms another thread waits for the next one; appends meanwhile share the one after it. Fast disks are synced as before. A sync that fails rejects what waits, too; a close syncs all before it returns.

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import {
-  closeSync, fdatasyncSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync, unlinkSync, writeSync
+  closeSync, fdatasync, fdatasyncSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync,
+  unlinkSync, writeSync
 } from 'node:fs'
 import type { Dirent } from 'node:fs'
 import { join } from 'node:path'
@@ -39,11 +40,14 @@
 const segmentPattern = /^segment-(\d{8,16})$/
 /// A new segment starts once the current one is larger than this.
 const segmentRolloverBytes = 8 * 1024 * 1024
+/// After a sync that took longer, the next one doesn't block the event loop.
+const slowSyncMs = 20
 
 /// An append-only log of records in numbered segment files. Each record is framed
 /// with its length and checksum, so that a torn write is detected. Appends in one
 /// iteration of the event loop share one write and one sync. The sync blocks the
-/// event loop, which costs less than handing it to another thread.
+/// event loop, which costs less than handing it to another thread, unless the disk
+/// is slow: then another thread waits for it, and appends meanwhile share the next one.
 export class Disk {
   private segment = 0
   private file = noFile
@@ -52,6 +56,9 @@
   /// The highest number that a name in the folder has, whether or not it is one of a segment.
   private highestNumber = 0
   private pending: Batch | null = null
+  /// What another thread syncs now.
+  private inSync: Batch | null = null
+  private lastSyncMs = 0
   private isClosed = false
 
   private constructor (private readonly folder: string, readonly diskId: string, private readonly log: EventLog) {}
@@ -121,7 +128,7 @@
 
   /// Appends that wait are written before it. May be called again.
   close (): void {
-    this.writePending()
+    this.syncAll()
     this.isClosed = true
     if (this.file !== noFile) closeSync(this.file)
     this.file = noFile
@@ -129,23 +136,70 @@
 
   private writePending (): void {
     const batch = this.pending
-    if (batch === null) return
+    if (batch === null || this.inSync !== null) return
     this.pending = null
     try {
-      batch.resolve(this.write(batch.frames))
+      this.write(batch.frames)
+      if (this.lastSyncMs < slowSyncMs) this.syncNow(batch)
+      else this.syncInThread(batch)
     } catch (error) {
-      this.log.event(Events.diskFailed, { error: formatError(error) })
-      batch.reject(error as Error)
+      this.fail(error as Error, batch)
     }
   }
 
-  private write (frames: readonly Buffer[]): number {
+  /// Syncs what another thread syncs, and then what waits, before it returns.
+  private syncAll (): void {
+    const { inSync, pending } = this
+    this.inSync = this.pending = null
+    try {
+      if (inSync !== null) this.syncNow(inSync)
+      if (pending === null) return
+      this.write(pending.frames)
+      this.syncNow(pending)
+    } catch (error) {
+      this.fail(error as Error, inSync, pending)
+    }
+  }
+
+  private write (frames: readonly Buffer[]): void {
     if (this.writtenBytes > segmentRolloverBytes) this.tryNextSegment()
     const bytes = Buffer.concat(frames)
     for (let offset = 0; offset < bytes.length;) offset += writeSync(this.file, bytes, offset)
-    fdatasyncSync(this.file)
     this.writtenBytes += bytes.length
-    return this.segment
+  }
+
+  private syncNow (batch: Batch): void {
+    const startedAtMs = performance.now()
+    fdatasyncSync(this.file)
+    this.lastSyncMs = performance.now() - startedAtMs
+    batch.resolve(this.segment)
+  }
+
+  private syncInThread (batch: Batch): void {
+    const startedAtMs = performance.now()
+    this.inSync = batch
+    fdatasync(this.file, error => {
+      // The disk was closed meanwhile, which has synced the batch.
+      if (this.inSync !== batch) return
+      this.inSync = null
+      this.lastSyncMs = performance.now() - startedAtMs
+      if (error !== null) return this.failAll(error, batch)
+      batch.resolve(this.segment)
+      this.writePending()
+    })
+  }
+
+  /// After a failed sync, a later one may succeed without the data of the first one.
+  private failAll (error: Error, batch: Batch): void {
+    const { pending } = this
+    this.pending = null
+    this.fail(error, batch, pending)
+  }
+
+  /// Rejects the batches, if they aren't synced yet.
+  private fail (error: Error, ...batches: readonly (Batch | null)[]): void {
+    this.log.event(Events.diskFailed, { error: formatError(error) })
+    for (const batch of batches) batch?.reject(error)
   }
 
   /// Goes on with the current segment if there can't be another one now, for instance without a free descriptor.
