Storage membership: a new disk serves only what it copied from peers that knew it

A record is lost to reads when the disk that acknowledged it is lost, its replacement has copied a peer already, and that peer, which still has the older view, acknowledges the record then: the entry counts both acknowledgements, and the new disk serves without the record. Only one disk holds it, and the others rule it out.

Cause: a joining member counted copies of peers that had not adopted the view that lists its disk. Now it counts only those that had, as a member counts for a removal.

The directed history in viewfaults.test.ts fails without the change ('record 1 is denied in view 5') and passes with it.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -17,6 +17,8 @@
 export interface Standpoint {
   readonly own: Pick<Member, 'name' | 'diskId' | 'address' | 'zone'>
   readonly toleratedLosses: number
+  /// Version of the first view in which this instance has seen its disk.
+  readonly listedVersion: number
   /// Whether the disk was new in the first start of the system, and has got no records since.
   readonly isFirstStart: boolean
   readonly retiredNames: Pick<ReadonlySet<string>, 'has'>
@@ -36,7 +38,7 @@
   if (withOwnDisk !== view) return isListed || !retiredNames.has(own.name) ? withOwnDisk : view
   const ownMember = view.members.find(member => member.diskId === own.diskId)
   const isJoining = ownMember?.state === MemberState.joining
-  if (isJoining && holdsAllCommitted(view, standpoint)) return withServing(view, own.diskId)
+  if (isJoining && holdsAllBefore(view, standpoint.listedVersion, standpoint)) return withServing(view, own.diskId)
   const isNeeded = !canLeave(view, own.name, presentDiskIds, toleratedLosses)
   if (ownMember?.state === MemberState.leaving && isNeeded) return withoutLeaving(view, own.diskId)
   const leavingName = findMemberToRemove(view, standpoint)
@@ -46,12 +48,6 @@
   return hasSynced ? withSynced(view, own.diskId, view.leaveVersion, toleratedLosses) : view
 }
 
-/// Whether enough peers have been copied for this disk to hold every committed record.
-function holdsAllCommitted (view: View, { passes, toleratedLosses }: Standpoint): boolean {
-  const copied = view.members.filter(member => hasCopied(member) && passes.has(member.diskId))
-  return copied.length >= requiredCopySources(view, toleratedLosses)
-}
-
 /// Whether this disk holds every record that was committed before the members adopted `viewVersion`. Of the members
 /// that hold what they must, this one included, so many have been copied since then that they can't all lack one.
 function holdsAllBefore (view: View, viewVersion: number, { own, passes, toleratedLosses }: Standpoint): boolean {
--- a/process/membership/test/model.ts
+++ b/process/membership/test/model.ts
@@ -20,11 +20,12 @@
   /// Number of machines at that time; later ones are successors.
   machinesWhenGone: number
   view: View
+  listedVersion: number
   readonly passes: Map<string, CompletedPass>
 }
 
 interface PendingAppend { readonly record: number, readonly acks: Set<string> }
-interface PendingRead { readonly record: number, readonly absent: Set<string> }
+interface PendingRead { readonly record: number, readonly absent: Set<string>, version: number }
 
 /// An entry, which may know an older view.
 interface Entry {
@@ -63,9 +64,8 @@
 
   add (): void {
     const name = `m${this.machines.length}`
-    const disk = this.createDisk()
-    const passes = new Map<string, CompletedPass>()
-    this.machines.push({ name, disk, passes, isUp: true, isGone: false, machinesWhenGone: 0, view: emptyView })
+    const knowledge = { view: emptyView, listedVersion: 0, passes: new Map<string, CompletedPass>() }
+    this.machines.push({ name, disk: this.createDisk(), isUp: true, isGone: false, machinesWhenGone: 0, ...knowledge })
   }
 
   stop (machine: Machine): void {
@@ -74,8 +74,9 @@
 
   start (machine: Machine): void {
     if (machine.isUp || machine.isGone) return
-    Object.assign(machine, { isUp: true, view: this.view })
+    Object.assign(machine, { isUp: true, listedVersion: 0 })
     machine.passes.clear()
+    this.adopt(machine)
   }
 
   loseDisk (machine: Machine): void {
@@ -99,7 +100,10 @@
 
   /// The machine reads the view in the platform's store.
   adopt (machine: Machine): void {
-    if (machine.isUp) machine.view = this.view
+    if (!machine.isUp) return
+    machine.view = this.view
+    if (!this.isMember(machine)) machine.listedVersion = 0
+    else if (machine.listedVersion === 0) machine.listedVersion = this.view.version
   }
 
   /// The machine copies all that a peer holds.
@@ -116,7 +120,7 @@
     if (next === machine.view) return false
     const isConflict = machine.view.version !== this.view.version
     if (!isConflict) this.view = next
-    machine.view = this.view
+    this.adopt(machine)
     return !isConflict
   }
 
@@ -141,16 +145,18 @@
   /// The entry asks for a committed record. Throws `InvariantError` if it would deny it.
   ask (entry: Entry, machine: Machine, choice: number): void {
     if (this.committed.size === 0 || !this.reaches(entry, machine)) return
-    entry.read ??= { record: [...this.committed].at(-1 - choice % this.committed.size)!, absent: new Set() }
-    const { record, absent } = entry.read
-    const isVoter = computeQuorums(entry.view, this.toleratedLosses).readVoters.has(machine.disk.id)
+    const latest = [...this.committed]
+    entry.read ??= { record: latest.at(-1 - choice % latest.length)!, absent: new Set(), version: entry.view.version }
+    const { record, absent, version } = entry.read
     this.adoptReply(entry, machine)
-    if (machine.disk.records.has(record)) {
+    // A new view begins the query anew.
+    if (machine.disk.records.has(record) || entry.view.version !== version) {
       entry.read = null
       return
     }
-    if (isVoter) absent.add(machine.disk.id)
-    if (this.isRuledOut(entry.view, absent)) throw new InvariantError(`record ${record} is denied by an entry on view ${entry.view.version}`)
+    absent.add(machine.disk.id)
+    if (!this.isRuledOut(entry.view, absent)) return
+    throw new InvariantError(`record ${record} is denied by an entry on view ${entry.view.version}`)
   }
 
   /// Throws `InvariantError` if the current view would deny a record, or no disk of a member holds it any more.
@@ -200,7 +206,7 @@
   }
 
   private computeNext (machine: Machine, isLong: boolean): View {
-    const { view, passes, name, disk } = machine
+    const { view, passes, listedVersion, name, disk } = machine
     const present = this.machines.filter(({ isUp }) => isUp).map(other => other.disk.id)
     const presentDiskIds = new Set(present)
     const isListed = view.members.some(member => member.name === name)
@@ -208,6 +214,7 @@
     return computeNextView(view, {
       own: { name, diskId: disk.id, address: `${name}:1`, zone: 'z' },
       toleratedLosses: this.toleratedLosses,
+      listedVersion,
       isFirstStart: this.entries.length === 0,
       retiredNames: this.retired,
       passes,
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -57,6 +57,15 @@
     model.loseDisk(wiped)
     model.add()
     model.settle()
+  },
+  'a new disk copies a peer that takes the old disk for a member: it does not serve without what that one stores': model => {
+    const [first, second, wiped] = model.machines as [Machine, Machine, Machine]
+    model.send(model.entries[0]!, wiped)
+    model.loseDisk(wiped)
+    decide(model, wiped)
+    for (const peer of [first, second]) model.copy(wiped, peer)
+    append(model, first)
+    decide(model, wiped)
   }
 }
 
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -123,6 +123,7 @@
     return computeNextView(view, {
       own: { name, diskId: ledger.diskId, address, zone },
       toleratedLosses,
+      listedVersion: peers.listedVersion,
       isFirstStart,
       retiredNames: retirements,
       passes: peers.passes,
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -45,6 +45,8 @@
 /// The other members of the view: whether they can be reached, and which of their records have been copied. An instance
 /// that stands by only probes them.
 export class StoragePeers {
+  /// Version of the first view in which this instance's disk was listed; it may have been listed before.
+  listedVersion = 0
   private view: View = emptyView
   private contactedAtMs = performance.now()
   private readonly peers = new Map<string, PeerState>()
@@ -59,6 +61,9 @@
 
   update (view: View): void {
     this.view = view
+    const isListed = view.members.some(member => member.diskId === this.ledger.diskId)
+    if (!isListed) this.listedVersion = 0
+    else if (this.listedVersion === 0) this.listedVersion = view.version
     this.recordListing(performance.now())
     const others = view.members.filter(member => member.diskId !== this.ledger.diskId)
     for (const [diskId, state] of this.peers) {
