Quorum: replies of two views do not rule out a turn together

A turn that had been answered whole could be answered 404 when the view changed while it was asked for: a disk that lacked the record under the older view, and had copied it since, still counted as lacking it under the newer, smaller view. A query is begun anew now when the view changes; that costs a round of replies a change.

The new case in quorum.test.ts fails without the change (undefined in place of t1) and passes with it. Accounts still mix replies of neighbouring views: their majorities overlap.

--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -31,6 +31,13 @@
   readonly askAll: () => Promise<void>
 }
 
+/// The replies to the query of a chain.
+interface ChainReplies {
+  readonly chain: LedgerRecord[] | null
+  /// Disks that lack the turn.
+  readonly absentDiskIds: ReadonlySet<string>
+}
+
 /// Records that are appended together.
 interface Batch {
   readonly records: LedgerRecord[]
@@ -134,31 +141,45 @@
   /// the others as soon as it replies without the chain, or after `hedgeDelayMs`.
   async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
     this.assertAvailable()
-    const absent = new Set<string>()
     const deadlineMs = performance.now() + timeoutMs
+    while (true) {
+      const { version } = this.peers.view
+      const { chain, absentDiskIds } = await this.queryChain(turnId, deadlineMs)
+      if (chain !== null) return chain
+      const hasNewView = this.peers.view.version !== version
+      if (hasNewView && performance.now() < deadlineMs) continue
+      if (!hasNewView && this.isRuledOut(absentDiskIds)) return null
+      const absent = absentDiskIds.size
+      this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent, viewVersion: this.viewVersion })
+      throw new QuorumError(`turn neither found nor ruled out: absent on ${absent} storage instances, a quorum needs ${this.peers.quorums.absenceQuorum}`)
+    }
+  }
+
+  /// Queries a chain until it is found or ruled out, or the view changes: what a disk lacked under an older view it may
+  /// have copied by the newer one, so the replies of the two don't count together.
+  private async queryChain (turnId: string, deadlineMs: number): Promise<ChainReplies> {
+    const { version } = this.peers.view
+    const absentDiskIds = new Set<string>()
     let chain: LedgerRecord[] | null = null
+    const isSameView = (): boolean => this.peers.view.version === version
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
       firstCount: 1,
-      isDone: () => chain !== null || this.isRuledOut(absent),
+      isDone: () => chain !== null || !isSameView() || this.isRuledOut(absentDiskIds),
       hedgeDelayMs: chainHedgeDelayMs,
       deadlineMs,
       send: async state => {
-        const request = { viewVersion: this.peers.view.version, turnId }
-        const voterDiskId = this.findReadVoter(state)
+        const request = { viewVersion: version, turnId }
         const reply = await this.peers.sendWithRetry(
           state, (peer, limitMs) => peer.findChain(request, limitMs), { deadlineMs, failsFast: true }
         )
         if (reply === null || chain !== null) return
         if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
-        else if (reply.chain.length === 0 && reply.standing!.diskId === voterDiskId) absent.add(voterDiskId)
+        else if (reply.chain.length === 0 && isSameView()) absentDiskIds.add(reply.standing!.diskId)
       }
     })
     await fanout.done
-    if (chain !== null) return chain
-    if (this.isRuledOut(absent)) return null
-    this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent: absent.size, viewVersion: this.viewVersion })
-    throw new QuorumError(`turn neither found nor ruled out: absent on ${absent.size} storage instances, a quorum needs ${this.peers.quorums.absenceQuorum}`)
+    return { chain, absentDiskIds }
   }
 
   /// The member's disk, if it holds what it must by the current view. Must be called before a request is sent: a reply
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -136,6 +136,7 @@
 describe('a disk that serves only after it has replied', () => {
   const replyDelayMs = 60
   let servingView: View
+  let records: LedgerRecord[]
 
   function delay (index: number, method: 'append' | 'findChain', delayMs: number): void {
     const ledger = ledgers[index]!
@@ -150,7 +151,8 @@
     const members = view.members.map((member, i) => i === 2 ? { ...member, state: 'joining', replacement: true } : member)
     quorum.adoptView({ ...view, version: 4, members }, 'test')
     servingView = { ...view, version: 5 }
-    await ledgers[1]!.persist([createRecord(RecordKind.turn, 't1', { programId: 'q' }), createRecord(RecordKind.reservation, 'r1')])
+    records = [createRecord(RecordKind.turn, 't1', { programId: 'q' }), createRecord(RecordKind.reservation, 'r1')]
+    await ledgers[1]!.persist(records)
     for (const method of ['append', 'findChain'] as const) {
       delay(0, method, 2 * replyDelayMs)
       delay(1, method, 3 * replyDelayMs)
@@ -163,11 +165,26 @@
   ])('%s', async (_, read, id) => {
     const found = read()
     await sleep(replyDelayMs * 1.5)
+    await ledgers[2]!.persist(records)
     quorum.adoptView(servingView, 'test')
     expect(await found).toEqual([id])
   })
 })
 
+// Guards against a disk that has copied a turn since it was asked, and whose old reply rules it out in a smaller view.
+test('what a disk lacked under an older view does not rule out a turn', async () => {
+  const records = [createRecord(RecordKind.turn, 't1')]
+  await ledgers[1]!.persist(records)
+  vi.spyOn(ledgers[1]!, 'findChain').mockReturnValue(new Promise(() => {}))
+  const findAtLast = ledgers[2]!.findChain.bind(ledgers[2]!)
+  vi.spyOn(ledgers[2]!, 'findChain').mockImplementation(async request => await sleep(120).then(() => findAtLast(request)))
+  const found = quorum.findChain('t1', 900)
+  await sleep(80)
+  await ledgers[0]!.persist(records)
+  quorum.adoptView({ ...view, version: 4, members: view.members.slice(0, 2) }, 'test')
+  expect((await found)?.map(turn => turn.id)).toEqual(['t1'])
+})
+
 test('a view with too few members is reported as stale without any request', async () => {
   let staleReports = 0
   const staleQuorum = new LedgerQuorum({
