Relay: a new configuration doesn't close relayed connections

None was lost at other times.

Cause: when a version comes into force, and when the other entry stops or falls silent, the entry that relays drained all its relayed connections, which closed each idle one without notice. Requests that callers were sending at that moment got nothing; the slower the entry's processor and the longer the link, the more of them.

Change: a drained connection leaves the other entry once no call is under way, and stays open. If none comes, it is closed after the idle timeout. The entry's end of the connection isn't half-closed any more: Node's server doesn't announce a close for that. At a stop, connections are closed as before.

--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -120,6 +120,7 @@
 
   setLimits (limits: FrontLimits): void {
     this.front.setLimits(limits)
+    this.relay.idleTimeoutMs = limits.idleTimeoutMs
   }
 
   /// Accepts no further relayed connections. Resolves when all have ended.
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -17,11 +17,16 @@
   readonly findCallId: FindCallId
 }
 
+/// As that of Node's HTTP server.
+const defaultIdleTimeoutMs = 5000
+
 /// Relays new connections to entries at which calls are expected to end sooner than here. All calls of a relayed
 /// connection are served there.
 export class ConnectionRelay {
   private readonly connections = new Set<RelayedConnection>()
   private isStopping = false
+  /// For connections that were drained.
+  idleTimeoutMs = defaultIdleTimeoutMs
 
   constructor (
     private readonly options: ConnectionRelayOptions,
@@ -49,13 +54,13 @@
     else this.relay(caller, entry, serve)
   }
 
-  /// Relays no further connections, and drains those that it has.
+  /// Closes the connections once their calls in flight have ended.
   stop (): void {
     this.isStopping = true
-    this.drain()
+    for (const connection of [...this.connections]) connection.close()
   }
 
-  /// Ends the connections once their calls in flight have ended.
+  /// Passes no further calls on: the next one of each connection is served here.
   drain (): void {
     for (const connection of [...this.connections]) connection.drain()
   }
@@ -81,6 +86,7 @@
       entry,
       origin: { entry: directory.own.name, configVersion: getConfigVersion() },
       findCallId,
+      idleTimeoutMs: this.idleTimeoutMs,
       onChunk: () => serviceTime.countCall(CallCost.relayedChunk),
       onUnreachable: () => {
         directory.recordFailure(entry)
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -35,6 +35,8 @@
   readonly onReturned: (wasUsed: boolean) => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
+  /// How long a connection is kept that no request comes on, after it was drained.
+  readonly idleTimeoutMs: number
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
 }
@@ -55,8 +57,13 @@
   private isConnected = false
   private isEnded = false
   private isDraining = false
-  /// It ends as soon as what has arrived is read.
-  private isLeaving = false
+  /// It closes once no request is under way.
+  private isClosing = false
+  /// Closing, what has arrived is read first.
+  private isReadingRest = false
+  /// It isn't connected to the other entry any more, and waits for a request.
+  private isParked = false
+  private idleTimer: ReturnType<typeof setTimeout> | undefined
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
   private readonly requests: RequestTracker
@@ -75,13 +82,20 @@
     caller.on('close', this.onCallerGone)
   }
 
-  /// Ends the connection once the calls in flight have ended: the other entry gets no further ones. A call that has
-  /// arrived by then is served here.
+  /// Passes no further calls on to the other entry: the next one is served here. The connection isn't closed for this,
+  /// as the caller may be sending a request.
   readonly drain = (): void => {
     if (this.isDraining) return
     this.isDraining = true
-    if (this.isConnected) this.leave()
-    else this.giveBack()
+    if (!this.isConnected) this.giveBack()
+    else if (this.isIdle) this.leaveIdle()
+  }
+
+  /// Closes the connection once the calls in flight have ended. A call that has arrived by then is served here.
+  close (): void {
+    this.isClosing = true
+    if (this.isParked) this.leaveIdle()
+    else this.drain()
   }
 
   /// Breaks the connection, so that the caller can't take a response for complete that isn't.
@@ -135,11 +149,10 @@
   }
 
   private readonly onPeerEnd = (): void => {
-    if (this.isIdle) return this.endAfterReading()
+    if (this.isIdle) return this.leaveIdle()
     if (this.hasLastResponse) return this.endCaller(lastResponseReason)
-    // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then,
-    // as after an end on both sides.
-    if (this.peer.remoteAddress === undefined && !this.isDraining) return this.abort('the entry reset the connection')
+    // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then.
+    if (this.peer.remoteAddress === undefined) return this.abort('the entry reset the connection')
     this.responses.end()
     this.endCaller('the entry ended the connection')
   }
@@ -162,7 +175,7 @@
       this.options.onChunk()
       this.peer.write(held.subarray(0, length))
     }
-    if (this.isDraining) this.leave()
+    if (this.isDraining && this.isIdle && !this.isEnded) this.leaveIdle()
   }
 
   private updateReading (): void {
@@ -187,20 +200,28 @@
     return readsOn
   }
 
-  /// Ends the connection, or has it served here, once no request is under way.
-  private leave (): void {
-    if (this.isEnded || !this.requests.isBetweenMessages) return
-    if (this.isIdle) return this.endAfterReading()
-    // Tells the other entry that the response is the last one, unless another request waits for it.
-    if (this.held === null && !this.peer.writableEnded) this.peer.end()
+  private leaveIdle (): void {
+    if (this.responses.isLast) this.endCaller(lastResponseReason)
+    else if (this.isDraining && !this.isClosing) this.park()
+    else this.endAfterReading()
+  }
+
+  /// Waits for the caller's next request.
+  private park (): void {
+    if (this.isParked) return
+    const { entry, idleTimeoutMs } = this.options
+    this.isParked = true
+    this.forgetEntry(entry)
+    this.peer.destroy()
+    this.idleTimer = setTimeout(() => this.endAfterReading(), idleTimeoutMs)
   }
 
   /// Ends the connection unless the caller has sent another request: if this process was busy, it may have waited.
   private endAfterReading (): void {
-    if (this.responses.isLast) return this.endCaller(lastResponseReason)
-    if (this.isLeaving) return
+    if (this.isReadingRest) return
     this.isDraining = true
-    this.isLeaving = true
+    this.isClosing = true
+    this.isReadingRest = true
     this.options.caller.resume()
     callAfterReading(() => { if (!this.isEnded) this.endCaller() })
   }
@@ -235,19 +256,24 @@
   private readonly onLoss = (): void => this.abort('the entry has fallen silent')
 
   private handlePeerError (reason: string): void {
-    if (this.isEnded) return
+    if (this.isEnded || this.isParked) return
     if (this.hasLastResponse) return this.endCaller(lastResponseReason)
-    if (this.isConnected) return this.isIdle ? this.endAfterReading() : this.abort(reason)
+    if (this.isConnected) return this.isIdle ? this.leaveIdle() : this.abort(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
   }
 
+  private forgetEntry ({ onUnavailable, onLoss }: OtherEntry): void {
+    onUnavailable.delete(this.drain)
+    onLoss.delete(this.onLoss)
+  }
+
   private finish (reason: string | null): void {
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
     clearTimeout(this.connectTimer)
-    entry.onUnavailable.delete(this.drain)
-    entry.onLoss.delete(this.onLoss)
+    clearTimeout(this.idleTimer)
+    this.forgetEntry(entry)
     caller.off('data', this.onCallerData)
     caller.off('drain', this.onCallerDrain)
     for (const event of ['end', 'error', 'close']) caller.off(event, this.onCallerGone)
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -5,6 +5,8 @@
 import type { OtherEntry } from '../src/directory.js'
 import { RelayedConnection } from '../src/relayedconnection.js'
 
+const idleTimeoutMs = 200
+
 let servers: Server[]
 let sockets: Socket[]
 
@@ -82,6 +84,7 @@
     onChunk: () => {},
     onUnreachable: () => {},
     findCallId: head => /^POST \/(\w+)/.exec(head)?.[1] ?? null,
+    idleTimeoutMs,
     onReturned,
     onUnanswered,
     onEnd
@@ -180,6 +183,19 @@
   expect(onEnd).toHaveBeenCalledWith(null)
 })
 
+test('drained, and no request comes: the connection is closed after the idle timeout', async () => {
+  const { caller, entry, connection, onReturned, onEnd } = await relay()
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  entry.socket.write(formatResponse(200))
+  await caller.receive(1)
+  connection.drain()
+  await vi.waitFor(() => expect(entry.socket.readableEnded).toBe(true))
+  expect(caller.isClosed).toBe(false)
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true))
+  expect([caller.isReset, onReturned.mock.calls, onEnd.mock.calls]).toEqual([false, [], [[null]]])
+})
+
 test('a caller that sends much behind a request is not read until the response is complete', async () => {
   const { caller, entry, accepted } = await relay()
   caller.socket.write(formatRequest('a1') + 'x'.repeat(1_000_000))
