Requests of a connection are served one after the other

Callers that pipeline saw their connection end after the first response; the requests behind it, a /charge among them, had been run by an instance and got nothing. A request that isn't HTTP, or a CONNECT, behind one that was served put a 400 in the middle of its response, or cut it.

Cause: Node passes on pipelined requests as it parses them. All were served side by side, so a response that says `close` stranded those behind it; rejections were written to the socket without regard to what was under way.

Change: `CallerConnection` queues the requests of a connection and starts one when the response before it has been sent whole. A response that is to end the connection says `close` only if no request was read behind it; reading stops until the last has it. Requests that wait when their connection ends are dropped without being served and logged (`request-dropped`, 513). Rejections wait for the responses before them. A request whose body breaks off gets its own response. A head that doesn't arrive in time gets 408 instead of 400.

--- /dev/null
+++ b/connection/front/src/callerconnection.ts
@@ -0,0 +1,142 @@
+import type { Socket } from 'node:net'
+import { setImmediate as setImmediatePromise } from 'node:timers/promises'
+
+/// A request that was read, and gets its response in the order of its connection.
+export interface PendingRequest {
+  /// Whether the whole request has been read.
+  readonly isRead: boolean
+  /// Starts to serve the request; called at most once, and not after `drop`.
+  start (): void
+  /// Called instead of `start` if the connection ends before.
+  drop (): void
+  /// Called if the rest of the request can't be read.
+  failBody (): void
+  /// Calls `listener` when the response has been sent or its connection is closed.
+  onClose (listener: () => void): void
+}
+
+/// Requests that wait on a connection before no more are read from it.
+const maxWaitingRequests = 8
+
+/// A connection of a caller, whose requests are served one after the other (RFC 9112, section 9.3.2).
+///
+/// It is read on while a request is served, so that a caller that disconnects is noticed. It isn't while
+/// `maxWaitingRequests` wait, or while some wait and the last of them is to end the connection.
+export class CallerConnection {
+  private readonly waiting: PendingRequest[] = []
+  private current: PendingRequest | null = null
+  /// The newest request, served already or not.
+  private newest: PendingRequest | null = null
+  /// Whether the next response without a request behind it ends the connection.
+  private isToEnd = false
+  /// Whether what follows can't be read as requests.
+  private isBroken = false
+  /// Sent instead of a response to what can't be read; null for nothing.
+  private finalResponse: string | null = null
+  /// Whether no further request is served.
+  private isEnding = false
+  private isPausedHere = false
+
+  /// `isServerClosing`: whether the connection is to end with its next response.
+  constructor (private readonly socket: Socket, private readonly isServerClosing: () => boolean) {
+    // Node calls it after a response that says `close`.
+    const destroySoon = socket.destroySoon.bind(socket)
+    socket.destroySoon = () => {
+      this.stopServing()
+      destroySoon()
+    }
+    socket.on('resume', () => this.updateReading())
+    socket.once('close', () => this.dropWaiting())
+  }
+
+  /// Whether a request is being served or waits, or a response has not been sent whole.
+  get isServing (): boolean {
+    return this.current !== null || this.waiting.length > 0
+  }
+
+  /// Whether a request that was read whole is being served.
+  get isServingWhole (): boolean {
+    return this.current?.isRead ?? false
+  }
+
+  add (request: PendingRequest): void {
+    if (this.isEnding || this.socket.destroyed) return request.drop()
+    this.newest = request
+    this.waiting.push(request)
+    this.startNext()
+    // When the rest of what was read has been parsed.
+    setImmediate(() => this.updateReading())
+  }
+
+  /// Returns whether a response that starts now says that it is the last of its connection. Requests that were read
+  /// behind it get their responses before.
+  decideLast (isWanted: boolean): boolean {
+    this.isToEnd ||= isWanted || this.isServerClosing()
+    return this.isToEnd && this.waiting.length === 0
+  }
+
+  /// Ends the connection after the responses to the requests before what can't be read, and after `response` to it. A
+  /// request that was read in part gets its own response instead.
+  breakOff (response: string): void {
+    if (this.isBroken || this.isEnding) return
+    this.isBroken = true
+    this.isToEnd = true
+    if (this.newest === null || this.newest.isRead) this.finalResponse = response
+    else this.newest.failBody()
+    this.startNext()
+  }
+
+  private stopServing (): void {
+    this.isEnding = true
+    this.dropWaiting()
+  }
+
+  private startNext (): void {
+    if (this.current !== null || this.isEnding) return
+    const request = this.waiting.shift()
+    if (request === undefined) return this.endIfBroken()
+    this.current = request
+    request.onClose(() => this.finishRequest())
+    request.start()
+  }
+
+  private finishRequest (): void {
+    this.current = null
+    if (this.socket.destroyed) return this.dropWaiting()
+    this.startNext()
+    this.updateReading()
+  }
+
+  private endIfBroken (): void {
+    if (!this.isBroken) return
+    if (this.finalResponse !== null) this.socket.write(this.finalResponse)
+    this.socket.destroySoon()
+  }
+
+  private dropWaiting (): void {
+    for (const request of this.waiting.splice(0)) request.drop()
+  }
+
+  private updateReading (): void {
+    if (this.isEnding || this.socket.destroyed) return
+    if (this.isFull()) {
+      this.isPausedHere = true
+      this.socket.pause()
+    } else if (this.isPausedHere) {
+      this.isPausedHere = false
+      this.socket.resume()
+    }
+  }
+
+  private isFull (): boolean {
+    const limit = this.isToEnd ? 1 : maxWaitingRequests
+    return this.waiting.length >= limit && this.newest!.isRead
+  }
+}
+
+/// Resolves when the event loop has read what had arrived on all connections. Timers and immediates may run before it
+/// next reads, so one immediate isn't enough.
+export async function readArrived (): Promise<void> {
+  await setImmediatePromise()
+  await setImmediatePromise()
+}
--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -16,18 +16,26 @@
 
 export type DisconnectCause = typeof DisconnectCause[keyof typeof DisconnectCause]
 
+/// Returns whether a response that starts now is the last of its connection. `isWanted`: whether it should be.
+export type DecideLast = (isWanted: boolean) => boolean
+
 /// One request of a caller and the response to it.
 export class Exchange {
   private isStarted = false
   private isAborted = false
   private wasSent = false
+  private failBodyReading: (() => void) | null = null
+  private isBodyBroken = false
+  /// When the request was read, on the monotonic clock of `performance.now()`.
+  readonly readAtMs = performance.now()
 
   /// `arrivedAtMs`: when the request may have arrived, on the monotonic clock of `performance.now()`. It is before the
   /// request was read if the process was busy.
   constructor (
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
-    readonly arrivedAtMs: number
+    readonly arrivedAtMs: number,
+    private readonly decideLast: DecideLast
   ) {
     response.once('finish', () => {
       // Node calls it finished, too, when the connection fails with a part of it unsent.
@@ -69,8 +77,8 @@
     const { socket } = this.request
     if (!socket.destroyed) return null
     if (this.isAborted) return DisconnectCause.closedHere
-    if (socket.errored !== null) return DisconnectCause.connectionError
-    return socket.readableEnded ? DisconnectCause.callerEnded : DisconnectCause.closedHere
+    if (socket.readableEnded) return DisconnectCause.callerEnded
+    return socket.errored === null ? DisconnectCause.closedHere : DisconnectCause.connectionError
   }
 
   /// Calls `listener` when the response has been sent or its connection is closed, at once if that was before.
@@ -110,6 +118,8 @@
       const onIncomplete = (): void => reject(
         new RefusedError(Refusal.invalid, Verdict.notRun, 'the request body is incomplete')
       )
+      if (this.isBodyBroken) return onIncomplete()
+      this.failBodyReading = onIncomplete
       request.on('data', onData)
       request.once('error', onIncomplete)
       request.once('close', onIncomplete)
@@ -120,8 +130,14 @@
     })
   }
 
+  /// Ends the reading of a body whose rest can't be read.
+  failBody (): void {
+    this.isBodyBroken = true
+    this.failBodyReading?.()
+  }
+
   /// Sends a complete response, unless one was started before. `isLast` asks the caller to use a new connection for
-  /// its next request.
+  /// its next request; if that has been read already, the response to it does so.
   respond (status: number, headers: ResponseHeaders, body: Buffer, isLast: boolean): void {
     if (this.isStarted || this.isFinished) return
     this.isStarted = true
@@ -163,7 +179,7 @@
   }
 
   private addFraming (headers: ResponseHeaders, isLast: boolean, framing: Record<string, string>): ResponseHeaders {
-    return isLast ? { ...headers, ...framing, connection: 'close' } : { ...headers, ...framing }
+    return this.decideLast(isLast) ? { ...headers, ...framing, connection: 'close' } : { ...headers, ...framing }
   }
 }
 
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { setImmediate as setImmediatePromise } from 'node:timers/promises'
 import { fastify } from 'fastify'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { splitAddress } from '#connection/address'
 import type { Listener } from '#connection/listen'
 import { findRequestProblem } from '#connection/header'
+import { CallerConnection, readArrived } from './callerconnection.js'
 import { Exchange } from './exchange.js'
 
 export interface FrontOptions {
@@ -13,6 +13,8 @@
   readonly serve: (exchange: Exchange) => Promise<void>
   /// Called for a request that is not valid HTTP, with the parser's error code or what is wrong with the head.
   readonly onMalformed: (code: string) => void
+  /// Called instead of `serve` for a request whose connection ends before its turn.
+  readonly onDropped: (exchange: Exchange) => void
   /// How long an event that is handled now may have waited for the event loop.
   readonly getDelayMs: () => number
   /// Called for each connection that is accepted.
@@ -34,6 +36,13 @@
 
 const maxHeaderBytes = 16 * 1024
 const statusBadRequest = 400
+const statusByErrorCode: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+/// The caller has ended its side within a request.
+const endWithinRequestCode = 'HPE_INVALID_EOF_STATE'
+const brokenConnectionCodes: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT'])
 
 /// The HTTP server for callers. Node parses requests in its strict mode, which differs between its versions, so their
 /// heads are checked once more. They reach `serve` unchanged, without the framework's routing and body parsing.
@@ -41,13 +50,14 @@
   private readonly app: FastifyInstance
   /// When connections may have been opened whose first request may have arrived with them.
   private readonly openedAtMs = new WeakMap<Socket, number>()
+  /// Those that are served here.
+  private readonly connections = new WeakMap<Socket, CallerConnection>()
+  private isClosing = false
 
   constructor (private readonly options: FrontOptions) {
     const serve = (request: FastifyRequest, reply: FastifyReply, done: () => void): void => {
       reply.hijack()
-      if (this.rejectMalformed(request.raw, reply.raw)) return done()
-      const exchange = new Exchange(request.raw, reply.raw, this.getArrivalMs(request.raw.socket))
-      options.serve(exchange).finally(done)
+      this.addRequest(request.raw, reply.raw, done)
     }
     this.app = fastify({
       logger: false,
@@ -57,12 +67,7 @@
       // While the server closes, `serve` decides about requests of open connections.
       return503OnClosing: false,
       http: { maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false },
-      clientErrorHandler: (error, socket) => {
-        options.onMalformed(error.code)
-        if (error.code === 'ECONNRESET' || !socket.writable) return socket.destroy()
-        const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-        socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
-      }
+      clientErrorHandler: (error, socket) => this.handleClientError(error.code, socket as Socket)
     })
     this.interceptConnections()
     this.app.addHook('onRequest', serve)
@@ -92,12 +97,57 @@
       options.onConnection()
       const serveHere: ServeConnection = wasUsed => {
         if (wasUsed) this.openedAtMs.delete(socket)
+        this.openConnection(socket)
         serve!.call(server, socket)
         this.forgetOpening(socket)
       }
       if (options.offerConnection === undefined) serveHere(false)
       else options.offerConnection(socket, serveHere)
     })
+    server.on('connect', (_: IncomingMessage, socket: Socket) => {
+      // Node has taken its own listener off.
+      socket.on('error', () => {})
+      socket.resume()
+      this.connections.get(socket)?.breakOff(formatEmptyResponse('501 Not Implemented'))
+    })
+  }
+
+  private openConnection (socket: Socket): void {
+    this.connections.set(socket, new CallerConnection(socket, () => this.isClosing))
+  }
+
+  private addRequest (request: IncomingMessage, response: ServerResponse, onServed: () => void): void {
+    const connection = this.connections.get(request.socket)!
+    const exchange = new Exchange(
+      request, response, this.getArrivalMs(request.socket), isWanted => connection.decideLast(isWanted)
+    )
+    // The framework's, while it closes.
+    response.removeHeader('connection')
+    const problem = this.findProblem(request)
+    connection.add({
+      get isRead () { return request.complete },
+      start: () => {
+        if (problem === null) this.options.serve(exchange).finally(onServed)
+        else response.writeHead(statusBadRequest, { connection: 'close', 'content-length': '0' }).end()
+      },
+      drop: () => {
+        request.resume()
+        this.options.onDropped(exchange)
+      },
+      failBody: () => exchange.failBody(),
+      onClose: listener => exchange.onClose(listener)
+    })
+  }
+
+  private handleClientError (code: string, socket: Socket): void {
+    if (brokenConnectionCodes.has(code) || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const connection = this.connections.get(socket)!
+    this.options.onMalformed(code)
+    if (code === endWithinRequestCode && !this.options.allowsHalfOpen && connection.isServingWhole) socket.end()
+    else connection.breakOff(formatEmptyResponse(statusByErrorCode[code] ?? '400 Bad Request'))
   }
 
   /// What has arrived is read by the end of the next event loop iteration; other requests arrive later.
@@ -119,25 +169,20 @@
     server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  private rejectMalformed (request: IncomingMessage, response: ServerResponse): boolean {
-    const { httpVersion, url, rawHeaders } = request
+  private findProblem ({ httpVersion, url, rawHeaders }: IncomingMessage): string | null {
     const problem = findRequestProblem({ httpVersion, target: url ?? '', rawHeaders })
-    if (problem === null) return false
-    this.options.onMalformed(problem)
-    response.writeHead(statusBadRequest, { connection: 'close', 'content-length': '0' }).end()
-    return true
+    if (problem !== null) this.options.onMalformed(problem)
+    return problem
   }
 
   /// Stops accepting connections and closes idle ones. A process that was busy reads first what has arrived meanwhile.
   async close (): Promise<void> {
     await readArrived()
+    this.isClosing = true
     await this.app.close()
   }
 }
 
-/// Resolves when the event loop has read what had arrived on all connections. Timers and immediates may run before it
-/// next reads, so one immediate isn't enough.
-async function readArrived (): Promise<void> {
-  await setImmediatePromise()
-  await setImmediatePromise()
+function formatEmptyResponse (status: string): string {
+  return `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
 }
--- a/connection/front/test/close.test.ts
+++ b/connection/front/test/close.test.ts
@@ -14,6 +14,7 @@
   server = new FrontServer({
     serve: async exchange => exchange.respond(200, {}, Buffer.from('ok'), false),
     onMalformed: () => {},
+    onDropped: () => {},
     onConnection: () => {},
     getDelayMs: () => 0
   })
--- a/connection/front/test/server.test.ts
+++ b/connection/front/test/server.test.ts
@@ -25,6 +25,7 @@
       exchange.respond(200, {}, Buffer.from('ok'), false)
     },
     onMalformed: () => {},
+    onDropped: () => {},
     getDelayMs: () => 0,
     onConnection: () => {}
   })
--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -122,6 +122,11 @@
     }
   }
 
+  /// Returns the call id of a request, null without one.
+  findCallId ({ headers }: RequestHead): string | null {
+    return firstValue(headers[this.names.callId])
+  }
+
   parseResponse ({ headers }: ResponseHead): ResponseFields {
     const { names } = this
     return {
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -25,7 +25,7 @@
 import { ActiveConfiguration } from './activeconfiguration.js'
 import { CallDrain } from './calldrain.js'
 import { EntryPeers } from './entrypeers.js'
-import { serveExchange } from './serve.js'
+import { recordDropped, serveExchange } from './serve.js'
 import type { EntryState } from './serve.js'
 import { ViewReader } from './viewreader.js'
 
@@ -119,7 +119,8 @@
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
       onConnection: () => admission.countConnection(),
-      onMalformed: (code: string) => log.event(Events.requestMalformed, { code })
+      onMalformed: (code: string) => log.event(Events.requestMalformed, { code }),
+      onDropped: (exchange: Exchange) => recordDropped(exchange, this.context)
     }
     this.peers = new EntryPeers({
       registration: { name, address: relayAddress, zone, processors },
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -52,7 +52,6 @@
   { exchange, origin, controller }: ServedExchange, state: EntryState, context: ForwardContext
 ): Promise<void> {
   const receivedAtMs = exchange.arrivedAtMs
-  const readAtMs = performance.now()
   exchange.onDisconnect(() => controller.abort(AbortReason.callerDisconnected))
   const response = new ExchangeResponse(exchange, context, state, origin)
   const memory = new RequestMemory(context.requestMemory.open())
@@ -62,7 +61,7 @@
     call = parseCall(exchange, context.codec, receivedAtMs)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
     if (origin !== null) assertSameVersion(origin, state)
-    const routing = routeCall(call, readAtMs, state, controller.signal)
+    const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
     await context.admission.admit(call, routing.route, routing.deadlineMs, controller.signal)
@@ -79,6 +78,16 @@
   }
 }
 
+/// Records a request that gets no response since its connection ended before its turn.
+export function recordDropped (exchange: Exchange, { codec, log, metrics }: Pick<ForwardContext, 'codec' | 'log' | 'metrics'>): void {
+  metrics.increment('requests_dropped_total')
+  log.event(Events.requestDropped, {
+    callId: codec.findCallId(exchange.head) ?? '',
+    disconnect: exchange.disconnectCause ?? 'last-response-sent',
+    durationMs: Math.round(performance.now() - exchange.arrivedAtMs)
+  })
+}
+
 function parseCall (exchange: Exchange, codec: HeaderCodec, receivedAtMs: number): Call {
   try {
     return codec.parseCall(exchange.head, receivedAtMs)
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -9,7 +9,7 @@
 import type { ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
-import { CallDrain, serveExchange } from '#process/entry'
+import { CallDrain, recordDropped, serveExchange } from '#process/entry'
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
@@ -157,7 +157,13 @@
         return serveExchange({ exchange, origin, controller }, { routes, drain, shouldCloseConnection }, context)
       })
     }
-    const options = { serve, getDelayMs: () => this.delayMs, onConnection: () => {}, onMalformed: () => {} }
+    const options = {
+      serve,
+      getDelayMs: () => this.delayMs,
+      onConnection: () => {},
+      onMalformed: () => {},
+      onDropped: (exchange: Exchange) => recordDropped(exchange, context)
+    }
     this.front = new FrontServer({ ...options, offerConnection: (socket, accept) => this.relay.offer(socket, accept) })
     this.relayFront = new FrontServer({
       ...options,
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -64,6 +64,7 @@
   connectionRelayed: { number: 510, name: 'connection-relayed', level: 'info', maxLinesPerSecond: 100 },
   relayFailed: { number: 511, name: 'relay-failed', level: 'warn', maxLinesPerSecond: 50 },
   answerUndelivered: { number: 512, name: 'answer-undelivered', level: 'warn', maxLinesPerSecond: 50 },
+  requestDropped: { number: 513, name: 'request-dropped', level: 'warn', maxLinesPerSecond: 50 },
   instanceAdded: { number: 600, name: 'instance-added', level: 'info', maxLinesPerSecond: 20 },
   instanceChanged: { number: 601, name: 'instance-changed', level: 'info', maxLinesPerSecond: 20 },
   instanceRemoved: { number: 602, name: 'instance-removed', level: 'info', maxLinesPerSecond: 20 },
