Connections of callers are ended in order

Callers got a reset instead of the response: an upload that was refused early ended with EPIPE, a response that was complete in the entry and waited for its caller was cut by the stop, and a request that arrived as the idle time ended (the process had been busy) got nothing. A caller that opened a connection and sent nothing within the time for a head got an unasked 400, which it may take for the response to its first request; clients don't retry after a 400.

Cause: Node destroys a connection after a `close` response, after its idle time and, when the server closes, if its response is complete, sent or not. Closing with unread bytes is a reset, which discards what the caller hasn't read. Its rejection of a late head doesn't ask whether anything had arrived.

Change: each of these sends the end of this side and reads on, for a bounded time and amount, until the caller ends its side. The idle time and the stop read first what has arrived, and don't end a connection whose response isn't sent. While the server closes, a connection ends with its last response.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -17,6 +17,10 @@
 
 /// Requests that wait on a connection before no more are read from it.
 const maxWaitingRequests = 8
+/// How long, and how much, a connection is read on after its last response (RFC 9112, section 9.6).
+const lingerMs = 1000
+const lingerBytes = 16 * 1024 * 1024
+const lingerPollMs = 100
 
 /// A connection of a caller, whose requests are served one after the other (RFC 9112, section 9.3.2).
 ///
@@ -36,15 +40,13 @@
   /// Whether no further request is served.
   private isEnding = false
   private isPausedHere = false
+  private readonly firstByte: number
 
   /// `isServerClosing`: whether the connection is to end with its next response.
   constructor (private readonly socket: Socket, private readonly isServerClosing: () => boolean) {
+    this.firstByte = socket.bytesRead - socket.readableLength
     // Node calls it after a response that says `close`.
-    const destroySoon = socket.destroySoon.bind(socket)
-    socket.destroySoon = () => {
-      this.stopServing()
-      destroySoon()
-    }
+    socket.destroySoon = () => this.end()
     socket.on('resume', () => this.updateReading())
     socket.once('close', () => this.dropWaiting())
   }
@@ -54,6 +56,11 @@
     return this.current !== null || this.waiting.length > 0
   }
 
+  /// Whether anything has arrived.
+  get hasReceived (): boolean {
+    return this.socket.bytesRead > this.firstByte
+  }
+
   /// Whether a request that was read whole is being served.
   get isServingWhole (): boolean {
     return this.current?.isRead ?? false
@@ -86,9 +93,22 @@
     this.startNext()
   }
 
-  private stopServing (): void {
+  /// Ends the connection unless something has arrived on it that was not read yet.
+  async endIfIdle (): Promise<void> {
+    const { bytesRead } = this.socket
+    await readArrived()
+    if (!this.isServing && this.socket.bytesRead === bytesRead) this.end()
+  }
+
+  /// Sends the end of this side after what has been written, and reads and drops what arrives until the caller ends its
+  /// side: a connection that is closed with unread bytes is reset, and the caller may lose its response.
+  end (): void {
+    if (this.isEnding) return
     this.isEnding = true
     this.dropWaiting()
+    if (this.socket.destroyed) return
+    this.socket.end(() => this.linger())
+    this.socket.resume()
   }
 
   private startNext (): void {
@@ -105,12 +125,13 @@
     if (this.socket.destroyed) return this.dropWaiting()
     this.startNext()
     this.updateReading()
+    if (!this.isServing && this.isServerClosing()) this.endIfIdle().catch(() => {})
   }
 
   private endIfBroken (): void {
     if (!this.isBroken) return
     if (this.finalResponse !== null) this.socket.write(this.finalResponse)
-    this.socket.destroySoon()
+    this.end()
   }
 
   private dropWaiting (): void {
@@ -132,6 +153,17 @@
     const limit = this.isToEnd ? 1 : maxWaitingRequests
     return this.waiting.length >= limit && this.newest!.isRead
   }
+
+  private linger (): void {
+    const { socket } = this
+    const firstByte = socket.bytesRead
+    const endAtMs = performance.now() + lingerMs
+    const timer = setInterval(() => {
+      if (performance.now() >= endAtMs || socket.bytesRead - firstByte > lingerBytes) socket.destroy()
+    }, lingerPollMs)
+    socket.once('close', () => clearInterval(timer))
+    if (socket.destroyed) clearInterval(timer)
+  }
 }
 
 /// Resolves when the event loop has read what had arrived on all connections. Timers and immediates may run before it
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -36,9 +36,11 @@
 
 const maxHeaderBytes = 16 * 1024
 const statusBadRequest = 400
+/// A head has not arrived in time.
+const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+  [requestTimeoutCode]: '408 Request Timeout'
 }
 /// The caller has ended its side within a request.
 const endWithinRequestCode = 'HPE_INVALID_EOF_STATE'
@@ -53,6 +55,7 @@
   /// Those that are served here.
   private readonly connections = new WeakMap<Socket, CallerConnection>()
   private isClosing = false
+  private isClosingIdle = false
 
   constructor (private readonly options: FrontOptions) {
     const serve = (request: FastifyRequest, reply: FastifyReply, done: () => void): void => {
@@ -104,16 +107,36 @@
       if (options.offerConnection === undefined) serveHere(false)
       else options.offerConnection(socket, serveHere)
     })
+    // A connection that has been idle for too long.
+    server.on('timeout', (socket: Socket) => { this.connections.get(socket)?.endIfIdle().catch(() => {}) })
     server.on('connect', (_: IncomingMessage, socket: Socket) => {
       // Node has taken its own listener off.
       socket.on('error', () => {})
       socket.resume()
       this.connections.get(socket)?.breakOff(formatEmptyResponse('501 Not Implemented'))
     })
+    this.closeIdleInOrder(server)
   }
 
   private openConnection (socket: Socket): void {
-    this.connections.set(socket, new CallerConnection(socket, () => this.isClosing))
+    const connection = new CallerConnection(socket, () => this.isClosing)
+    this.connections.set(socket, connection)
+    const destroy = socket.destroy.bind(socket)
+    socket.destroy = error => {
+      if (!this.isClosingIdle) return destroy(error)
+      if (!connection.isServing) connection.end()
+      return socket
+    }
+  }
+
+  /// Node knows on which connections no part of a request has arrived, and would destroy them.
+  private closeIdleInOrder (server: Server): void {
+    const closeIdleConnections = server.closeIdleConnections.bind(server)
+    server.closeIdleConnections = () => {
+      this.isClosingIdle = true
+      closeIdleConnections()
+      this.isClosingIdle = false
+    }
   }
 
   private addRequest (request: IncomingMessage, response: ServerResponse, onServed: () => void): void {
@@ -145,6 +168,11 @@
       return
     }
     const connection = this.connections.get(socket)!
+    // A response on a connection without a request would be taken for that to the next one.
+    if (code === requestTimeoutCode && !connection.hasReceived) {
+      connection.end()
+      return
+    }
     this.options.onMalformed(code)
     if (code === endWithinRequestCode && !this.options.allowsHalfOpen && connection.isServingWhole) socket.end()
     else connection.breakOff(formatEmptyResponse(statusByErrorCode[code] ?? '400 Bad Request'))
--- a/connection/front/test/pipelining.test.ts
+++ b/connection/front/test/pipelining.test.ts
@@ -86,6 +86,8 @@
   started[0]!.end()
   await until(() => dropped.length === 2)
   await client.waitForEnd()
+  client.socket.write(get('/4'))
+  await until(() => dropped.length === 3)
   expect(getPaths()).toEqual(['/1'])
   expect(client.statuses).toEqual(['200'])
 })
