--- a/standin/soak/src/connection.ts
+++ b/standin/soak/src/connection.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { sleep } from '#process/clock'
-import { parseResponse } from './response.js'
+import { noStatus, parseResponse } from './response.js'
 import type { ParsedResponse } from './response.js'
 import type { RequestPiece } from './sending.js'
 
@@ -56,6 +56,8 @@
   private isLeft = false
   private hasLast = false
   private received = ''
+  /// The response before the next one.
+  private before = ''
   private waiting: Pending[] = []
 
   private constructor (private readonly socket: Socket) {
@@ -148,8 +150,11 @@
     while (this.waiting.length > 0 && !this.hasLast) {
       const response = parseResponse(this.received, this.isClosed)
       if (!response.isComplete) return
+      const { before } = this
+      this.before = this.received.slice(0, response.length)
       this.received = this.received.slice(response.length)
-      this.settle(this.waiting.shift()!, response, false)
+      const body = response.status === noStatus ? `${response.body}\nAFTER ${before}` : response.body
+      this.settle(this.waiting.shift()!, { ...response, body }, false)
       this.hasLast = response.isLast
     }
   }
