--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -132,7 +132,7 @@
   }
 
   /// Returns the call id of a request, null without one.
-  findCallId ({ headers }: RequestHead): string | null {
+  getCallId ({ headers }: RequestHead): string | null {
     return firstValue(headers[this.names.callId])
   }
 
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -82,7 +82,7 @@
 export function recordDropped (exchange: Exchange, { codec, log, metrics }: Pick<ForwardContext, 'codec' | 'log' | 'metrics'>): void {
   metrics.increment('requests_dropped_total')
   log.event(Events.requestDropped, {
-    callId: codec.findCallId(exchange.head) ?? '',
+    callId: codec.getCallId(exchange.head) ?? '',
     disconnect: exchange.disconnectCause ?? 'last-response-sent',
     durationMs: Math.round(performance.now() - exchange.arrivedAtMs)
   })
