Front test: a request that expects 100 Continue behind another one

Cause: Node buffers the interim response when it has parsed the request, and puts the head of a response that is made before its turn in front of it.

--- a/connection/front/test/pipelining.test.ts
+++ b/connection/front/test/pipelining.test.ts
@@ -76,6 +76,19 @@
   expect(dropped).toEqual([])
 })
 
+// Guards against an interim response between the head and the body of the response that follows it.
+test('a request that expects 100 Continue behind another one gets it before its response', async () => {
+  client.socket.write(get('/1') + 'POST /2 HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n')
+  await settle()
+  for (const exchange of started.reverse()) respond(exchange)
+  await client.waitFor(/100 Continue/)
+  client.socket.write('body')
+  await until(() => started.length === 2)
+  for (const exchange of started) respond(exchange)
+  await client.waitFor(/\/2$/)
+  expect(client.text).toMatch(/^HTTP\/1.1 200 .*\/1HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 .*\/2$/s)
+})
+
 test('what follows a response that says close is dropped and not served', async () => {
   client.socket.write(get('/1'))
   await until(() => started.length === 1)
