A response that is broken off for want of memory leaves one line with the call's id

The line answer-broken of a caller that reads too slowly had no id, and a call-finished with status 200 or a call-abandoned with the reason caller-left followed, although the entry closed the connection. Now the line has the id and the program, and no other line about the call's end follows. The harness of entry tests records the lines of calls.

--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -58,7 +58,7 @@
   let call: Call | null = null
   let cancelDeadline = (): void => {}
   try {
-    call = parseCall(exchange, context.codec, receivedAtMs)
+    call = response.call = parseCall(exchange, context.codec, receivedAtMs)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
     if (origin !== null) assertSameVersion(origin, state)
     const routing = routeCall(call, readAtMs, state, controller.signal)
@@ -140,6 +140,7 @@
   signal: AbortSignal,
   context: ForwardContext
 ): void {
+  if (response.isBrokenOff) return
   const durationMs = performance.now() - receivedAtMs
   if (signal.aborted) {
     context.log.event(Events.callAbandoned, {
@@ -179,6 +180,7 @@
       formatError(error)
     )
   if (refused !== error) context.log.event(Events.unexpectedError, { callId: call?.id ?? '', where: 'serving a call', error: formatError(error) })
+  if (response.isBrokenOff) return
   const durationMs = Math.round(performance.now() - receivedAtMs)
   const { relayedBy } = response
   const fields = { callId: call?.id ?? '', programId: call?.program?.id, relayedBy, refusal: refused.refusal, verdict: refused.verdict, reason: refused.message, durationMs }
@@ -198,8 +200,12 @@
 
 /// Writes the response of one exchange, and records its status and size.
 class ExchangeResponse implements CallerResponse {
+  /// Null as long as the request hasn't been parsed.
+  call: Call | null = null
   status = 0
   bytes = 0
+  /// Set when the response was broken off, and logged, for want of memory.
+  isBrokenOff = false
   /// What waits for the caller, if that is much.
   private memory: MemoryShare | null = null
 
@@ -261,9 +267,12 @@
       const memory = this.memory = this.context.responseMemory.open()
       this.exchange.onClose(() => memory.close())
     }
-    if (this.memory.set(pendingBytes)) return
+    if (this.isBrokenOff || this.memory.set(pendingBytes)) return
     const reason = `the caller reads too slowly for the memory that is left: ${pendingBytes} bytes wait`
-    this.context.log.event(Events.answerBroken, { relayedBy: this.relayedBy, reason, bytes: this.bytes })
+    const { call, relayedBy, bytes } = this
+    const callId = call?.id ?? ''
+    this.context.log.event(Events.answerBroken, { callId, programId: call?.program?.id, relayedBy, reason, bytes })
+    this.isBrokenOff = true
     this.abort()
   }
 
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -13,6 +13,7 @@
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
+import type { EventFields, EventKind, EventLog } from '#process/log'
 import { Metrics } from '#process/metrics'
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
@@ -80,6 +81,11 @@
 /// As without a limit.
 const plan = planMemory(null)
 
+/// A line that serving a call has logged.
+export interface LoggedEvent extends EventFields {
+  readonly name: string
+}
+
 /// An event loop that is never behind.
 const idleLoop = { currentDelayMs: 0, meanDelayMs: 0 }
 
@@ -99,6 +105,8 @@
 /// Serves calls as an entry does, with a fixed list of upstream instances and an in-memory ledger.
 export class EntryHarness {
   readonly ledger = new FakeLedger()
+  readonly events: LoggedEvent[] = []
+  readonly responseMemory = new MemoryBudget(plan.responseBytes, freeBytesPerMessage)
   readonly drain = new CallDrain(stopGraceMs)
   readonly registry: InstanceRegistry
   readonly serviceTime = new ServiceTime()
@@ -132,6 +140,9 @@
     })
     listObjects(this.registry, { objects, revision: 1 }, false)
     this.placement = new Placement(this.registry, 'z', noopLog)
+    const log: EventLog = {
+      event: ({ name }: EventKind, fields: EventFields = {}) => { this.events.push({ name, ...fields }) }
+    }
     const context = {
       codec: platformHeaders,
       admission: new Admission(idleLoop),
@@ -141,8 +152,8 @@
       ledger: this.ledger,
       cache: new ChainCache(1000),
       requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage),
-      responseMemory: new MemoryBudget(plan.responseBytes, freeBytesPerMessage),
-      log: noopLog,
+      responseMemory: this.responseMemory,
+      log,
       metrics: new Metrics()
     }
     const serve = (exchange: Exchange): Promise<void> => {
