Entry: callers of relayed connections are asked to leave at the start of a stop

Callers whose connections a stopping entry relays lost requests 2.6 s after SIGTERM, in one moment: all idle relayed connections were closed without notice. Callers of connections that the entry serves itself get `connection: close` before that; the entry to which a connection is relayed doesn't know of the stop.

Change: at SIGTERM the entry relays no further connections, and drains those that it has. The next request of each is served here, and its response closes the connection. Those that stay idle are closed as before.

--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -195,6 +195,7 @@
   // Guards against requests without a response: a change of the configuration or a stop closed the connection unread.
   test.each([
     ['drained', () => busy.relay.drain()],
+    ['at the start of a stop', () => busy.relay.startStop()],
     ['at a stop', () => busy.relay.stop()],
     ['at a stop after a drain', () => {
       busy.relay.drain()
@@ -239,6 +240,7 @@
   // Guards against LOST: a change of the configuration closed all relayed connections, and cut requests on their way.
   test.each([
     ['drained', () => busy.relay.drain(), 1],
+    ['at the start of a stop', () => busy.relay.startStop(), 1],
     ['drained as the other entry stops', () => busy.directory.recordReport({ name: 'entry-1', expectedMs: 1, configVersion: 1, isReady: false, isQuery: false, askersProcessors: 0 }), 0]
   ])('%s while no call is under way: the connection stays, and the next call is served here', async (_, drain, announcedCloses) => {
     const client = connectClient()
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -54,6 +54,13 @@
     else this.relay(caller, entry, serve)
   }
 
+  /// Relays no further connections, and drains those that it has: responses to calls that are served here can ask their
+  /// callers to leave.
+  startStop (): void {
+    this.isStopping = true
+    this.drain()
+  }
+
   /// Closes the connections once their calls in flight have ended.
   stop (): void {
     this.isStopping = true
