--- a/standin/soak/src/circumstances.ts
+++ b/standin/soak/src/circumstances.ts
@@ -49,7 +49,8 @@
 }
 
 export function describe (attempt: Attempt, isRun: boolean): string {
-  const { id, path, sentAtMs, endedAtMs, status, body, entry, way } = attempt
-  return `${id} ${path} at ${entry.name} (${way}), ${isRun ? 'run' : 'not run'}, status ${status}, ${body.length} bytes, ` +
+  const { id, path, sentAtMs, endedAtMs, status, body, entry, way, isBehindLast } = attempt
+  const place = isBehindLast ? ', behind an answer that said close' : ''
+  return `${id} ${path} at ${entry.name} (${way}${place}), ${isRun ? 'run' : 'not run'}, status ${status}, ${body.length} bytes, ` +
     `cut ${Math.round(endedAtMs - sentAtMs)} ms after it was sent`
 }
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -50,6 +50,7 @@
 const manyRoutesShare = 0.15
 /// Most configurations leave the timeout of turns as it is.
 const turnTimeoutsMs = [4000, 4000, 4000, 1500, 2500, 6000]
+const pollIntervalMs = 50
 const instanceFaults = [
   UpstreamFault.full, UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframed,
   UpstreamFault.unframedReset
@@ -126,6 +127,14 @@
     while (this.pending.size > 0 && await Promise.race([isOver, Promise.all(this.pending)]) !== true);
   }
 
+  /// Starts a change among the storage machines as soon as none is under way, or when the time is over.
+  async startStorageChange (timeoutMs: number): Promise<void> {
+    const deadlineMs = performance.now() + timeoutMs
+    const isFree = (): boolean => performance.now() >= this.storageFreeAtMs && this.supervisor.areStoragesSteady()
+    while (!isFree() && performance.now() < deadlineMs) await sleep(pollIntervalMs)
+    this.start(() => this.changeStorage())
+  }
+
   private start (action: () => Promise<void>): void {
     const running = action().finally(() => this.pending.delete(running))
     this.pending.add(running)
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -67,6 +67,9 @@
 const breakingFaults: readonly UpstreamFault[] = [
   UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframedReset
 ]
+/// Final faults that strike right after a change among the storage machines has begun.
+const faultBesideChangeShare = 0.7
+const maxFaultDelayMs = 2500
 const lastLines = 15
 /// Of the streams, so many pause at some events, at whichever instance.
 const pausingShare = 0.08
@@ -104,6 +107,10 @@
     const disturber = new Disturber(system, supervisor, observations, random.fork(), disturbances)
     await sleep(settleMs)
     await disturber.run(isOver)
+    if (hasFinalFault && changesStorage && random.next() < faultBesideChangeShare) {
+      await disturber.startStorageChange(maxSettleMs)
+      await sleep(random.between(0, maxFaultDelayMs))
+    }
     if (hasFinalFault) {
       const mayLoseDisk = (): boolean => !disturber.isDiskMissing
       await new FinalFault({ system, supervisor, balancer, observations, random: random.fork(), mayLoseDisk }).play()
