--- a/process/entry/test/brokenlines.test.ts
+++ b/process/entry/test/brokenlines.test.ts
@@ -30,7 +30,9 @@
 
 /// The lines about the ends of calls, once there is one.
 async function waitForEnds (): Promise<Record<string, unknown>[]> {
-  const getEnds = (): Record<string, unknown>[] => entry.events.filter(({ name }) => endNames.has(name))
+  const getEnds = (): Record<string, unknown>[] => entry.log.events
+    .filter(({ name }) => endNames.has(name))
+    .map(({ name, fields }) => ({ name, ...fields }))
   await vi.waitFor(() => expect(getEnds().length).toBeGreaterThan(0))
   await vi.waitFor(() => expect(entry.drain.count).toBe(0))
   return getEnds()
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -13,7 +13,6 @@
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
-import type { EventFields, EventKind, EventLog } from '#process/log'
 import { Metrics } from '#process/metrics'
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
@@ -23,6 +22,7 @@
 import { platformHeaders, parseConfiguration, parseInstance } from '#platform'
 import { createConfiguration } from '#standin/system'
 import { listObjects } from '#standin/store'
+import { RecordingLog } from './recordinglog.js'
 
 /// An in-memory ledger that can be made unavailable.
 export class FakeLedger implements TurnLedger {
@@ -81,11 +81,6 @@
 /// As without a limit.
 const plan = planMemory(null)
 
-/// A line that serving a call has logged.
-export interface LoggedEvent extends EventFields {
-  readonly name: string
-}
-
 /// An event loop that is never behind.
 const idleLoop = { currentDelayMs: 0, meanDelayMs: 0 }
 
@@ -105,7 +100,8 @@
 /// Serves calls as an entry does, with a fixed list of upstream instances and an in-memory ledger.
 export class EntryHarness {
   readonly ledger = new FakeLedger()
-  readonly events: LoggedEvent[] = []
+  /// What serving calls has logged.
+  readonly log = new RecordingLog()
   readonly responseMemory = new MemoryBudget(plan.responseBytes, freeBytesPerMessage)
   readonly drain = new CallDrain(stopGraceMs)
   readonly registry: InstanceRegistry
@@ -131,7 +127,7 @@
   private readonly relayFront: FrontServer
   private readonly origins = new WeakMap<Socket, RelayOrigin>()
 
-  constructor (instances: readonly ListedInstance[], log: EventLog = noopLog) {
+  constructor (instances: readonly ListedInstance[]) {
     this.registry = new InstanceRegistry({
       parseInstance,
       connect: description => new InstanceClient(description.address, 8),
@@ -143,9 +139,6 @@
     })
     listObjects(this.registry, { objects, revision: 1 }, false)
     this.placement = new Placement(this.registry, 'z', noopLog)
-    const log: EventLog = {
-      event: ({ name }: EventKind, fields: EventFields = {}) => { this.events.push({ name, ...fields }) }
-    }
     const context = {
       codec: platformHeaders,
       admission: new Admission(idleLoop),
@@ -156,7 +149,7 @@
       cache: new ChainCache(1000),
       requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage),
       responseMemory: this.responseMemory,
-      log,
+      log: this.log,
       metrics: new Metrics()
     }
     const serve = (exchange: Exchange): Promise<void> => {
--- a/process/entry/test/pipelining.test.ts
+++ b/process/entry/test/pipelining.test.ts
@@ -2,21 +2,18 @@
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
 import { EntryHarness } from './harness.js'
 import { open } from './rawcaller.js'
-import { RecordingLog } from './recordinglog.js'
 
 let entry: EntryHarness
 let service: StandinUpstream
 let engine: StandinUpstream
-let log: RecordingLog
 
 beforeEach(async () => {
-  log = new RecordingLog()
   service = new StandinUpstream({ id: 'tools-0', eventCount: 0, firstByteDelayMs: 20, eventIntervalMs: 1 })
   engine = new StandinUpstream({ id: 'models-0', eventCount: 4, firstByteDelayMs: 1, eventIntervalMs: 1 })
   entry = new EntryHarness([
     { id: 'tools-0', address: await service.listen() },
     { id: 'models-0', address: await engine.listen() }
-  ], log)
+  ])
   await entry.listen()
 })
 
@@ -60,17 +57,17 @@
   const socket = await open(entry.address)
   socket.write(['a1', 'a2', 'a3'].map(id => format(id, '/charge/1')).join(''))
   for (const id of ['a2', 'a3']) {
-    const { fields } = await log.waitFor(id, ['request-dropped'])
+    const { fields } = await entry.log.waitFor(id, ['request-dropped'])
     expect(fields.disconnect).toBe('caller-ended')
   }
-  await log.waitFor('a1', ['call-abandoned'])
+  await entry.log.waitFor('a1', ['call-abandoned'])
   expect(service.executedRequests.map(({ callId }) => callId)).toEqual(['a1'])
 })
 
 test('a request behind a stream that breaks off reaches no instance, and its line says why', async () => {
   engine.fault = UpstreamFault.broken
   await exchangeAll(format('a1', '/chat/1') + format('a2', '/charge/1'))
-  await log.waitFor('a1', ['answer-broken'])
-  expect((await log.waitFor('a2', ['request-dropped'])).fields.disconnect).toBe('closed-here')
+  await entry.log.waitFor('a1', ['answer-broken'])
+  expect((await entry.log.waitFor('a2', ['request-dropped'])).fields.disconnect).toBe('closed-here')
   expect(service.executedRequests).toEqual([])
 })
--- a/process/entry/test/undelivered.test.ts
+++ b/process/entry/test/undelivered.test.ts
@@ -3,7 +3,6 @@
 import { EntryHarness } from './harness.js'
 import { open } from './rawcaller.js'
 import { RawUpstream, formatResponse } from './rawupstream.js'
-import { RecordingLog } from './recordinglog.js'
 
 const finalEvents = ['call-finished', 'call-abandoned', 'answer-undelivered', 'answer-broken', 'call-refused']
 
@@ -18,14 +17,14 @@
 })
 
 /// Without `body` the instance sends no response. What the entry writes to the caller stays in the process if `isHeld`.
-async function startCall (log: RecordingLog, body: string | null, isHeld: boolean): Promise<void> {
+async function startCall (body: string | null, isHeld: boolean): Promise<void> {
   upstream = new RawUpstream((id, _, socket) => { if (body !== null) socket.write(formatResponse(id, body)) })
-  entry = new EntryHarness([{ id: 'tools-0', address: await upstream.listen() }], log)
+  entry = new EntryHarness([{ id: 'tools-0', address: await upstream.listen() }])
   entry.onExchange = ({ connection }) => { if (isHeld) holdWrites(connection) }
   await entry.listen()
   caller = await open(entry.address)
   caller.write('POST /check/1 HTTP/1.1\r\nhost: demo.example\r\nattempt-id: a1\r\ncontent-length: 0\r\n\r\n')
-  await log.waitFor('a1', ['call-dispatched'])
+  await entry.log.waitFor('a1', ['call-dispatched'])
 }
 
 function holdWrites (connection: Socket): void {
@@ -44,11 +43,10 @@
   ['the caller ends its side before there is one', null, false, () => caller.end(), 'call-abandoned', 'caller-ended'],
   ['the caller resets the connection before there is one', null, false, () => caller.resetAndDestroy(), 'call-abandoned', 'connection-error']
 ])('the last event of a call says whether its response was delivered: %s', async (_, body, isHeld, act, name, disconnect) => {
-  const log = new RecordingLog()
-  await startCall(log, body, isHeld)
+  await startCall(body, isHeld)
   if (body !== null) await waitUntilServed()
   act()
-  const event = await log.waitFor('a1', finalEvents)
+  const event = await entry.log.waitFor('a1', finalEvents)
   expect(event).toMatchObject({ name, fields: disconnect === undefined ? {} : { disconnect } })
-  expect(log.namesOf('a1').filter(name => finalEvents.includes(name))).toHaveLength(1)
+  expect(entry.log.namesOf('a1').filter(name => finalEvents.includes(name))).toHaveLength(1)
 })
