Data that arrived while the entry stood still counts as progress of an attempt

A sound instance was suspected, its stream or call aborted and the call sent to another instance, although the data that the entry was waiting for had arrived: when the event loop has stalled in a handler of I/O, timers that are due run before sockets are read. With two instances allowed the second attempt is the last one, so that a started stream was cut if the second instance refused it. Idempotent calls are given up after four times their latency target (250 ms at least), an ordinary stall of a small share of a processor under load.

The check for progress now runs as an immediate, after the sockets that are ready were read.

Evidence: process/entry/test/stalledstream, the two new cases failed before (the stream was sent to two instances; the call ended with 504) and pass now, 9 of 9.

--- a/process/entry/test/stalledstream.test.ts
+++ b/process/entry/test/stalledstream.test.ts
@@ -46,6 +46,25 @@
   expect(upstream.callIds.length).toBe(2)
 })
 
+// Guards against sound streams that are given up since the entry itself has stood still.
+test.each(['/query/1', '/check/1'])('data that arrived while the event loop stalled counts as progress (%s)', async path => {
+  const stallMs = 1000
+  upstream = new RawUpstream((id, _, socket) => {
+    socket.write(head(id) + event(1))
+    setTimeout(() => {
+      socket.end(event(2))
+      // Timers that are due run before the data is read.
+      setImmediate(() => {
+        const untilMs = performance.now() + stallMs
+        while (performance.now() < untilMs);
+      })
+    }, 20)
+  })
+  entry = await upstream.startEntry(['models-0', 'models-1', 'tools-0', 'tools-1'])
+  expect(await receiveRaw(entry.address, path, 'a1', 4000)).toContain(event(2))
+  expect(upstream.callIds.length).toBe(1)
+})
+
 // Guards against slow but sound streams that are cut.
 test('a slow stream with one event after another is not cut', async () => {
   upstream = new RawUpstream((id, _, socket) => {
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -183,11 +183,18 @@
     if (idleTimeoutMs === 0) return
     this.progress++
     if (this.idleTimer !== null) clearTimeout(this.idleTimer)
-    this.idleTimer = setTimeout(() => { this.handleIdle() }, idleTimeoutMs)
+    this.idleTimer = setTimeout(() => this.checkIdle(), idleTimeoutMs)
   }
 
-  private async handleIdle (): Promise<void> {
+  /// After an event loop stall, data that has already arrived is read first: timers run before it, immediates after it.
+  private checkIdle (): void {
     const { progress } = this
+    setImmediate(() => {
+      if (!this.isFinished && this.progress === progress) this.handleIdle(progress)
+    })
+  }
+
+  private async handleIdle (progress: number): Promise<void> {
     if (!this.isSuspected) this.markSuspected('silent')
     this.isSuspected = true
     const isFound = await this.request.findAlternative(() => !this.isFinished && this.progress === progress)
