A copy of a peer's records is complete only once they are synced here

A record that arrived by an append and waits for its sync needs no copy. The pass over the peer was complete before that sync, so that the peer's disk could be removed, or lost, and a loss of power then took a record that a caller had been told of. The time was within one iteration of the event loop as long as each sync blocked it; with a slow disk's sync in another thread it is that sync. A pass now ends after the syncs in flight.

Evidence: process/storage/test/copier, the new case failed before and passes; process/storage and process/ledger pass.

--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -89,6 +89,11 @@
     await Promise.all(pending)
   }
 
+  /// Resolves once the records that are present now are synced.
+  async waitUntilSynced (): Promise<void> {
+    await Promise.all(this.pendingSyncs.values())
+  }
+
   /// Removes expired records. If there are more than `maxSegments` segments, moves
   /// the records of the oldest one to the newest and drops it.
   async compact (nowMs: number): Promise<void> {
--- a/process/storage/src/copier.ts
+++ b/process/storage/src/copier.ts
@@ -35,7 +35,10 @@
       // A restarted peer has another epoch and replies from its first record, whatever the cursor.
       this.epoch = digest.epoch
       this.cursor = digest.nextCursor
-      if (digest.atEnd) return { pass: { diskId, viewVersion: startViewVersion }, copied }
+      if (!digest.atEnd) continue
+      // Records that needn't be copied may have arrived only now.
+      await this.ledger.waitUntilSynced()
+      return { pass: { diskId, viewVersion: startViewVersion }, copied }
     }
   }
 
--- a/process/storage/test/copier.test.ts
+++ b/process/storage/test/copier.test.ts
@@ -1,7 +1,8 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { expect, test } from 'vitest'
+import { setImmediate as nextIteration } from 'node:timers/promises'
+import { expect, test, vi } from 'vitest'
 import type { LedgerPeer, LedgerRecord, Standing } from '#connection/rpc'
 import { Disk, Ledger, RecordKind, recordKey } from '#process/ledger'
 import { noopLog } from '#process/log'
@@ -44,3 +45,24 @@
   disk.close()
   rmSync(folder, { recursive: true })
 })
+
+// Guards against a disk that is removed after its copy, while this instance still syncs a record that was on it.
+test('a pass is complete only once the records that needed no copy are synced', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'copier-'))
+  const { disk, contents } = Disk.open(folder, noopLog)
+  const ledger = new Ledger(disk, contents)
+  const turn = createTurn('t1')
+  let finishSync = (_: number): void => {}
+  vi.spyOn(disk, 'append').mockReturnValue(new Promise(resolve => { finishSync = resolve }))
+  const appended = ledger.persist([turn])
+  const digest = vi.fn(async () => ({ standing, keys: [recordKey(turn)], nextCursor: 1, atEnd: true, epoch: 'e' }))
+  let isComplete = false
+  const pass = new PeerCopier({ digest } as unknown as LedgerPeer, ledger).runPass(1).then(() => { isComplete = true })
+  for (let i = 0; i < 5; i++) await nextIteration()
+  expect([digest.mock.calls.length, isComplete]).toEqual([1, false])
+  finishSync(1)
+  await Promise.all([appended, pass])
+  expect(isComplete).toBe(true)
+  disk.close()
+  rmSync(folder, { recursive: true })
+})
