--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -183,6 +183,24 @@
   expect(onEnd).toHaveBeenCalledWith(null)
 })
 
+// Guards against LOST: a drain between two parts of a request cut it off, or served its rest here.
+test.each([
+  ['its head', formatRequest('a1').slice(0, 12), formatRequest('a1').slice(12)],
+  ['its body', formatRequest('a1', 'hello').slice(0, -3), 'llo']
+])('drained within a request, between two parts of %s: the other entry gets it whole, and the next one is served here', async (_, part, rest) => {
+  const { caller, entry, connection, onReturned, accepted } = await relay()
+  let served: End | null = null
+  onReturned.mockImplementation(() => { served = new End(accepted) })
+  caller.socket.write(part)
+  await vi.waitFor(() => expect(entry.text).toContain(part))
+  connection.drain()
+  caller.socket.write(rest + formatRequest('a2'))
+  await vi.waitFor(() => expect(entry.text).toContain(part + rest))
+  entry.socket.write(formatResponse(200))
+  await vi.waitFor(() => expect(served?.messages).toEqual(['a2']))
+  expect([entry.messages, caller.messages]).toEqual([['a1'], ['200']])
+})
+
 test('drained, and no request comes: the connection is closed after the idle timeout', async () => {
   const { caller, entry, connection, onReturned, onEnd } = await relay()
   caller.socket.write(formatRequest('a1'))
