--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -18,7 +18,7 @@
 
 let findingCount = 0
 for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
-  const { attempts, statuses, disturbances, findings, breaches, endsAtBoot, lines, logs } = await runSoak({
+  const { attempts, statuses, disturbances, findings, breaches, reached, endsAtBoot, lines, logs } = await runSoak({
     command: [process.execPath, 'target/chicorynotchd.cjs'],
     seed,
     durationMs: durationS * 1000,
@@ -34,7 +34,7 @@
     ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) }
   })
   findingCount += findings.length
-  process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, ${disturbances.length} disturbances, ended at boot ${JSON.stringify(endsAtBoot)}, ${findings.length} findings\n`)
+  process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, first turns reached ${reached.first}, further ${reached.further}, ${disturbances.length} disturbances, ended at boot ${JSON.stringify(endsAtBoot)}, ${findings.length} findings\n`)
   for (const breach of breaches) process.stdout.write(`  broken: ${breach}\n`)
   for (const { rule, text } of findings) process.stdout.write(`  ${rule}: ${text}\n`)
   if (process.env.LINES === '1') for (const line of lines) process.stdout.write(`    ${line}\n`)
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -8,10 +8,11 @@
 import { Caller } from './caller.js'
 import { Disturber } from './disturber.js'
 import { FinalFault } from './finalfault.js'
+import { turn } from './kinds.js'
 import { findLifeViolations, isEndedAtBoot } from './liferules.js'
 import type { LifeFinding } from './liferules.js'
 import { Observations } from './observations.js'
-import type { Run } from './observations.js'
+import type { Attempt, Run } from './observations.js'
 import { Random } from './random.js'
 import { findViolations } from './rules.js'
 import type { Finding } from './rules.js'
@@ -47,6 +48,8 @@
   readonly findings: readonly (Finding | LifeFinding)[]
   /// Sentences of the rule LOST that are broken, counted as it counts them.
   readonly breaches: readonly string[]
+  /// How many first turns, and turns that go on, reached an instance.
+  readonly reached: Readonly<Record<'first' | 'further', string>>
   /// How many processes a signal ended before any code of the daemon ran, by the signal.
   readonly endsAtBoot: Readonly<Record<string, number>>
   /// The log lines about each finding's request and its previous turn, and the last ones of processes that ended.
@@ -175,9 +178,18 @@
     statuses,
     disturbances: disturbances.map(({ text }) => text),
     findings: [...lifeFindings, ...requestFindings],
+    reached: {
+      first: countReached(observations, attempt => attempt.previousTurnId === null),
+      further: countReached(observations, attempt => attempt.previousTurnId !== null)
+    },
     breaches: findBreaches(requestFindings, observations),
     endsAtBoot,
     lines: ids.size === 0 ? lastOfLives : [...lastOfLives, ...lines],
     logs: Object.fromEntries(nodes.map(({ name, outputLines }) => [name, outputLines]))
   }
 }
+
+function countReached ({ attempts, runs }: Observations, isCounted: (attempt: Attempt) => boolean): string {
+  const turns = attempts.filter(attempt => attempt.path === turn.path && isCounted(attempt))
+  return `${turns.filter(({ id }) => runs.has(id)).length} of ${turns.length}`
+}
