Idle connections are closed without reading on

A request that crossed the end of an idle connection (idle time, stop) was read and dropped, since these were ended in order like connections with a last response. The published protocol lets callers send a request again that was not read; one that was read and got nothing counts against the entry.

Cause: reading on protects a response that was sent. An idle connection has none.

Change: after what has arrived was read and the last response was sent, an idle connection is closed at once.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -38,7 +38,7 @@
   /// Sent instead of a response to what can't be read; null for nothing.
   private finalResponse: string | null = null
   /// Whether no further request is served.
-  private isEnding = false
+  isEnding = false
   private isPausedHere = false
   private readonly firstByte: number
 
@@ -93,11 +93,12 @@
     this.startNext()
   }
 
-  /// Ends the connection unless something has arrived on it that was not read yet.
-  async endIfIdle (): Promise<void> {
+  /// Closes the connection unless something has arrived on it that was not read yet. No response can be lost with it,
+  /// and a request that crosses the close isn't read, so that its caller may send it again.
+  async closeIfIdle (): Promise<void> {
     const { bytesRead } = this.socket
     await readArrived()
-    if (!this.isServing && this.socket.bytesRead === bytesRead) this.end()
+    if (!this.isServing && !this.isEnding && this.socket.bytesRead === bytesRead) this.socket.destroy()
   }
 
   /// Sends the end of this side after what has been written, and reads and drops what arrives until the caller ends its
@@ -125,7 +126,7 @@
     if (this.socket.destroyed) return this.dropWaiting()
     this.startNext()
     this.updateReading()
-    if (!this.isServing && this.isServerClosing()) this.endIfIdle().catch(() => {})
+    if (!this.isServing && this.isServerClosing()) this.closeIfIdle().catch(() => {})
   }
 
   private endIfBroken (): void {
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -108,14 +108,14 @@
       else options.offerConnection(socket, serveHere)
     })
     // A connection that has been idle for too long.
-    server.on('timeout', (socket: Socket) => { this.connections.get(socket)?.endIfIdle().catch(() => {}) })
+    server.on('timeout', (socket: Socket) => { this.connections.get(socket)?.closeIfIdle().catch(() => {}) })
     server.on('connect', (_: IncomingMessage, socket: Socket) => {
       // Node has taken its own listener off.
       socket.on('error', () => {})
       socket.resume()
       this.connections.get(socket)?.breakOff(formatEmptyResponse('501 Not Implemented'))
     })
-    this.closeIdleInOrder(server)
+    this.keepUnsentResponses(server)
   }
 
   private openConnection (socket: Socket): void {
@@ -123,14 +123,14 @@
     this.connections.set(socket, connection)
     const destroy = socket.destroy.bind(socket)
     socket.destroy = error => {
-      if (!this.isClosingIdle) return destroy(error)
-      if (!connection.isServing) connection.end()
-      return socket
+      const isIdle = !connection.isServing && !connection.isEnding
+      return this.isClosingIdle && !isIdle ? socket : destroy(error)
     }
   }
 
-  /// Node knows on which connections no part of a request has arrived, and would destroy them.
-  private closeIdleInOrder (server: Server): void {
+  /// Node knows on which connections no part of a request has arrived, but takes those for idle, too, whose last
+  /// response has not been sent whole.
+  private keepUnsentResponses (server: Server): void {
     const closeIdleConnections = server.closeIdleConnections.bind(server)
     server.closeIdleConnections = () => {
       this.isClosingIdle = true
@@ -170,7 +170,7 @@
     const connection = this.connections.get(socket)!
     // A response on a connection without a request would be taken for that to the next one.
     if (code === requestTimeoutCode && !connection.hasReceived) {
-      connection.end()
+      socket.destroy()
       return
     }
     this.options.onMalformed(code)
