--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -126,6 +126,7 @@
       registration: { name, address: relayAddress, zone, processors },
       store: platform.store,
       getConfigVersion: () => this.configuration.version,
+      findCallId: head => platform.headers.findCallId(head),
       isReady: () => this.isReady,
       serve: (exchange, origin) => this.serve(exchange, origin),
       front: frontOptions
@@ -200,6 +201,7 @@
 
   private async stopOnce (): Promise<void> {
     const { drain, peers } = this
+    peers.relay.startStop()
     await drain.start()
     const closing = Promise.all([this.front.close(), peers.closeFront()])
     peers.relay.stop()
--- /dev/null
+++ b/process/membership/src/decisions.ts
@@ -0,0 +1,73 @@
+import type { Member, View } from '#connection/rpc'
+import {
+  MemberState, canEvict, canLeave, hasCopied, isForming, requiredCopySources, withLeaving, withMember, withServing,
+  withSynced, withoutLeaving
+} from './view.js'
+import type { AbsentMember } from './view.js'
+
+/// The latest complete pass over a peer's records, of which this instance has copied what it lacked.
+export interface CompletedPass {
+  /// The peer's disk.
+  readonly diskId: string
+  /// Version of the peer's view when the pass started.
+  readonly viewVersion: number
+}
+
+/// What a storage instance knows when it decides on a change of the view.
+export interface Standpoint {
+  readonly own: Pick<Member, 'name' | 'diskId' | 'address' | 'zone'>
+  readonly toleratedLosses: number
+  /// Version of the first view in which this instance has seen its disk.
+  readonly listedVersion: number
+  /// Whether the disk was new in the first start of the system, and has got no records since.
+  readonly isFirstStart: boolean
+  readonly retiredNames: Pick<ReadonlySet<string>, 'has'>
+  /// Passes over the members of the view, by disk id.
+  readonly passes: ReadonlyMap<string, CompletedPass>
+  /// Disks that were reached a short time ago, this instance's own among them.
+  readonly presentDiskIds: ReadonlySet<string>
+  readonly absent: readonly AbsentMember[]
+}
+
+/// The next change of the view that this instance should write, or the view itself if none is due.
+export function computeNextView (view: View, standpoint: Standpoint): View {
+  const { own, toleratedLosses, isFirstStart, retiredNames, presentDiskIds } = standpoint
+  const servesAtOnce = isFirstStart && isForming(view, toleratedLosses)
+  const withOwnDisk = withMember(view, own, servesAtOnce)
+  const isListed = view.members.some(({ name }) => name === own.name)
+  if (withOwnDisk !== view) return isListed || !retiredNames.has(own.name) ? withOwnDisk : view
+  const ownMember = view.members.find(member => member.diskId === own.diskId)
+  const isJoining = ownMember?.state === MemberState.joining
+  if (isJoining && holdsAllBefore(view, standpoint.listedVersion, standpoint)) return withServing(view, own.diskId)
+  const isNeeded = !canLeave(view, own.name, presentDiskIds, toleratedLosses)
+  if (ownMember?.state === MemberState.leaving && isNeeded) return withoutLeaving(view, own.diskId)
+  const leavingName = findMemberToRemove(view, standpoint)
+  if (leavingName !== null) return withLeaving(view, leavingName)
+  const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
+  const hasSynced = isBehind && holdsAllBefore(view, view.leaveVersion, standpoint)
+  return hasSynced ? withSynced(view, own.diskId, view.leaveVersion, toleratedLosses) : view
+}
+
+/// Whether this disk holds every record that was committed before the members adopted `viewVersion`. Of the members
+/// that hold what they must, this one included, so many have been copied since then that they can't all lack one.
+function holdsAllBefore (view: View, viewVersion: number, { own, passes, toleratedLosses }: Standpoint): boolean {
+  const sources = view.members.filter(member => {
+    const hasBeenCopied = (passes.get(member.diskId)?.viewVersion ?? -1) >= viewVersion
+    return hasCopied(member) && (hasBeenCopied || member.diskId === own.diskId)
+  })
+  return sources.length >= requiredCopySources(view, toleratedLosses)
+}
+
+/// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
+/// one member leaves at a time.
+function findMemberToRemove (view: View, standpoint: Standpoint): string | null {
+  const { toleratedLosses, retiredNames, presentDiskIds, absent } = standpoint
+  if (view.members.some(member => member.state === MemberState.leaving)) return null
+  const isRetiring = (name: string): boolean => {
+    return retiredNames.has(name) && canLeave(view, name, presentDiskIds, toleratedLosses)
+  }
+  const retired = view.members.find(({ name }) => isRetiring(name))
+  if (retired !== undefined) return retired.name
+  const evictable = absent.find(member => canEvict(view, member, presentDiskIds, toleratedLosses))
+  return view.members.find(({ diskId }) => diskId === evictable?.diskId)?.name ?? null
+}
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -32,6 +32,13 @@
   readonly accountQuorum: number
 }
 
+/// A member that has not been reached for so long that it may be evicted.
+export interface AbsentMember {
+  readonly diskId: string
+  /// Whether another one has joined since it was last reached, or it has been away for so long that it won't return.
+  readonly isReplaced: boolean
+}
+
 /// Computes the quorums for a number of disks that may be lost at the same time.
 /// A record is committed once one more disk than that holds it. The absence
 /// quorum is so large that it includes at least one of these disks.
@@ -68,8 +75,8 @@
   return staying.length < computeFullSize(toleratedLosses)
 }
 
-/// Number of other members, none of them joining, whose records a joining member
-/// must copy so that it holds every committed record.
+/// Number of members, none of them joining, that together hold every committed record, whichever they are. A joining
+/// member must have copied so many others; a serving one counts itself.
 export function requiredCopySources (view: View, toleratedLosses: number): number {
   return Math.max(1, view.members.filter(isQuorumMember).length - toleratedLosses)
 }
@@ -120,37 +127,53 @@
   return { ...updated, leaveVersion: updated.version }
 }
 
-/// Sets the `syncedView` of a member that holds all that its peers held under
-/// that view version. Removes the leaving members once every serving one has
-/// synced at `leaveVersion` or later.
-export function withSynced (view: View, diskId: string, syncedView: number): View {
+/// Takes back that a member leaves. It is as before: serving, or joining if it had not served yet.
+export function withoutLeaving (view: View, diskId: string): View {
+  const member = view.members.find(other => other.diskId === diskId)
+  if (member === undefined || member.state !== MemberState.leaving) return view
+  const state = member.replacement ? MemberState.joining : MemberState.serving
+  return replaceMember(view, { ...member, state })
+}
+
+/// Sets the `syncedView` of a member that holds every record from before that view version. Removes the leaving members
+/// once so many serving ones have synced at `leaveVersion` or later that each record is on an append quorum of them.
+export function withSynced (view: View, diskId: string, syncedView: number, toleratedLosses: number): View {
   const member = view.members.find(other => other.diskId === diskId)
   if (member === undefined || member.syncedView >= syncedView) return view
   const updated = replaceMember(view, { ...member, syncedView })
-  const servingMembers = updated.members.filter(other => other.state === MemberState.serving)
-  const canDropLeaving = servingMembers.every(other => other.syncedView >= updated.leaveVersion)
-  if (!canDropLeaving) return updated
+  const synced = updated.members.filter(other => {
+    return other.state === MemberState.serving && other.syncedView >= updated.leaveVersion
+  })
+  if (synced.length < toleratedLosses + 1) return updated
   const members = updated.members.filter(other => other.state !== MemberState.leaving)
   return { ...updated, members }
 }
 
-/// Whether enough serving members for an append quorum remain without `name`.
-export function canLeave (view: View, name: string, toleratedLosses: number): boolean {
-  const remaining = view.members.filter(member => member.state === MemberState.serving && member.name !== name)
+/// Whether enough serving members for an append quorum are present without `name`.
+export function canLeave (
+  view: View,
+  name: string,
+  presentDiskIds: ReadonlySet<string>,
+  toleratedLosses: number
+): boolean {
+  const remaining = view.members.filter(member => {
+    return member.state === MemberState.serving && member.name !== name && presentDiskIds.has(member.diskId)
+  })
   return remaining.length >= toleratedLosses + 1
 }
 
-/// Whether the serving members that are present, without `diskId`, are enough for a full system.
+/// Whether enough serving members are present without an absent one: enough for a full system, or for an append quorum
+/// if it `isReplaced`.
 export function canEvict (
   view: View,
-  diskId: string,
+  { diskId, isReplaced }: AbsentMember,
   presentDiskIds: ReadonlySet<string>,
   toleratedLosses: number
 ): boolean {
   const remaining = view.members.filter(member => {
     return member.state === MemberState.serving && member.diskId !== diskId && presentDiskIds.has(member.diskId)
   })
-  return remaining.length >= computeFullSize(toleratedLosses)
+  return remaining.length >= (isReplaced ? toleratedLosses + 1 : computeFullSize(toleratedLosses))
 }
 
 function withoutMember (view: View, name: string): View {
--- /dev/null
+++ b/process/membership/test/viewfaults.test.ts
@@ -0,0 +1,89 @@
+import { expect, test } from 'vitest'
+import { StorageModel } from './model.js'
+
+const toleratedLosses = 1
+
+/// What happens to three machines and one entry. Throws if an invariant of the model is broken.
+type History = (model: StorageModel) => void
+
+const cases: Record<string, History> = {
+  'another disk is lost during a retirement: the copies of the retired machine are kept': model => {
+    const [retired, wiped, other] = model.machines as [Machine, Machine, Machine]
+    append(model, retired, wiped)
+    model.retire(retired)
+    model.change(other)
+    model.loseDisk(wiped)
+    for (const machine of [wiped, other, wiped, other]) decide(model, machine)
+    model.remove(retired)
+    model.checkRecords()
+    model.settle()
+  },
+  'a member is removed for good during a retirement: the retirement is completed': model => {
+    const [retired, removed, other] = model.machines as [Machine, Machine, Machine]
+    append(model, retired, removed)
+    model.retire(retired)
+    decide(model, other)
+    model.remove(removed)
+    model.add()
+    model.run()
+    expect(model.view.members.map(({ name }) => name)).not.toContain(retired.name)
+    model.remove(retired)
+  },
+  'a member is removed for good after a retirement: its successor takes its place, and a later loss is borne': model => {
+    const [retired, removed, wiped] = model.machines as [Machine, Machine, Machine]
+    append(model, retired, removed)
+    model.retire(retired)
+    model.settle()
+    model.remove(retired)
+    model.remove(removed)
+    model.add()
+    model.settle()
+    model.loseDisk(wiped)
+    model.settle()
+  },
+  'a member is evicted, returns, and another one is removed: the first one serves again': model => {
+    const [evicted, removed] = model.machines as [Machine, Machine]
+    model.stop(evicted)
+    model.change(removed, true)
+    model.remove(removed)
+    model.settle()
+  },
+  'a retired member loses its disk before it can leave: its new disk copies, and a later loss is borne': model => {
+    const [wiped, retired] = model.machines as [Machine, Machine]
+    model.retire(wiped)
+    model.loseDisk(retired)
+    model.retire(retired)
+    model.settle()
+    model.loseDisk(wiped)
+    model.add()
+    model.settle()
+  },
+  'a new disk copies a peer that takes the old disk for a member: it does not serve without what that one stores': model => {
+    const [first, second, wiped] = model.machines as [Machine, Machine, Machine]
+    model.send(model.entries[0]!, wiped)
+    model.loseDisk(wiped)
+    decide(model, wiped)
+    for (const peer of [first, second]) model.copy(wiped, peer)
+    append(model, first)
+    decide(model, wiped)
+  }
+}
+
+type Machine = StorageModel['machines'][number]
+
+function append (model: StorageModel, ...machines: readonly Machine[]): void {
+  for (const machine of machines) model.send(model.entries[0]!, machine)
+  expect(model.entries[0]!.append).toBeNull()
+}
+
+/// The machine reads the view and writes its next change.
+function decide (model: StorageModel, machine: Machine): void {
+  model.adopt(machine)
+  model.change(machine)
+}
+
+test.each(Object.entries(cases))('%s', (_, history) => {
+  const model = new StorageModel(3, toleratedLosses, 1)
+  history(model)
+  model.checkRecords()
+})
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,4 +1,4 @@
-import type { AccountEntry, AppendReply, LedgerRecord, View } from '#connection/rpc'
+import type { AccountEntry, AppendReply, FindChainReply, LedgerRecord, View } from '#connection/rpc'
 import type { ReservedAccount } from '#request/turn'
 import { sleep } from '#process/clock'
 import { mergeAccountEntries } from '#process/ledger'
@@ -31,6 +31,13 @@
   readonly askAll: () => Promise<void>
 }
 
+/// The replies to the query of a chain.
+interface ChainReplies {
+  readonly chain: LedgerRecord[] | null
+  /// Disks that lack the turn.
+  readonly absentDiskIds: ReadonlySet<string>
+}
+
 /// Records that are appended together.
 interface Batch {
   readonly records: LedgerRecord[]
@@ -123,9 +130,9 @@
     requiredAppends: number
   ): Collection {
     this.assertAvailable()
-    return this.collect(records, programId, timeoutMs, replies => {
+    return this.collect(records, programId, timeoutMs, (replies, completeDiskIds) => {
       return countVoters(replies.keys(), this.peers.quorums.appendVoters) >= requiredAppends &&
-        countVoters(replies.keys(), this.peers.quorums.readVoters) >= this.peers.quorums.accountQuorum
+        countVoters(completeDiskIds, this.peers.quorums.readVoters) >= this.peers.quorums.accountQuorum
     })
   }
 
@@ -134,30 +141,51 @@
   /// the others as soon as it replies without the chain, or after `hedgeDelayMs`.
   async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
     this.assertAvailable()
-    const absent = new Set<string>()
     const deadlineMs = performance.now() + timeoutMs
+    while (true) {
+      const { version } = this.peers.view
+      const { chain, absentDiskIds } = await this.queryChain(turnId, deadlineMs)
+      if (chain !== null) return chain
+      const hasNewView = this.peers.view.version !== version
+      if (hasNewView && performance.now() < deadlineMs) continue
+      if (!hasNewView && this.isRuledOut(absentDiskIds)) return null
+      const absent = absentDiskIds.size
+      this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent, viewVersion: this.viewVersion })
+      throw new QuorumError(`turn neither found nor ruled out: absent on ${absent} storage instances, a quorum needs ${this.peers.quorums.absenceQuorum}`)
+    }
+  }
+
+  /// Queries a chain until it is found or ruled out, or the view changes: what a disk lacked under an older view it may
+  /// have copied by the newer one, so the replies of the two don't count together.
+  private async queryChain (turnId: string, deadlineMs: number): Promise<ChainReplies> {
+    const { version } = this.peers.view
+    const absentDiskIds = new Set<string>()
     let chain: LedgerRecord[] | null = null
+    const isSameView = (): boolean => this.peers.view.version === version
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
       firstCount: 1,
-      isDone: () => chain !== null || this.isRuledOut(absent),
+      isDone: () => chain !== null || !isSameView() || this.isRuledOut(absentDiskIds),
       hedgeDelayMs: chainHedgeDelayMs,
       deadlineMs,
       send: async state => {
-        const request = { viewVersion: this.peers.view.version, turnId }
-        const reply = await this.peers.sendWithRetry(
-          state, (peer, limitMs) => peer.findChain(request, limitMs), { deadlineMs, failsFast: true }
+        const request = { viewVersion: version, turnId }
+        const reply = await this.peers.sendWithRetry<FindChainReply>(
+          state, (peer, limitMs, wait) => peer.findChain(request, limitMs, wait), { deadlineMs, failsFast: true }
         )
         if (reply === null || chain !== null) return
         if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
-        else if (reply.chain.length === 0) absent.add(reply.standing!.diskId)
+        else if (reply.chain.length === 0 && isSameView()) absentDiskIds.add(reply.standing!.diskId)
       }
     })
     await fanout.done
-    if (chain !== null) return chain
-    if (this.isRuledOut(absent)) return null
-    this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent: absent.size, viewVersion: this.viewVersion })
-    throw new QuorumError(`turn neither found nor ruled out: absent on ${absent.size} storage instances, a quorum needs ${this.peers.quorums.absenceQuorum}`)
+    return { chain, absentDiskIds }
+  }
+
+  /// The member's disk, if it holds what it must by the current view. Must be called before a request is sent: a reply
+  /// from before the disk was complete does not count, also if a newer view counts the disk.
+  private findReadVoter ({ member }: PeerState): string | null {
+    return this.peers.quorums.readVoters.has(member.diskId) ? member.diskId : null
   }
 
   /// Whether a turn that is absent on these disks was not committed.
@@ -176,27 +204,32 @@
     records: readonly LedgerRecord[],
     accountOf: string,
     timeoutMs: number,
-    hasQuorum: (replies: ReadonlyMap<string, AppendReply>) => boolean
+    hasQuorum: (replies: ReadonlyMap<string, AppendReply>, completeDiskIds: ReadonlySet<string>) => boolean
   ): Collection {
     const deadlineMs = performance.now() + timeoutMs
     const replies = new Map<string, AppendReply>()
+    // Those that were complete when they were sent the request.
+    const completeDiskIds = new Set<string>()
     const request = { viewVersion: this.peers.view.version, records: [...records], accountOf }
     const { appendQuorum, accountQuorum } = this.peers.quorums
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
       firstCount: Math.max(appendQuorum, accountQuorum),
-      isDone: () => hasQuorum(replies),
+      isDone: () => hasQuorum(replies, completeDiskIds),
       hedgeDelayMs: appendHedgeDelayMs,
       deadlineMs,
       send: async state => {
-        const reply = await this.peers.sendWithRetry(
-          state, (peer, limitMs) => peer.append(request, limitMs), { deadlineMs, failsFast: accountOf !== '' }
+        const voterDiskId = this.findReadVoter(state)
+        const reply = await this.peers.sendWithRetry<AppendReply>(
+          state, (peer, limitMs, wait) => peer.append(request, limitMs, wait), { deadlineMs, failsFast: accountOf !== '' }
         )
-        if (reply !== null) replies.set(reply.standing!.diskId, reply)
+        if (reply === null) return
+        replies.set(reply.standing!.diskId, reply)
+        if (reply.standing!.diskId === voterDiskId) completeDiskIds.add(voterDiskId)
       }
     })
     const quorum = fanout.done.then(() => {
-      if (hasQuorum(replies)) return
+      if (hasQuorum(replies, completeDiskIds)) return
       this.log.event(Events.quorumMissed, {
         of: 'append',
         ids: records.map(record => record.id),
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -1,9 +1,10 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { LedgerConnection, LedgerServer } from '#connection/rpc'
 import type { LedgerRecord, View } from '#connection/rpc'
+import { sleep } from '#process/clock'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
 import { LedgerQuorum } from '#process/quorum'
@@ -77,6 +78,41 @@
   expect([silent.mock.calls.length, countHolders('t1')]).toEqual([1, 2])
 })
 
+/// Lets each storage instance store the records `id` later than they arrive. Counts how often each one receives them.
+function delayAppends (id: string, delayMs: number): number[] {
+  const counts = ledgers.map(() => 0)
+  for (const [index, ledger] of ledgers.entries()) {
+    const append = ledger.append.bind(ledger)
+    vi.spyOn(ledger, 'append').mockImplementation(async request => {
+      if (request.records.some(record => record.id === id)) {
+        counts[index]!++
+        await sleep(delayMs)
+      }
+      return await append(request)
+    })
+  }
+  return counts
+}
+
+// Guards against turns that are cut because the replies of storage instances with a slow disk come too late.
+test('replies that come later than an instance is taken for silent still count, and show that it is up', async () => {
+  delayAppends('t1', 700)
+  await quorum.append([createRecord(RecordKind.turn, 't1')], 3000)
+  expect(quorum.isAvailable).toBe(true)
+})
+
+test('a storage instance that is slow with a record, and replies to others, is sent the record once', async () => {
+  const counts = delayAppends('t1', 1000)
+  const slow = quorum.append([createRecord(RecordKind.turn, 't1')], 3000)
+  for (let i = 0; i < 20; i++) {
+    const other = await quorum.reserve(createRecord(RecordKind.reservation, `r${i}`), 900)
+    await other.readComplete(900)
+    await sleep(50)
+  }
+  await slow
+  expect(counts).toEqual([1, 1, 1])
+})
+
 test('the complete account of a reservation is that of all storage instances', async () => {
   const others = new LedgerQuorum({ zone: 'b', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStaleView: () => {} }, noopLog)
   others.adoptView(view, 'test')
@@ -131,6 +167,59 @@
   staleQuorum.close()
 })
 
+// Guards against a new disk that is asked before it has copied, and counts because it serves when the others reply.
+describe('a disk that serves only after it has replied', () => {
+  const replyDelayMs = 60
+  let servingView: View
+  let records: LedgerRecord[]
+
+  function delay (index: number, method: 'append' | 'findChain', delayMs: number): void {
+    const ledger = ledgers[index]!
+    const handle = ledger[method].bind(ledger) as (request: unknown) => Promise<never>
+    vi.spyOn(ledger, method).mockImplementation(async (request: unknown) => {
+      await sleep(delayMs)
+      return await handle(request)
+    })
+  }
+
+  beforeEach(async () => {
+    const members = view.members.map((member, i) => i === 2 ? { ...member, state: 'joining', replacement: true } : member)
+    quorum.adoptView({ ...view, version: 4, members }, 'test')
+    servingView = { ...view, version: 5 }
+    records = [createRecord(RecordKind.turn, 't1', { programId: 'q' }), createRecord(RecordKind.reservation, 'r1')]
+    await ledgers[1]!.persist(records)
+    for (const method of ['append', 'findChain'] as const) {
+      delay(0, method, 2 * replyDelayMs)
+      delay(1, method, 3 * replyDelayMs)
+    }
+  })
+
+  test.each<[string, () => Promise<string[] | undefined>, string]>([
+    ['does not rule out a turn', async () => (await quorum.findChain('t1', 900))?.map(turn => turn.id), 't1'],
+    ['does not complete an account', async () => (await quorum.readAccount('p', 900)).map(entry => entry.id), 'r1']
+  ])('%s', async (_, read, id) => {
+    const found = read()
+    await sleep(replyDelayMs * 1.5)
+    await ledgers[2]!.persist(records)
+    quorum.adoptView(servingView, 'test')
+    expect(await found).toEqual([id])
+  })
+})
+
+// Guards against a disk that has copied a turn since it was asked, and whose old reply rules it out in a smaller view.
+test('what a disk lacked under an older view does not rule out a turn', async () => {
+  const records = [createRecord(RecordKind.turn, 't1')]
+  await ledgers[1]!.persist(records)
+  vi.spyOn(ledgers[1]!, 'findChain').mockReturnValue(new Promise(() => {}))
+  const findAtLast = ledgers[2]!.findChain.bind(ledgers[2]!)
+  vi.spyOn(ledgers[2]!, 'findChain').mockImplementation(async request => await sleep(120).then(() => findAtLast(request)))
+  const found = quorum.findChain('t1', 900)
+  await sleep(80)
+  await ledgers[0]!.persist(records)
+  quorum.adoptView({ ...view, version: 4, members: view.members.slice(0, 2) }, 'test')
+  expect((await found)?.map(turn => turn.id)).toEqual(['t1'])
+})
+
 test('a view with too few members is reported as stale without any request', async () => {
   let staleReports = 0
   const staleQuorum = new LedgerQuorum({
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,16 +1,31 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { splitAddress } from '#connection/address'
+import { callAfterReading } from '#process/clock'
+import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
 import { RequestTracker } from './requesttracker.js'
+import type { FindCallId } from './requesttracker.js'
 import { ResponseTracker } from './responsetracker.js'
 
+/// A request without a complete response on a relayed connection that this entry or the other one ends.
+export interface UnansweredRequest {
+  /// Null if it has none, or the request has not been passed on.
+  readonly callId: string | null
+  /// Whether all of the request has been passed on.
+  readonly isWhole: boolean
+  /// What the caller has sent behind it, and has not been passed on.
+  readonly heldBytes: number
+  readonly reason: string
+}
+
 export interface RelayedConnectionOptions {
   readonly caller: Socket
   readonly entry: OtherEntry
   readonly origin: RelayOrigin
+  readonly findCallId: FindCallId
   /// Called for each chunk that is passed on, either way.
   readonly onChunk: () => void
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
@@ -18,28 +33,45 @@
   /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
   /// answered all that it was sent (`wasUsed`). What the caller has sent since can be read from the connection.
   readonly onReturned: (wasUsed: boolean) => void
+  /// Called before `onEnd`.
+  readonly onUnanswered: (request: UnansweredRequest) => void
+  /// How long a connection is kept that no request comes on, after it was drained.
+  readonly idleTimeoutMs: number
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
 }
 
 const connectTimeoutMs = 300
+/// A caller that has sent more than this behind a request is not read until the response is complete.
+const maxHeldBytes = 64 * 1024
+const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
-/// Passes the bytes of a caller's connection on to another entry and back, until one of them closes.
+/// Passes the bytes of a caller's connection on to another entry and back, until one of them closes. Requests are
+/// passed on one by one, each after the response to the one before: a response that closes the connection leaves none
+/// behind it that an instance has run.
 export class RelayedConnection {
   private readonly peer: Socket
   private readonly connectTimer: ReturnType<typeof setTimeout>
   private isConnected = false
   private isEnded = false
   private isDraining = false
-  /// It ends as soon as what has arrived is read.
-  private isLeaving = false
-  private readonly requests = new RequestTracker()
+  /// It closes once no request is under way.
+  private isClosing = false
+  /// Closing, what has arrived is read first.
+  private isReadingRest = false
+  /// It isn't connected to the other entry any more, and waits for a request.
+  private isParked = false
+  private idleTimer: ReturnType<typeof setTimeout> | undefined
+  /// What the caller has sent and has not been passed on.
+  private held: Buffer | null = null
+  private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
 
   constructor (private readonly options: RelayedConnectionOptions) {
-    const { caller, entry } = options
+    const { caller, entry, findCallId } = options
+    this.requests = new RequestTracker(findCallId)
     const [host, port] = splitAddress(entry.registration.address)
     this.peer = connect({ host, port, noDelay: true, onread: { buffer: readBuffer, callback: this.onPeerData } })
     this.connectTimer = setTimeout(() => this.peer.destroy(new Error('the connection timed out')), connectTimeoutMs)
@@ -50,18 +82,26 @@
     caller.on('close', this.onCallerGone)
   }
 
-  /// Ends the connection once the calls in flight have ended: the other entry gets no further ones. A call that has
-  /// arrived by then is served here.
+  /// Passes no further calls on to the other entry: the next one is served here. The connection isn't closed for this,
+  /// as the caller may be sending a request.
   readonly drain = (): void => {
     if (this.isDraining) return
     this.isDraining = true
-    if (this.isConnected) this.leaveBetweenRequests()
-    else this.giveBack()
+    if (!this.isConnected) this.giveBack()
+    else if (this.isIdle) this.leaveIdle()
+  }
+
+  /// Closes the connection once the calls in flight have ended. A call that has arrived by then is served here.
+  close (): void {
+    this.isClosing = true
+    if (this.isParked) this.leaveIdle()
+    else this.drain()
   }
 
   /// Breaks the connection, so that the caller can't take a response for complete that isn't.
   abort (reason: string): void {
     if (this.isEnded) return
+    this.reportUnanswered(reason)
     this.options.caller.resetAndDestroy()
     this.peer.resetAndDestroy()
     this.finish(reason)
@@ -72,13 +112,23 @@
     return this.requests.isBetweenMessages && this.requests.count === this.responses.count
   }
 
-  /// Has the connection served here. `chunk` has been read from it, and not been passed on.
-  private giveBack (chunk: Buffer | null = null): void {
+  /// Whether a request has been passed on as a whole, and the response to it is not complete.
+  private get awaitsResponse (): boolean {
+    return this.requests.isBetweenMessages && this.requests.count > this.responses.count
+  }
+
+  /// Whether the caller has got all that it gets on the connection.
+  private get hasLastResponse (): boolean {
+    return this.responses.isLast && this.responses.isBetweenMessages
+  }
+
+  /// Has the connection served here, from the first request on that has not been passed on.
+  private giveBack (): void {
     const { caller, onReturned } = this.options
     if (this.isEnded) return
     this.finish(null)
     this.peer.destroy()
-    if (chunk !== null) caller.unshift(chunk)
+    if (this.held !== null) caller.unshift(this.held)
     onReturned(this.requests.count > 0)
     caller.resume()
   }
@@ -94,23 +144,46 @@
     caller.on('data', this.onCallerData)
     caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
-    peer.on('drain', () => { if (!peer.writableEnded) caller.resume() })
-    // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then,
-    // as after an end on both sides.
-    peer.on('end', () => {
-      if (this.isIdle) this.endAfterReading()
-      else if (peer.remoteAddress === undefined && !this.isDraining) this.abort('the entry reset the connection')
-      else this.endCaller()
-    })
+    peer.on('drain', () => this.updateReading())
+    peer.on('end', this.onPeerEnd)
+  }
+
+  private readonly onPeerEnd = (): void => {
+    if (this.isIdle) return this.leaveIdle()
+    if (this.hasLastResponse) return this.endCaller(lastResponseReason)
+    // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then.
+    if (this.peer.remoteAddress === undefined) return this.abort('the entry reset the connection')
+    this.responses.end()
+    this.endCaller('the entry ended the connection')
   }
 
   private readonly onCallerData = (chunk: Buffer): void => {
-    const { caller, onChunk } = this.options
-    if (this.isDraining && this.isIdle) return this.responses.isLast ? this.endCaller() : this.giveBack(chunk)
-    onChunk()
-    this.requests.add(chunk)
-    if (!this.peer.write(chunk)) caller.pause()
-    if (this.isDraining) this.leaveBetweenRequests()
+    // What follows the last response is no request, and what is left of one that was refused early isn't needed.
+    if (this.responses.isLast) return
+    this.held = this.held === null ? chunk : Buffer.concat([this.held, chunk])
+    this.passOn()
+    this.updateReading()
+  }
+
+  /// Passes on what the caller has sent, up to the end of a request that needs a response first.
+  private passOn (): void {
+    while (this.held !== null && !this.awaitsResponse && !this.responses.isLast) {
+      if (this.isDraining && this.isIdle) return this.giveBack()
+      const { held } = this
+      const length = this.requests.addMessage(held)
+      this.held = length < held.length ? held.subarray(length) : null
+      this.options.onChunk()
+      this.peer.write(held.subarray(0, length))
+    }
+    if (this.isDraining && this.isIdle && !this.isEnded) this.leaveIdle()
+  }
+
+  private updateReading (): void {
+    if (this.isEnded) return
+    const { caller } = this.options
+    const isFull = this.peer.writableNeedDrain || (this.held?.length ?? 0) > maxHeldBytes
+    if (isFull) caller.pause()
+    else caller.resume()
   }
 
   private readonly onCallerDrain = (): void => { this.peer.resume() }
@@ -119,40 +192,58 @@
   private readonly onPeerData = (length: number): boolean => {
     this.options.onChunk()
     const chunk = Buffer.from(readBuffer.subarray(0, length))
+    this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
     const readsOn = this.options.caller.write(chunk)
-    if (this.isDraining) this.leaveBetweenRequests()
+    this.passOn()
+    this.updateReading()
     return readsOn
   }
 
-  /// Within a request, its rest ends the connection.
-  private leaveBetweenRequests (): void {
-    if (this.isEnded || !this.requests.isBetweenMessages) return
-    if (this.isIdle) return this.endAfterReading()
-    if (this.peer.writableEnded) return
-    this.options.caller.pause()
-    this.peer.end()
+  private leaveIdle (): void {
+    if (this.responses.isLast) this.endCaller(lastResponseReason)
+    else if (this.isDraining && !this.isClosing) this.park()
+    else this.endAfterReading()
+  }
+
+  /// Waits for the caller's next request.
+  private park (): void {
+    if (this.isParked) return
+    const { entry, idleTimeoutMs } = this.options
+    this.isParked = true
+    this.forgetEntry(entry)
+    this.peer.destroy()
+    this.idleTimer = setTimeout(() => this.endAfterReading(), idleTimeoutMs)
   }
 
   /// Ends the connection unless the caller has sent another request: if this process was busy, it may have waited.
   private endAfterReading (): void {
-    if (this.responses.isLast) return this.endCaller()
-    if (this.isLeaving) return
+    if (this.isReadingRest) return
     this.isDraining = true
-    this.isLeaving = true
+    this.isClosing = true
+    this.isReadingRest = true
     this.options.caller.resume()
-    // What has arrived is read by the end of the next event loop iteration.
-    setImmediate(() => setImmediate(() => { if (!this.isEnded) this.endCaller() }))
+    callAfterReading(() => { if (!this.isEnded) this.endCaller() })
   }
 
-  private endCaller (): void {
+  private endCaller (reason = 'the connection was idle'): void {
     const { caller } = this.options
     if (this.isEnded) return
+    this.reportUnanswered(reason)
     this.finish(null)
-    caller.end(() => caller.destroy())
+    closeInOrder(caller)
     this.peer.destroy()
   }
 
+  private reportUnanswered (reason: string): void {
+    const { requests, responses } = this
+    const heldBytes = this.held?.length ?? 0
+    const isUnderWay = requests.hasMoreThan(responses)
+    if (!isUnderWay && heldBytes === 0) return
+    const callId = isUnderWay ? requests.callId : null
+    this.options.onUnanswered({ callId, isWhole: requests.isBetweenMessages, heldBytes, reason })
+  }
+
   /// A caller that has sent its end has left, as for calls that are served here. The reset lets the other entry know at
   /// once.
   private readonly onCallerGone = (): void => {
@@ -165,18 +256,24 @@
   private readonly onLoss = (): void => this.abort('the entry has fallen silent')
 
   private handlePeerError (reason: string): void {
-    if (this.isEnded) return
-    if (this.isConnected) return this.isIdle ? this.endAfterReading() : this.abort(reason)
+    if (this.isEnded || this.isParked) return
+    if (this.hasLastResponse) return this.endCaller(lastResponseReason)
+    if (this.isConnected) return this.isIdle ? this.leaveIdle() : this.abort(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
   }
 
+  private forgetEntry ({ onUnavailable, onLoss }: OtherEntry): void {
+    onUnavailable.delete(this.drain)
+    onLoss.delete(this.onLoss)
+  }
+
   private finish (reason: string | null): void {
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
     clearTimeout(this.connectTimer)
-    entry.onUnavailable.delete(this.drain)
-    entry.onLoss.delete(this.onLoss)
+    clearTimeout(this.idleTimer)
+    this.forgetEntry(entry)
     caller.off('data', this.onCallerData)
     caller.off('drain', this.onCallerDrain)
     for (const event of ['end', 'error', 'close']) caller.off(event, this.onCallerGone)
