--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -131,7 +131,8 @@
   private readonly relayFront: FrontServer
   private readonly origins = new WeakMap<Socket, RelayOrigin>()
 
-  constructor (instances: readonly ListedInstance[], log: EventLog = noopLog) {
+  /// `listener` gets the events of serving calls, too.
+  constructor (instances: readonly ListedInstance[], listener: EventLog = noopLog) {
     this.registry = new InstanceRegistry({
       parseInstance,
       connect: description => new InstanceClient(description.address, 8),
@@ -144,7 +145,10 @@
     listObjects(this.registry, { objects, revision: 1 }, false)
     this.placement = new Placement(this.registry, 'z', noopLog)
     const log: EventLog = {
-      event: ({ name }: EventKind, fields: EventFields = {}) => { this.events.push({ name, ...fields }) }
+      event: (kind: EventKind, fields: EventFields = {}) => {
+        this.events.push({ name: kind.name, ...fields })
+        listener.event(kind, fields)
+      }
     }
     const context = {
       codec: platformHeaders,
