--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -62,8 +62,8 @@
   return sources.length >= requiredCopySources(view, toleratedLosses)
 }
 
-/// Whether each absence quorum of an older view has one that knows that this member is read. Members that are gone are in
-/// no quorum.
+/// Whether each absence quorum of an older view has one that knows that this member is read. Members that are gone are
+/// in no quorum.
 function isKnownToRead (view: View, standpoint: Standpoint): boolean {
   const { own, passes, stateVersion, presentDiskIds, toleratedLosses } = standpoint
   const others = view.members.filter(member => hasCopied(member) && member.diskId !== own.diskId)
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -4,8 +4,8 @@
 export const MemberState = {
   /// Receives appends, but does not hold all committed records yet.
   joining: 'joining',
-  /// Holds all committed records, and is read. Its appends do not count yet: an entry that knows an older view would not
-  /// ask it for a record.
+  /// Holds all committed records, and is read. Its appends do not count yet: an entry that knows an older view would
+  /// not ask it for a record.
   admitted: 'admitted',
   serving: 'serving',
   /// Being removed: its records are still read, but its appends no longer count towards a quorum.
