Storage membership: a new member's appends count once the others know that it is read

A turn that had been answered whole could be answered 404 when a member was added: it served, and acknowledged the turn with one other, before the rest had heard of the view that lists it as serving. An entry that knew the older view, too, found an absence quorum of the rest. The window is as long as the store's watches are late, longest if the store fails just then.

A joining member that replaces no lost disk is admitted first: read, and counted in the absence and account quorums, but its appends don't count. It serves once f+1 others, or all that are present, have been copied under that view, so that each absence quorum of an older view has one that knows it. That costs one write of the view and one pass an added member.

The view test of a joining member calls withCopied now, which says what withServing said; a case for an added member is new.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -1,7 +1,7 @@
 import type { Member, View } from '#connection/rpc'
 import {
-  MemberState, canEvict, canLeave, hasCopied, isForming, requiredCopySources, withLeaving, withMember, withServing,
-  withSynced, withoutLeaving
+  MemberState, canEvict, canLeave, hasCopied, isForming, requiredCopySources, withCopied, withLeaving, withMember,
+  withServing, withSynced, withoutLeaving
 } from './view.js'
 import type { AbsentMember } from './view.js'
 
@@ -19,6 +19,8 @@
   readonly toleratedLosses: number
   /// Version of the first view in which this instance has seen its disk.
   readonly listedVersion: number
+  /// Version of the first view in which this instance has seen its disk in its current state.
+  readonly stateVersion: number
   /// Whether the disk was new in the first start of the system, and has got no records since.
   readonly isFirstStart: boolean
   readonly retiredNames: Pick<ReadonlySet<string>, 'has'>
@@ -38,7 +40,9 @@
   if (withOwnDisk !== view) return isListed || !retiredNames.has(own.name) ? withOwnDisk : view
   const ownMember = view.members.find(member => member.diskId === own.diskId)
   const isJoining = ownMember?.state === MemberState.joining
-  if (isJoining && holdsAllBefore(view, standpoint.listedVersion, standpoint)) return withServing(view, own.diskId)
+  if (isJoining && holdsAllBefore(view, standpoint.listedVersion, standpoint)) return withCopied(view, own.diskId)
+  const isAdmitted = ownMember?.state === MemberState.admitted
+  if (isAdmitted && isKnownToRead(view, standpoint)) return withServing(view, own.diskId)
   const isNeeded = !canLeave(view, own.name, presentDiskIds, toleratedLosses)
   if (ownMember?.state === MemberState.leaving && isNeeded) return withoutLeaving(view, own.diskId)
   const leavingName = findMemberToRemove(view, standpoint)
@@ -58,6 +62,16 @@
   return sources.length >= requiredCopySources(view, toleratedLosses)
 }
 
+/// Whether each absence quorum of an older view has one that knows that this member is read.
+/// Members that are gone don't reply.
+function isKnownToRead (view: View, standpoint: Standpoint): boolean {
+  const { own, passes, stateVersion, presentDiskIds, toleratedLosses } = standpoint
+  const others = view.members.filter(member => hasCopied(member) && member.diskId !== own.diskId)
+  const knowing = others.filter(({ diskId }) => (passes.get(diskId)?.viewVersion ?? -1) >= stateVersion)
+  const present = others.filter(({ diskId }) => presentDiskIds.has(diskId))
+  return knowing.length >= Math.min(toleratedLosses + 1, present.length)
+}
+
 /// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
 /// one member leaves at a time.
 function findMemberToRemove (view: View, standpoint: Standpoint): string | null {
--- a/process/membership/src/index.ts
+++ b/process/membership/src/index.ts
@@ -1,5 +1,5 @@
 export { ViewFormatError, parseView } from './codec.js'
 export { computeNextView } from './decisions.js'
 export type { CompletedPass, Standpoint } from './decisions.js'
-export { MemberState, canLeave, hasCopied, requiredCopySources, emptyView, canEvict, computeFullSize, computeQuorums, isForming, needsMember, viewObjectName, withServing, withLeaving, withMember, withSynced, withoutLeaving } from './view.js'
+export { MemberState, canLeave, hasCopied, requiredCopySources, emptyView, canEvict, computeFullSize, computeQuorums, isForming, needsMember, viewObjectName, withCopied, withServing, withLeaving, withMember, withSynced, withoutLeaving } from './view.js'
 export type { AbsentMember, Quorums } from './view.js'
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -4,6 +4,9 @@
 export const MemberState = {
   /// Receives appends, but does not hold all committed records yet.
   joining: 'joining',
+  /// Holds all committed records, and is read. Its appends do not count yet: an entry that knows an older view would
+  /// rule out a record without its reply.
+  admitted: 'admitted',
   serving: 'serving',
   /// Being removed: its records are still read, but its appends no longer count towards a quorum.
   leaving: 'leaving'
@@ -44,7 +47,9 @@
 /// quorum is so large that it includes at least one of these disks.
 export function computeQuorums (view: View, toleratedLosses: number): Quorums {
   const quorumMembers = view.members.filter(isQuorumMember)
-  const appendMembers = quorumMembers.filter(member => member.state !== MemberState.leaving)
+  const appendMembers = quorumMembers.filter(({ state }) => {
+    return state !== MemberState.leaving && state !== MemberState.admitted
+  })
   const readMembers = quorumMembers.filter(hasCopied)
   const appendQuorum = toleratedLosses + 1
   return {
@@ -81,9 +86,9 @@
   return Math.max(1, view.members.filter(isQuorumMember).length - toleratedLosses)
 }
 
-/// Whether a member has served, so that it holds what it must: it neither joins, nor leaves before it has served.
+/// Whether a member holds what it must: it neither joins, nor leaves before it has copied.
 export function hasCopied ({ state, replacement }: Member): boolean {
-  return state === MemberState.serving || (state === MemberState.leaving && !replacement)
+  return state !== MemberState.joining && !replacement
 }
 
 /// A joining member takes part in quorums only as the replacement of a lost disk.
@@ -111,11 +116,19 @@
   return { ...view, version: view.version + 1, members: [...view.members.filter(other => other !== existing), member] }
 }
 
-/// Marks a joining member as serving, once it holds all committed records.
-export function withServing (view: View, diskId: string): View {
+/// Marks a joining member that holds all committed records as serving, or as admitted if it replaces no lost disk.
+export function withCopied (view: View, diskId: string): View {
   const member = view.members.find(other => other.diskId === diskId)
   if (member === undefined || member.state !== MemberState.joining) return view
-  return replaceMember(view, { ...member, state: MemberState.serving, replacement: false })
+  const state = member.replacement ? MemberState.serving : MemberState.admitted
+  return replaceMember(view, { ...member, state, replacement: false })
+}
+
+/// Marks an admitted member as serving, once enough others know that it is read.
+export function withServing (view: View, diskId: string): View {
+  const member = view.members.find(other => other.diskId === diskId)
+  if (member === undefined || member.state !== MemberState.admitted) return view
+  return replaceMember(view, { ...member, state: MemberState.serving })
 }
 
 /// Marks a member as leaving. One that is joining and replaces no lost disk is removed at once.
--- a/process/membership/test/model.ts
+++ b/process/membership/test/model.ts
@@ -21,6 +21,7 @@
   machinesWhenGone: number
   view: View
   listedVersion: number
+  stateVersion: number
   readonly passes: Map<string, CompletedPass>
 }
 
@@ -64,7 +65,7 @@
 
   add (): void {
     const name = `m${this.machines.length}`
-    const knowledge = { view: emptyView, listedVersion: 0, passes: new Map<string, CompletedPass>() }
+    const knowledge = { view: emptyView, listedVersion: 0, stateVersion: 0, passes: new Map<string, CompletedPass>() }
     this.machines.push({ name, disk: this.createDisk(), isUp: true, isGone: false, machinesWhenGone: 0, ...knowledge })
   }
 
@@ -74,7 +75,7 @@
 
   start (machine: Machine): void {
     if (machine.isUp || machine.isGone) return
-    Object.assign(machine, { isUp: true, listedVersion: 0 })
+    Object.assign(machine, { isUp: true, view: emptyView })
     machine.passes.clear()
     this.adopt(machine)
   }
@@ -101,9 +102,10 @@
   /// The machine reads the view in the platform's store.
   adopt (machine: Machine): void {
     if (!machine.isUp) return
+    const previous = findDisk(machine.view, machine.disk)
+    if (previous === undefined) machine.listedVersion = this.view.version
+    if (previous?.state !== findDisk(this.view, machine.disk)?.state) machine.stateVersion = this.view.version
     machine.view = this.view
-    if (!this.isMember(machine)) machine.listedVersion = 0
-    else if (machine.listedVersion === 0) machine.listedVersion = this.view.version
   }
 
   /// The machine copies all that a peer holds.
@@ -206,7 +208,7 @@
   }
 
   private computeNext (machine: Machine, isLong: boolean): View {
-    const { view, passes, listedVersion, name, disk } = machine
+    const { view, passes, listedVersion, stateVersion, name, disk } = machine
     const present = this.machines.filter(({ isUp }) => isUp).map(other => other.disk.id)
     const presentDiskIds = new Set(present)
     const isListed = view.members.some(member => member.name === name)
@@ -215,6 +217,7 @@
       own: { name, diskId: disk.id, address: `${name}:1`, zone: 'z' },
       toleratedLosses: this.toleratedLosses,
       listedVersion,
+      stateVersion,
       isFirstStart: this.entries.length === 0,
       retiredNames: this.retired,
       passes,
@@ -250,7 +253,7 @@
   }
 
   private isMember ({ disk }: Machine): boolean {
-    return this.view.members.some(({ diskId }) => diskId === disk.id)
+    return findDisk(this.view, disk) !== undefined
   }
 
   private createDisk (): ModelDisk {
@@ -258,6 +261,10 @@
   }
 }
 
+function findDisk (view: View, { id }: ModelDisk): Member | undefined {
+  return view.members.find(({ diskId }) => diskId === id)
+}
+
 function countVoters (diskIds: ReadonlySet<string>, voters: ReadonlySet<string>): number {
   return [...diskIds].filter(diskId => voters.has(diskId)).length
 }
--- a/process/membership/test/view.test.ts
+++ b/process/membership/test/view.test.ts
@@ -2,7 +2,7 @@
 import type { Member, View } from '#connection/rpc'
 import {
   MemberState, requiredCopySources, emptyView, canEvict, canLeave, computeQuorums, isForming, needsMember, parseView,
-  withServing, withLeaving, withMember, withSynced, withoutLeaving
+  withCopied, withServing, withLeaving, withMember, withSynced, withoutLeaving
 } from '#process/membership'
 
 function joinMember (view: View, name: string, disk = name, isFirstStart = true): View {
@@ -84,7 +84,16 @@
     const replaced = joinMember(createView('a', 'b', 'c'), 'a', 'a2', false)
     expect(requiredCopySources(replaced, 1)).toBe(2)
     expect(requiredCopySources(joinMember(createView('a', 'b', 'c'), 'd', 'd', false), 1)).toBe(2)
-    expect(findMember(withServing(replaced, 'a2'), 'a')).toMatchObject({ state: MemberState.serving, replacement: false })
+    expect(findMember(withCopied(replaced, 'a2'), 'a')).toMatchObject({ state: MemberState.serving, replacement: false })
+  })
+
+  test('a member that is added to the others is read before its appends count', () => {
+    const admitted = withCopied(joinMember(createView('a', 'b', 'c'), 'd', 'd', false), 'd')
+    expect(findMember(admitted, 'd')).toMatchObject({ state: MemberState.admitted })
+    expect(computeQuorums(admitted, 1)).toMatchObject({
+      appendVoters: new Set(['a', 'b', 'c']), readVoters: new Set(['a', 'b', 'c', 'd']), absenceQuorum: 3
+    })
+    expect(findMember(withServing(admitted, 'd'), 'd')).toMatchObject({ state: MemberState.serving })
   })
 
   test('a leaving member is removed once enough serving ones for an append quorum have synced', () => {
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -3,7 +3,7 @@
 
 const toleratedLosses = 1
 
-/// What happens to three machines and one entry. Throws if an invariant of the model is broken.
+/// What happens to three machines and two entries. Throws if an invariant of the model is broken.
 type History = (model: StorageModel) => void
 
 const cases: Record<string, History> = {
@@ -66,6 +66,23 @@
     for (const peer of [first, second]) model.copy(wiped, peer)
     append(model, first)
     decide(model, wiped)
+  },
+  'a new member acknowledges a turn before the others know of it: an entry on the older view does not deny the turn': model => {
+    const [retired, silent, other] = model.machines as [Machine, Machine, Machine]
+    model.retire(retired)
+    decide(model, other)
+    model.add()
+    const added = model.machines[3]!
+    decide(model, added)
+    for (const machine of [retired, silent, other]) {
+      model.adopt(machine)
+      model.copy(added, machine)
+    }
+    decide(model, added)
+    decide(model, added)
+    for (const machine of [other, added]) model.send(model.entries[0]!, machine)
+    // The first reply only makes the entry begin anew, under the view before the last.
+    for (const machine of [retired, retired, silent]) model.ask(model.entries[1]!, machine, 0)
   }
 }
 
@@ -83,7 +100,7 @@
 }
 
 test.each(Object.entries(cases))('%s', (_, history) => {
-  const model = new StorageModel(3, toleratedLosses, 1)
+  const model = new StorageModel(3, toleratedLosses, 2)
   history(model)
   model.checkRecords()
 })
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -124,6 +124,7 @@
       own: { name, diskId: ledger.diskId, address, zone },
       toleratedLosses,
       listedVersion: peers.listedVersion,
+      stateVersion: peers.stateVersion,
       isFirstStart,
       retiredNames: retirements,
       passes: peers.passes,
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -47,6 +47,8 @@
 export class StoragePeers {
   /// Version of the first view in which this instance's disk was listed; it may have been listed before.
   listedVersion = 0
+  /// Version of the first view in which it was listed in its current state.
+  stateVersion = 0
   private view: View = emptyView
   private contactedAtMs = performance.now()
   private readonly peers = new Map<string, PeerState>()
@@ -60,10 +62,8 @@
   ) {}
 
   update (view: View): void {
+    this.recordOwnState(view)
     this.view = view
-    const isListed = view.members.some(member => member.diskId === this.ledger.diskId)
-    if (!isListed) this.listedVersion = 0
-    else if (this.listedVersion === 0) this.listedVersion = view.version
     this.recordListing(performance.now())
     const others = view.members.filter(member => member.diskId !== this.ledger.diskId)
     for (const [diskId, state] of this.peers) {
@@ -125,6 +125,17 @@
     })
   }
 
+  private recordOwnState (view: View): void {
+    const previous = this.findOwnMember(this.view)
+    const own = this.findOwnMember(view)
+    if (previous === undefined) this.listedVersion = view.version
+    if (previous?.state !== own?.state) this.stateVersion = view.version
+  }
+
+  private findOwnMember (view: View): Member | undefined {
+    return view.members.find(member => member.diskId === this.ledger.diskId)
+  }
+
   private recordListing (nowMs: number): void {
     const names = this.view.members.map(member => member.name)
     for (const name of this.listedAtMs.keys()) if (!names.includes(name)) this.listedAtMs.delete(name)
@@ -187,7 +198,7 @@
 
   /// Whether this member may lack records that it needs to serve, or that only a leaving member holds.
   private isCatchingUp (): boolean {
-    const ownMember = this.view.members.find(member => member.diskId === this.ledger.diskId)
+    const ownMember = this.findOwnMember(this.view)
     return ownMember?.state !== MemberState.serving || ownMember.syncedView < this.view.leaveVersion
   }
 
