Storage membership: peers are copied at once when a member leaves

A retirement or an eviction waited up to 2 s, until the next copy in the ordinary course, before the members caught up. Faults that strike meanwhile need more copies to be whole. Peers are copied at once now when the view makes this member catch up; a system in which nothing changes copies as before.

Evidence: a case in storagepeers.test.ts fails without the change (0 copies in place of 3); another view change starts none.

--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -72,6 +72,7 @@
       this.peers.delete(diskId)
     }
     for (const member of others) if (!this.peers.has(member.diskId)) this.add(member)
+    if (this.isCatchingUp()) for (const state of this.peers.values()) state.nextCopyMs = 0
   }
 
   /// Starts the copy passes or probes that are due.
--- a/process/storage/test/storagepeers.test.ts
+++ b/process/storage/test/storagepeers.test.ts
@@ -10,6 +10,7 @@
 
 let peers: StoragePeers
 let isReachable: boolean
+let digestCount: number
 
 function createMember (name: string): Member {
   return { name, diskId: name, address: `${name}:1`, zone: 'z', state: MemberState.serving, syncedView: 0, replacement: false }
@@ -22,9 +23,11 @@
 beforeEach(() => {
   vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
   isReachable = true
+  digestCount = 0
   const digest = async (): Promise<unknown> => {
+    digestCount++
     if (!isReachable) throw new Error('unreachable')
-    return { standing: { diskId: 'a', viewVersion: 1 } }
+    return { standing: { diskId: 'a', viewVersion: 1 }, keys: [], nextCursor: 0, atEnd: true, epoch: 'e' }
   }
   peers = new StoragePeers({
     name: 'standby',
@@ -78,3 +81,18 @@
   const absent = peers.findAbsent(performance.now()).filter(({ diskId }) => diskId !== 'd')
   expect(absent.map(({ isReplaced }) => isReplaced)).toEqual(expected)
 })
+
+// Guards against a retirement that waits for the next copy in the ordinary course: faults strike meanwhile.
+test.each<[string, Partial<View>, number]>([
+  ['a member leaves: the others are copied at once', { version: 2, leaveVersion: 2 }, 3],
+  ['another change of the view: they are copied in the ordinary course', { version: 2 }, 0]
+])('%s', async (_, change, expectedDigests) => {
+  const view = createView('a', 'b', 'c')
+  const listed = { ...view, members: [...view.members, { ...createMember('standby'), diskId: 'own' }] }
+  peers.update(listed)
+  await tick(1)
+  digestCount = 0
+  peers.update({ ...listed, ...change })
+  await tick(1)
+  expect(digestCount).toBe(expectedDigests)
+})
