Relay: the first request on a drained connection isn't taken for as old as the connection

Its first request, also one that came seconds later, counted as arrived when the connection was opened, so that it could be refused as past its deadline.

Cause: only a connection with earlier requests was given back as used. Since relayed connections are kept at a new configuration it may also wait unused.

Change: a connection that waited for a request is given back as used.

Evidence: `npx vitest run process/relay/test/relayedconnection`: 1 of 23 fails without the change, 23 pass. Found by reading.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -31,7 +31,8 @@
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
   readonly onUnreachable: (reason: string) => void
   /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
-  /// answered all that it was sent (`wasUsed`). What the caller has sent since can be read from the connection.
+  /// answered all that it was sent. What the caller has sent since can be read from the connection. `wasUsed`: that may
+  /// have arrived long after the connection was opened.
   readonly onReturned: (wasUsed: boolean) => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
@@ -129,7 +130,7 @@
     this.finish(null)
     this.peer.destroy()
     if (this.held !== null) caller.unshift(this.held)
-    onReturned(this.requests.count > 0)
+    onReturned(this.isParked || this.requests.count > 0)
     caller.resume()
   }
 
@@ -213,6 +214,7 @@
     this.isParked = true
     this.forgetEntry(entry)
     this.peer.destroy()
+    this.updateReading()
     this.idleTimer = setTimeout(() => this.endAfterReading(), idleTimeoutMs)
   }
 
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -69,7 +69,8 @@
   return { server, port: (server.address() as AddressInfo).port }
 }
 
-async function relay (): Promise<Relayed> {
+/// Resolves once the other entry is reached, or before that, without its end, if it need not be.
+async function relay (isReached = true): Promise<Relayed> {
   const [front, other] = await Promise.all([listen(), listen()])
   const caller = new End(connect({ port: front.port, host: '127.0.0.1', noDelay: true }))
   const [accepted] = await once(front.server, 'connection') as [Socket]
@@ -89,7 +90,9 @@
     onUnanswered,
     onEnd
   })
-  const [socket] = await once(other.server, 'connection') as [Socket]
+  const reached = once(other.server, 'connection') as Promise<[Socket]>
+  if (!isReached) return { caller, entry: caller, connection, onReturned, onUnanswered, onEnd, accepted }
+  const [socket] = await reached
   const entry = new End(socket)
   await vi.waitFor(() => expect(entry.text).toMatch(/^RELAY 1 entry-0\n/))
   return { caller, entry, connection, onReturned, onUnanswered, onEnd, accepted }
@@ -183,6 +186,17 @@
   expect(onEnd).toHaveBeenCalledWith(null)
 })
 
+// Guards against sound requests that were refused as too old: they counted as arrived when the connection was opened.
+test.each([
+  ['reached: the next call arrives long after the opening', true, true],
+  ['not reached: the call may have arrived with the opening', false, false]
+])('drained before the first request, the other entry %s', async (_, isReached, isLate) => {
+  const { caller, connection, onReturned } = await relay(isReached)
+  connection.drain()
+  caller.socket.write(formatRequest('a1'))
+  await vi.waitFor(() => expect(onReturned.mock.calls).toEqual([[isLate]]))
+})
+
 // Guards against LOST: a drain between two parts of a request cut it off, or served its rest here.
 test.each([
   ['its head', formatRequest('a1').slice(0, 12), formatRequest('a1').slice(12)],
