--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -214,6 +214,7 @@
     this.isParked = true
     this.forgetEntry(entry)
     this.peer.destroy()
+    this.updateReading()
     this.idleTimer = setTimeout(() => this.endAfterReading(), idleTimeoutMs)
   }
 
