--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -51,6 +51,8 @@
 /// Most configurations leave the timeout of turns as it is.
 const turnTimeoutsMs = [4000, 4000, 4000, 1500, 2500, 6000]
 const pollIntervalMs = 50
+/// Of the changes that a final fault strikes beside, so many are retirements: they are under way for the longest time.
+const retirementShare = 0.6
 const instanceFaults = [
   UpstreamFault.full, UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframed,
   UpstreamFault.unframedReset
@@ -132,7 +134,8 @@
     const deadlineMs = performance.now() + timeoutMs
     const isFree = (): boolean => performance.now() >= this.storageFreeAtMs && this.supervisor.areStoragesSteady()
     while (!isFree() && performance.now() < deadlineMs) await sleep(pollIntervalMs)
-    this.start(() => this.changeStorage())
+    const isRetired = this.random.next() < retirementShare
+    this.start(() => isRetired ? this.retireStorage() : this.changeStorage())
   }
 
   private start (action: () => Promise<void>): void {
@@ -231,6 +234,10 @@
     this.system.store.compactHistory()
   }
 
+  private async retireStorage (): Promise<void> {
+    await this.disturbStorage(storage => this.storageChanges.retire(storage))
+  }
+
   private async killEntry (): Promise<void> {
     const entry = this.chooseEntry()
     if (entry === null) return
--- a/standin/soak/src/storagechanges.ts
+++ b/standin/soak/src/storagechanges.ts
@@ -57,7 +57,7 @@
   }
 
   /// Asks that a machine be emptied, and takes it away with its disk as soon as that is completed.
-  private async retire (storage: SystemNode): Promise<void> {
+  async retire (storage: SystemNode): Promise<void> {
     const { store } = this.system
     this.note(`${storage.name} is to be retired`)
     store.put('retirements', storage.name, { finish_by_s: maxRetirementMs / 1000 })
