A response that is ready at once knows of the requests read with its own

A trial with real processes and SIGTERM (two entries, pipelined triples) showed requests that had been read in one piece with the one before them dropped: `request-dropped` with `last-response-sent`, ten of ten lines shown in pairs.

Cause: a request that is refused at once (here: the entry stops) gets its response while its piece is still being parsed, so the requests behind it weren't known when the response said `close`.

Change: a request is started after the piece that it came in has been parsed.

Evidence: the new case of connection/front/test/pipelining.test.ts fails with the earlier source (1 of 18), passes with this one; connection/front and process/entry's pipelining and undelivered pass (74).

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -70,9 +70,11 @@
     if (this.isEnding || this.socket.destroyed) return request.drop()
     this.newest = request
     this.waiting.push(request)
-    this.startNext()
-    // When the rest of what was read has been parsed.
-    setImmediate(() => this.updateReading())
+    // When the rest of what was read has been parsed: a response that is ready at once must know of it.
+    process.nextTick(() => {
+      this.startNext()
+      this.updateReading()
+    })
   }
 
   /// Returns whether a response that starts now says that it is the last of its connection. Requests that were read
--- a/connection/front/test/pipelining.test.ts
+++ b/connection/front/test/pipelining.test.ts
@@ -9,15 +9,17 @@
 let client: RawClient
 /// Exchanges that were started, in order; the test responds to them.
 let started: Exchange[]
+let serve: (exchange: Exchange) => void
 let dropped: string[]
 let malformed: string[]
 
 beforeEach(async () => {
   started = []
+  serve = exchange => started.push(exchange)
   dropped = []
   malformed = []
   front = new FrontServer({
-    serve: async exchange => { started.push(exchange) },
+    serve: async exchange => serve(exchange),
     onMalformed: code => malformed.push(code),
     onDropped: exchange => dropped.push(exchange.head.path),
     onConnection: () => {},
@@ -89,6 +91,14 @@
   expect(client.text).toMatch(/^HTTP\/1.1 200 .*\/1HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 .*\/2$/s)
 })
 
+test('responses that are ready at once know of the requests that were read with theirs', async () => {
+  serve = exchange => respond(exchange, true)
+  client.socket.write(get('/1') + get('/2') + get('/3'))
+  await client.waitForEnd()
+  expect(client.text).toMatch(/\/1HTTP.*\/2HTTP.*connection: close.*\/3$/is)
+  expect(dropped).toEqual([])
+})
+
 test('what follows a response that says close is dropped and not served', async () => {
   client.socket.write(get('/1'))
   await until(() => started.length === 1)
