Responses name the idle time of their connection again

Since responses had neither `Connection: keep-alive` nor `Keep-Alive`, so callers weren't told how long they may reuse a connection.

Cause: the framework's `connection` header was removed from each response, also where it wasn't set; Node then leaves its own out.

Change: it is removed only if it is set (while the server closes).

Evidence: the new case of connection/front/test/server.test.ts fails with the earlier source (1 of 34), passes with this one; connection/front passes (67).

--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -144,8 +144,8 @@
     const exchange = new Exchange(
       request, response, this.getArrivalMs(request.socket), isWanted => connection.decideLast(isWanted)
     )
-    // The framework's, while it closes.
-    response.removeHeader('connection')
+    // The framework sets it while it closes. Node leaves out the idle time if a header was removed that wasn't there.
+    if (response.hasHeader('connection')) response.removeHeader('connection')
     const problem = this.findProblem(request)
     connection.add({
       get isRead () { return request.complete },
--- a/connection/front/test/server.test.ts
+++ b/connection/front/test/server.test.ts
@@ -115,3 +115,12 @@
   socket.destroy()
   expect(agesMs[0]).toBeGreaterThan(busyMs / 2)
 })
+
+// Guards against callers that reuse a connection as it is closed, since they weren't told its idle time.
+test('a response names the idle time of its connection', async () => {
+  front.setLimits({ headerTimeoutMs: 3000, idleTimeoutMs: 15_000 })
+  const socket = connect(address[1], address[0], () => socket.write('GET /a HTTP/1.1\r\nhost: h\r\n\r\n'))
+  const response = await new Promise<Buffer>(resolve => socket.once('data', resolve))
+  socket.destroy()
+  expect(response.toString('latin1')).toMatch(/^connection: keep-alive\r\nkeep-alive: timeout=15\r$/im)
+})
