Retirements: completed is reported only if the view in the store lists the member no more

Once a retirement is completed the machine is removed with its disk. The reporter judged by the view that it knew, which may be from before the member joined, when its watch of the view is silent and that of the retirements is not: a member that holds acknowledged turns would be removed. The view is now read from the store before 'completed' is written; that is one call a retirement.

--- a/process/storage/src/retirements.ts
+++ b/process/storage/src/retirements.ts
@@ -3,6 +3,7 @@
 import type { ObjectStore, StoredObject, WatchHandler } from '#connection/store'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
+import { parseView, viewObjectName } from '#process/membership'
 
 /// The states of a retirement, as they are written to the platform's store.
 const RetirementState = { running: 'running', completed: 'completed' } as const
@@ -56,16 +57,30 @@
   /// Writes the state of each retirement, unless it is there already. Should be called by one member only.
   report (view: View): void {
     for (const [name, status] of this.statusByName) {
-      const isGone = !view.members.some(member => member.name === name)
-      const state = isGone && view.version > 0 ? RetirementState.completed : RetirementState.running
+      const state = isRemoved(name, view) ? RetirementState.completed : RetirementState.running
       const reportedState = (status as { state?: unknown } | null)?.state
       if (reportedState === state || reportedState === RetirementState.completed) continue
       this.statusByName.set(name, { state })
-      this.log.event(Events.retirement, { name, state, viewVersion: view.version })
-      this.store.updateStatus(ObjectKind.retirements, name, { state }).catch((error: unknown) => {
+      this.write(name, state, view.version).catch((error: unknown) => {
         this.statusByName.set(name, status)
         this.log.event(Events.storeWriteFailed, { kind: ObjectKind.retirements, name, error: formatError(error) })
       })
     }
   }
+
+  /// Once a retirement is completed the machine is removed with its disk, so the view must be the one in the store: an
+  /// older one may lack a member that has joined since.
+  private async write (name: string, state: string, viewVersion: number): Promise<void> {
+    if (state === RetirementState.completed) {
+      const object = await this.store.get(ObjectKind.storageViews, viewObjectName)
+      const isConfirmed = object !== null && isRemoved(name, parseView(object.spec))
+      if (!isConfirmed) throw new Error('the view in the store still lists it')
+    }
+    this.log.event(Events.retirement, { name, state, viewVersion })
+    await this.store.updateStatus(ObjectKind.retirements, name, { state })
+  }
+}
+
+function isRemoved (name: string, { version, members }: View): boolean {
+  return version > 0 && !members.some(member => member.name === name)
 }
