--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -77,8 +77,13 @@
   ) {
     this.instances = [...system.engines, ...system.services]
     supervisor.onStart = node => { this.start(() => this.signalStarting(node)) }
-    const note = (text: string): void => { this.add('signal', null, 0, text) }
-    this.storageChanges = new StorageChanges(system, supervisor, random.fork(), note)
+    this.storageChanges = new StorageChanges(system, supervisor, random.fork(), {
+      add: text => { this.add('signal', null, 0, text) },
+      addLoss: text => {
+        const loss = this.add('unplanned', null, Infinity, text)
+        return () => { loss.endMs = performance.now() }
+      }
+    })
   }
 
   /// Whether a disk was lost that no other one has made up for yet: another one must not be lost then.
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -65,6 +65,8 @@
   /// HOST:PORT of the store.
   storeAddress = ''
   private isFirstStart = true
+  /// By the name of the node; each resolves when its last write is over.
+  private readonly settingsWrites = new Map<string, Promise<void>>()
 
   constructor (private readonly options: SystemOptions) {}
 
@@ -128,7 +130,7 @@
   /// Replaces the text of a process's settings file while the process runs.
   async changeSettings (node: SystemNode, edit: (settings: string) => string): Promise<void> {
     const path = this.settingsPath(node)
-    await writeFile(path, edit(await readFile(path, 'utf8')))
+    await this.afterSettingsWrites(node, async () => writeFile(path, edit(await readFile(path, 'utf8'))))
   }
 
   async stop (signal: 'SIGKILL' | 'SIGTERM' = 'SIGKILL'): Promise<void> {
@@ -196,7 +198,18 @@
   }
 
   private async writeSettings (node: SystemNode): Promise<void> {
-    await writeFile(this.settingsPath(node), `[node]
+    await this.afterSettingsWrites(node, () => writeFile(this.settingsPath(node), this.formatSettings(node)))
+  }
+
+  /// Two writes of the same file at once would mix their texts.
+  private async afterSettingsWrites (node: SystemNode, write: () => Promise<void>): Promise<void> {
+    const writing = (this.settingsWrites.get(node.name) ?? Promise.resolve()).then(write)
+    this.settingsWrites.set(node.name, writing.catch(() => {}))
+    await writing
+  }
+
+  private formatSettings (node: SystemNode): string {
+    return `[node]
 name = "${node.name}"
 role = "${node.role}"
 zone = "${node.zone}"
@@ -220,7 +233,7 @@
 drain_ms = 2000
 catch_up_ms = 4900
 heartbeat_ms = ${heartbeatMs}
-`)
+`
   }
 
   private launch (node: SystemNode): ChildProcess {
