--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -275,3 +275,14 @@
   await vi.waitFor(() => expect(relayed.onEnd).toHaveBeenCalled())
   expect(relayed.onUnanswered).not.toHaveBeenCalled()
 })
+
+// Guards against LOST: what was read behind a response of an entry that stops, or has another configuration, was dropped.
+test('requests held behind a response with which the other entry closes its connection are served here', async () => {
+  const { caller, entry, onReturned, onUnanswered } = await relay()
+  caller.socket.write(pipelined)
+  await entry.receive(1)
+  entry.socket.end(formatResponse(503, 'connection: close\r\n'))
+  await caller.receive(1)
+  await vi.waitFor(() => expect(onUnanswered.mock.calls.length + onReturned.mock.calls.length).toBe(1))
+  expect([onUnanswered.mock.calls, onReturned.mock.calls.length]).toEqual([[], 1])
+})
