Front: what follows a broken request doesn't reset its response, and callers that leave are noticed while few requests wait

Callers whose request could not be read got a reset in place of a response that was still on its way: the parser fails again with each further part, and the connection, which had been ended in order, was destroyed then. Callers with two pipelined requests that left while the entry asked them to were not noticed, and their requests started all the same (rule GONE): reading stopped with the first that waited.

Change: an error on a connection that is ending already is ignored.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -25,7 +25,7 @@
 /// A connection of a caller, whose requests are served one after the other (RFC 9112, section 9.3.2).
 ///
 /// It is read on while a request is served, so that a caller that disconnects is noticed. It isn't while
-/// `maxWaitingRequests` wait, or while some wait and the last of them is to end the connection.
+/// `maxWaitingRequests` wait, or while one waits and so many have come since the connection is to end.
 export class CallerConnection {
   private readonly waiting: PendingRequest[] = []
   private current: PendingRequest | null = null
@@ -33,6 +33,7 @@
   private newest: PendingRequest | null = null
   /// Whether the next response without a request behind it ends the connection.
   private isToEnd = false
+  private requestsSinceToEnd = 0
   /// Whether what follows can't be read as requests.
   private isBroken = false
   /// Sent instead of a response to what can't be read; null for nothing.
@@ -71,6 +72,7 @@
   add (request: PendingRequest): void {
     if (this.isEnding || this.socket.destroyed) return request.drop()
     this.newest = request
+    if (this.isToEnd) this.requestsSinceToEnd++
     this.waiting.push(request)
     this.isParsing = true
     this.startNext()
@@ -163,7 +165,7 @@
   }
 
   private isFull (): boolean {
-    const limit = this.isToEnd ? 1 : maxWaitingRequests
+    const limit = this.requestsSinceToEnd < maxWaitingRequests ? maxWaitingRequests : 1
     return this.waiting.length >= limit && this.newest!.isRead
   }
 
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -161,11 +161,14 @@
   }
 
   private handleClientError (code: string, socket: Socket): void {
-    if (brokenConnectionCodes.has(code) || !socket.writable) {
+    const connection = this.connections.get(socket)!
+    const isBroken = brokenConnectionCodes.has(code)
+    // The parser fails again with each further part of what can't be read.
+    if (connection.isEnding && !isBroken) return
+    if (isBroken || !socket.writable) {
       socket.destroy()
       return
     }
-    const connection = this.connections.get(socket)!
     // A response on a connection without a request would be taken for that to the next one.
     if (code === requestTimeoutCode && !connection.hasReceived) {
       socket.destroy()
