Relay: requests held behind a response with which the other entry closes are served here

The other entry gets requests one by one, so it says close although others wait at the entry of the caller: at its stop, without its quorum, and around each configuration. Those were dropped, though read whole.

Change: Connection concerns one hop (RFC 9110, 7.6.1). If requests are held, the field is taken out of that response, and they are served here.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -193,14 +193,26 @@
   private readonly onPeerData = (length: number): boolean => {
     this.options.onChunk()
     const chunk = Buffer.from(readBuffer.subarray(0, length))
+    const { isLast } = this.responses
     this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
-    const readsOn = this.options.caller.write(chunk)
+    const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
+    const readsOn = this.options.caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
     this.passOn()
     this.updateReading()
     return readsOn
   }
 
+  /// The other entry ends its connection with this response, but requests behind it have been read here: the field is
+  /// left out, as it concerns that connection only (RFC 9110, section 7.6.1), and they are served here.
+  private takeOver (chunk: Buffer): Buffer {
+    const kept = withoutClose(chunk)
+    if (kept === null) return chunk
+    this.responses.isLast = false
+    this.isDraining = true
+    return kept
+  }
+
   private leaveIdle (): void {
     if (this.responses.isLast) this.endCaller(lastResponseReason)
     else if (this.isDraining && !this.isClosing) this.park()
@@ -285,4 +297,13 @@
   }
 }
 
+/// Returns a chunk that begins with a response without its field `Connection: close`, null if the field isn't there.
+function withoutClose (chunk: Buffer): Buffer | null {
+  const headEnd = chunk.indexOf('\r\n\r\n')
+  const head = chunk.toString('latin1', 0, Math.max(0, headEnd))
+  const kept = head.replace(/\r\nconnection:[ \t]*close[ \t]*(?=\r\n|$)/i, '')
+  if (!head.startsWith('HTTP/') || kept === head) return null
+  return Buffer.concat([Buffer.from(kept, 'latin1'), chunk.subarray(headEnd)])
+}
+
 function ignoreError (): void {}
