Storage membership: members that disagree on who is present don't change the view back and forth

A storage instance that was cut off from the others, not from the store, took back each eviction at once, and the others marked it again: 335 to 343 changes of the view in 30 s. One that was admitted served after such a step, or while cut off, without anyone knowing that it is read.

Change: a leaving member takes it back only if it reaches another, has missed the rest for 8 s, and not again within 15 s. It is admitted then. An admitted member serves only once one other has been copied under that view, also if none is present.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -28,12 +28,16 @@
   readonly passes: ReadonlyMap<string, CompletedPass>
   /// Disks that were reached a short time ago, this instance's own among them.
   readonly presentDiskIds: ReadonlySet<string>
+  /// The same over a longer time, so that who marked this instance as leaving has missed the others for long, too.
+  readonly lastingDiskIds: ReadonlySet<string>
+  /// Whether this instance may take back that it leaves. If it does so again and again, the others see what it doesn't.
+  readonly mayTakeBack: boolean
   readonly absent: readonly AbsentMember[]
 }
 
 /// The next change of the view that this instance should write, or the view itself if none is due.
 export function computeNextView (view: View, standpoint: Standpoint): View {
-  const { own, toleratedLosses, isFirstStart, retiredNames, presentDiskIds } = standpoint
+  const { own, toleratedLosses, isFirstStart, retiredNames } = standpoint
   const servesAtOnce = isFirstStart && isForming(view, toleratedLosses)
   const withOwnDisk = withMember(view, own, servesAtOnce)
   const isListed = view.members.some(({ name }) => name === own.name)
@@ -43,8 +47,8 @@
   if (isJoining && holdsAllBefore(view, standpoint.listedVersion, standpoint)) return withCopied(view, own.diskId)
   const isAdmitted = ownMember?.state === MemberState.admitted
   if (isAdmitted && isKnownToRead(view, standpoint)) return withServing(view, own.diskId)
-  const isNeeded = !canLeave(view, own.name, presentDiskIds, toleratedLosses)
-  if (ownMember?.state === MemberState.leaving && isNeeded) return withoutLeaving(view, own.diskId)
+  const isLeaving = ownMember?.state === MemberState.leaving
+  if (isLeaving && isNeededAgain(view, standpoint)) return withoutLeaving(view, own.diskId)
   const leavingName = findMemberToRemove(view, standpoint)
   if (leavingName !== null) return withLeaving(view, leavingName)
   const isBehind = ownMember?.state === MemberState.serving && ownMember.syncedView < view.leaveVersion
@@ -62,14 +66,21 @@
   return sources.length >= requiredCopySources(view, toleratedLosses)
 }
 
+/// Whether too few others are left for this member, which leaves, to do so. One that reaches nobody may itself be the
+/// one that is cut off.
+function isNeededAgain (view: View, { own, lastingDiskIds, mayTakeBack, toleratedLosses }: Standpoint): boolean {
+  return mayTakeBack && lastingDiskIds.size > 1 && !canLeave(view, own.name, lastingDiskIds, toleratedLosses)
+}
+
 /// Whether each absence quorum of an older view has one that knows that this member is read.
-/// Members that are gone don't reply.
+/// Members that are gone don't reply, but one must have: a member that reaches nobody may be cut off.
 function isKnownToRead (view: View, standpoint: Standpoint): boolean {
   const { own, passes, stateVersion, presentDiskIds, toleratedLosses } = standpoint
   const others = view.members.filter(member => hasCopied(member) && member.diskId !== own.diskId)
   const knowing = others.filter(({ diskId }) => (passes.get(diskId)?.viewVersion ?? -1) >= stateVersion)
   const present = others.filter(({ diskId }) => presentDiskIds.has(diskId))
-  return knowing.length >= Math.min(toleratedLosses + 1, present.length)
+  const required = Math.min(toleratedLosses + 1, Math.max(present.length, Math.min(1, others.length)))
+  return knowing.length >= required
 }
 
 /// The name of a member that should leave: one that is retired, or one that is unreachable and not needed. At most
--- a/process/membership/src/view.ts
+++ b/process/membership/src/view.ts
@@ -140,11 +140,12 @@
   return { ...updated, leaveVersion: updated.version }
 }
 
-/// Takes back that a member leaves. It is as before: serving, or joining if it had not served yet.
+/// Takes back that a member leaves. It may not have served before: it is admitted, or joining if it replaces a lost
+/// disk and has not copied.
 export function withoutLeaving (view: View, diskId: string): View {
   const member = view.members.find(other => other.diskId === diskId)
   if (member === undefined || member.state !== MemberState.leaving) return view
-  const state = member.replacement ? MemberState.joining : MemberState.serving
+  const state = member.replacement ? MemberState.joining : MemberState.admitted
   return replaceMember(view, { ...member, state })
 }
 
--- a/process/membership/test/model.ts
+++ b/process/membership/test/model.ts
@@ -222,6 +222,8 @@
       retiredNames: this.retired,
       passes,
       presentDiskIds,
+      lastingDiskIds: presentDiskIds,
+      mayTakeBack: true,
       absent: view.members
         .filter(({ diskId }) => isLong && !presentDiskIds.has(diskId))
         .map(({ diskId }) => ({ diskId, isReplaced: true }))
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -25,6 +25,10 @@
 const watchPauseMs = 50
 const reconcileIntervalMs = 400
 const writeRetryDelayMs = 800
+/// Longer than the others' presence times, a copy pass and its timeout together.
+const lastingPresenceMs = 8000
+/// Between two times that this instance takes back that it leaves.
+const takeBackPauseMs = 15_000
 /// At the first start all instances want to register, and each write that succeeds makes the others fail. So each waits
 /// for a random part of this period after the view has changed.
 const formingSpreadMs = 600
@@ -39,6 +43,7 @@
   private hasReadView = false
   private isWriting = false
   private nextWriteMs = 0
+  private nextTakeBackMs = 0
   private readonly peers: StoragePeers
   private readonly retirements: Retirements
   private nextViewRefreshMs = 0
@@ -129,6 +134,8 @@
       retiredNames: retirements,
       passes: peers.passes,
       presentDiskIds: peers.getPresentDiskIds(nowMs),
+      lastingDiskIds: peers.getPresentDiskIds(nowMs, lastingPresenceMs),
+      mayTakeBack: nowMs >= this.nextTakeBackMs,
       absent: peers.findAbsent(nowMs)
     })
   }
@@ -153,12 +160,17 @@
 
   private startWrite (next: View): void {
     this.isWriting = true
+    if (this.isLeaving(this.view) && !this.isLeaving(next)) this.nextTakeBackMs = performance.now() + takeBackPauseMs
     this.writeView(next).catch((error: unknown) => {
       if (error instanceof StoreConflictError) return this.refreshView(error.current)
       this.recordWriteFailure(error)
     }).catch((error: unknown) => this.recordWriteFailure(error)).finally(() => { this.isWriting = false })
   }
 
+  private isLeaving ({ members }: View): boolean {
+    return members.some(({ diskId, state }) => diskId === this.ledger.diskId && state === MemberState.leaving)
+  }
+
   private async writeView (next: View): Promise<void> {
     const object = this.revision === 0
       ? await this.store.create(ObjectKind.storageViews, viewObjectName, next)
