--- a/standin/soak/src/connection.ts
+++ b/standin/soak/src/connection.ts
@@ -100,12 +100,14 @@
   async exchange (
     requests: readonly (readonly RequestPiece[])[], options: ExchangeOptions
   ): Promise<(RawResponse | null)[]> {
-    const timer = setTimeout(() => this.close(), options.timeoutMs)
+    let timer: ReturnType<typeof setTimeout> | undefined
     const { leaving } = options
     const leaveTimer = leaving === null ? null : setTimeout(() => this.leave(leaving.way), leaving.afterMs)
     const responses: (Promise<RawResponse> | null)[] = []
     for (const [i, pieces] of requests.entries()) {
       if (i > 0 && options.following === Following.overlapping) await this.waitForBytes()
+      clearTimeout(timer)
+      timer = setTimeout(() => this.close(), options.timeoutMs)
       const sent = this.isOpen ? await this.send(pieces) : null
       responses.push(sent === null ? null : sent.response)
     }
