--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -142,7 +142,9 @@
     runs.set(request.callId, [...runs.get(request.callId) ?? [], run])
   }
   upstream.onDone = request => {
-    const run = open.get(request)!
+    const run = open.get(request)
+    // A probe that began before it was observed.
+    if (run === undefined) return
     run.endedAtMs = performance.now()
     run.isBrokenOff ||= breaksOff()
     open.delete(request)
