Storage membership: a member that joined beside one that is silent now is not its successor

A storage instance that stopped within 2 s of another one's joining was evicted after 4.5 s from a system of three, as if it had been replaced: what the others know is when they last reached it, at intervals of 2 s, and the other joined after that.

Change: only one that joined later than the next contact was due counts as a successor. A real one joins later than that in a system too small for a full one: it needs 1.5 s of silence beside its own start.

Evidence: the new case in storagepeers.test.ts fails without the change and passes.

--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -99,8 +99,9 @@
     return [...this.peers]
       .filter(([, { lastContactMs }]) => nowMs - lastContactMs >= evictionTimeoutMs)
       .map(([diskId, { lastContactMs }]) => {
-        const isReplaced = nowMs - lastContactMs >= abandonTimeoutMs || this.hasJoinedSince(lastContactMs)
-        return { diskId, isReplaced }
+        // One that joined before the next contact was due may have joined beside it.
+        const hasSuccessor = this.hasJoinedSince(lastContactMs + steadyCopyDelayMs)
+        return { diskId, isReplaced: hasSuccessor || nowMs - lastContactMs >= abandonTimeoutMs }
       })
   }
 
