--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -25,6 +25,7 @@
   private isStarted = false
   private isAborted = false
   private wasSent = false
+  private readonly closeListeners: (() => void)[] = []
   private failBodyReading: (() => void) | null = null
   private isBodyBroken = false
   /// When the request was read, on the monotonic clock of `performance.now()`.
@@ -38,10 +39,13 @@
     readonly arrivedAtMs: number,
     private readonly order: ResponseOrder
   ) {
-    response.once('finish', () => {
+    response.on('finish', () => {
       // Node calls it finished, too, when the connection fails with a part of it unsent.
       this.wasSent = !request.socket.destroyed && request.socket.errored === null
     })
+    response.on('close', () => {
+      for (const listener of this.closeListeners) listener()
+    })
   }
 
   get head (): RequestHead {
@@ -85,13 +89,13 @@
   /// Calls `listener` when the response has been sent or its connection is closed, at once if that was before.
   onClose (listener: () => void): void {
     if (this.response.closed) listener()
-    else this.response.once('close', listener)
+    else this.closeListeners.push(listener)
   }
 
   /// Calls `listener` if the connection closes before the response is complete: the caller disconnected, or `abort`
   /// was called.
   onDisconnect (listener: () => void): void {
-    this.response.once('close', () => {
+    this.closeListeners.push(() => {
       if (!this.response.writableFinished) listener()
     })
   }
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -7,14 +7,12 @@
 import { findRequestProblem } from '#connection/header'
 import { CallerConnection, readArrived } from './callerconnection.js'
 import { Exchange } from './exchange.js'
+import { QueuedExchange } from './queuedexchange.js'
+import type { ExchangeHandlers } from './queuedexchange.js'
 
-export interface FrontOptions {
-  /// Handles one exchange; must not reject.
-  readonly serve: (exchange: Exchange) => Promise<void>
+export interface FrontOptions extends ExchangeHandlers {
   /// Called for a request that is not valid HTTP, with the parser's error code or what is wrong with the head.
   readonly onMalformed: (code: string) => void
-  /// Called instead of `serve` for a request whose connection ends before its turn.
-  readonly onDropped: (exchange: Exchange) => void
   /// How long an event that is handled now may have waited for the event loop.
   readonly getDelayMs: () => number
   /// Called for each connection that is accepted.
@@ -35,7 +33,6 @@
 }
 
 const maxHeaderBytes = 16 * 1024
-const statusBadRequest = 400
 /// A head has not arrived in time.
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const statusByErrorCode: Readonly<Record<string, string>> = {
@@ -145,19 +142,7 @@
     // The framework sets it while it closes. Node leaves out the idle time if a header was removed that wasn't there.
     if (response.hasHeader('connection')) response.removeHeader('connection')
     const problem = this.findProblem(request)
-    connection.add({
-      get isRead () { return request.complete },
-      start: () => {
-        if (problem === null) this.options.serve(exchange).finally(onServed)
-        else response.writeHead(statusBadRequest, { connection: 'close', 'content-length': '0' }).end()
-      },
-      drop: () => {
-        request.resume()
-        this.options.onDropped(exchange)
-      },
-      failBody: () => exchange.failBody(),
-      onClose: listener => exchange.onClose(listener)
-    })
+    connection.add(new QueuedExchange(this.options, exchange, request, response, problem, onServed))
   }
 
   private handleClientError (code: string, socket: Socket): void {
--- a/connection/rpc/src/client.ts
+++ b/connection/rpc/src/client.ts
@@ -1,6 +1,6 @@
-import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, Reply, Request } from './generated/ledger.js'
+import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, Reply } from './generated/ledger.js'
 import { PeerError, PeerSession, createPeerLiveness } from './session.js'
-import type { PeerLiveness, WaitOptions } from './session.js'
+import type { Operation, PeerLiveness, WaitOptions } from './session.js'
 
 /// The operations of a storage instance. Tests substitute a fake.
 export interface LedgerPeer {
@@ -28,21 +28,21 @@
   constructor (private readonly address: string, private readonly liveness: PeerLiveness = createPeerLiveness()) {}
 
   append (request: AppendRequest, timeoutMs: number, wait?: WaitOptions<AppendReply>): Promise<AppendReply> {
-    return this.sendRequest('append', request, timeoutMs, wait)
+    return this.sendRequest('append', { append: request }, timeoutMs, wait)
   }
 
   findChain (
     request: FindChainRequest, timeoutMs: number, wait?: WaitOptions<FindChainReply>
   ): Promise<FindChainReply> {
-    return this.sendRequest('findChain', request, timeoutMs, wait)
+    return this.sendRequest('findChain', { findChain: request }, timeoutMs, wait)
   }
 
   digest (request: DigestRequest, timeoutMs: number, wait?: WaitOptions<DigestReply>): Promise<DigestReply> {
-    return this.sendRequest('digest', request, timeoutMs, wait)
+    return this.sendRequest('digest', { digest: request }, timeoutMs, wait)
   }
 
   fetch (request: FetchRequest, timeoutMs: number): Promise<FetchReply> {
-    return this.sendRequest('fetch', request, timeoutMs)
+    return this.sendRequest('fetch', { fetch: request }, timeoutMs)
   }
 
   open (): void {
@@ -55,11 +55,14 @@
   }
 
   private async sendRequest<Name extends OperationName> (
-    name: Name, request: NonNullable<Request[Name]>, timeoutMs: number, wait?: WaitOptions<ReplyTo<Name>>
+    name: Name, operation: Operation, timeoutMs: number, wait?: WaitOptions<ReplyTo<Name>>
   ): Promise<ReplyTo<Name>> {
     if (this.isClosed) throw new PeerError(`${this.address}: connection is closed`)
-    const onLateReply = (reply: Reply): void => wait!.onLateReply(reply[name]!)
-    const reply = await this.getSession().send({ [name]: request }, timeoutMs, wait && { ...wait, onLateReply })
+    const waitForAny = wait && {
+      silenceTimeoutMs: wait.silenceTimeoutMs,
+      onLateReply: (reply: Reply) => wait.onLateReply(reply[name]!)
+    }
+    const reply = await this.getSession().send(operation, timeoutMs, waitForAny)
     return reply[name]!
   }
 
--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -50,6 +50,25 @@
 /// Interval at which members that are down are probed.
 const probeIntervalMs = 200
 
+/// The first reply that arrives for requests that have failed.
+class LateReply<Reply> {
+  reply: Reply | null = null
+  private resolve: ((reply: Reply) => void) | null = null
+
+  /// `onReply` is called for each.
+  constructor (private readonly onReply: (reply: Reply) => void) {}
+
+  readonly accept = (reply: Reply): void => {
+    this.onReply(reply)
+    this.reply ??= reply
+    this.resolve?.(reply)
+  }
+
+  wait (): Promise<Reply> {
+    return new Promise(resolve => { this.resolve = resolve })
+  }
+}
+
 /// The storage instances of the current view: which of them are up, and in which order requests go to them.
 export class LedgerPeers {
   private currentView: View = emptyView
@@ -113,25 +132,29 @@
   async sendWithRetry<Reply extends Replied> (
     state: PeerState, send: SendToPeer<Reply>, { deadlineMs, failsFast }: RetryOptions
   ): Promise<Reply | null> {
-    const replies: Reply[] = []
-    let resolveReplied = (): void => {}
-    const replied = new Promise<void>(resolve => { resolveReplied = resolve })
-    const accept = (reply: Reply): void => {
-      this.handleStanding(state, reply.standing!)
-      replies.push(reply)
-      resolveReplied()
-    }
-    while (replies.length === 0) {
+    const late = new LateReply<Reply>(reply => this.handleStanding(state, reply.standing!))
+    const wait = { silenceTimeoutMs, onLateReply: late.accept }
+    for (let isRepeated = false; late.reply === null; isRepeated = true) {
       const remainingMs = deadlineMs - performance.now()
       if (remainingMs <= 1 || (failsFast && state.isDown && !this.isAvailable)) return null
-      const attempt = send(state.peer, remainingMs, { silenceTimeoutMs, onLateReply: accept })
-      const failed = attempt.then(accept, error => {
-        this.recordFailure(state, error)
-        return sleep(retryDelayMs)
-      })
-      await Promise.race([replied, failed])
+      const attempt = this.sendOnce(state, send(state.peer, remainingMs, wait))
+      const reply = await (isRepeated ? Promise.race([attempt, late.wait()]) : attempt)
+      if (reply !== null) return reply
+    }
+    return late.reply
+  }
+
+  /// Resolves to the reply, or to null when the request has failed and may be sent again.
+  private async sendOnce<Reply extends Replied> (state: PeerState, request: Promise<Reply>): Promise<Reply | null> {
+    try {
+      const reply = await request
+      this.handleStanding(state, reply.standing!)
+      return reply
+    } catch (error) {
+      this.recordFailure(state, error)
+      await sleep(retryDelayMs)
+      return null
     }
-    return replies[0]!
   }
 
   close (): void {
--- a/process/relay/src/messagetracker.ts
+++ b/process/relay/src/messagetracker.ts
@@ -39,7 +39,7 @@
   protected abstract readHead (head: string): number | null
 
   add (bytes: Buffer): void {
-    for (let at = 0; at < bytes.length;) at += this.addMessage(bytes.subarray(at))
+    for (let at = 0; at < bytes.length;) at = this.addPart(bytes, at)
   }
 
   /// Completes a message that ends with the connection.
@@ -51,10 +51,14 @@
   addMessage (bytes: Buffer): number {
     const { count } = this
     let at = 0
-    while (at < bytes.length && this.count === count) at = this.addByPart[this.part](bytes, at)
+    while (at < bytes.length && this.count === count) at = this.addPart(bytes, at)
     return at
   }
 
+  private addPart (bytes: Buffer, at: number): number {
+    return this.addByPart[this.part](bytes, at)
+  }
+
   /// Each adds bytes from `at` on and returns where the next part begins.
   private readonly addByPart: Readonly<Record<Part, (bytes: Buffer, at: number) => number>> = {
     [Part.head]: (bytes, at) => this.addHead(bytes, at),
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -172,9 +172,10 @@
       if (this.isDraining && this.isIdle) return this.giveBack()
       const { held } = this
       const length = this.requests.addMessage(held)
-      this.held = length < held.length ? held.subarray(length) : null
+      const isWhole = length === held.length
+      this.held = isWhole ? null : held.subarray(length)
       this.options.onChunk()
-      this.peer.write(held.subarray(0, length))
+      this.peer.write(isWhole ? held : held.subarray(0, length))
     }
     if (this.isDraining && this.isIdle && !this.isEnded) this.leaveIdle()
   }
@@ -198,8 +199,10 @@
     this.responses.add(chunk)
     const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
     const readsOn = this.options.caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
-    this.passOn()
-    this.updateReading()
+    if (this.held !== null || this.isDraining) {
+      this.passOn()
+      this.updateReading()
+    }
     return readsOn
   }
 
