Admission: a turn of a running program waits rather than come back, where no other entry would serve it sooner

Cause: a turn that goes on and a first turn had the same bound, the route's target latency. It supposes that another entry has more room. Where all entries are about equally busy, a refusal only adds a connection and a delay, and five such draws in a row happen.

Change: while no other entry is expected to serve calls sooner (what also decides on `Connection: close`), a turn of a running program may wait for half of its remaining time, as calls of tools do; new programs keep the bound and are shed first.

Measured: the new case of admission.test.ts ("no other entry would") fails without the change; 19 tests pass.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -64,7 +64,8 @@
   private lastStartAtMs = 0
   private startIntervalMs = initialStartIntervalMs
 
-  constructor (private readonly backlog: LoopBacklog) {}
+  /// `hasBetterEntry`: whether another entry is expected to serve a call sooner.
+  constructor (private readonly backlog: LoopBacklog, private readonly hasBetterEntry: () => boolean = () => true) {}
 
   /// Share of the programs that are refused at their start.
   get shedShare (): number {
@@ -109,10 +110,10 @@
   private classify (call: Call, route: Route, remainingMs: number): CallClass {
     const maxCallWaitMs = remainingMs * maxWaitShare
     if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs: maxCallWaitMs }
-    // A caller sends a refused turn again, to another entry, which may have more capacity.
     const maxWaitMs = Math.min(maxCallWaitMs, route.targetLatencyMs)
-    if (!this.isNewProgram(call)) return { rank: turnRank, maxWaitMs }
-    return { rank: turnRank + 1 + Math.max(0, Math.floor(route.priority)), maxWaitMs }
+    if (this.isNewProgram(call)) return { rank: turnRank + 1 + Math.max(0, Math.floor(route.priority)), maxWaitMs }
+    // The caller of a refused turn sends it again, which helps if another entry has more capacity.
+    return { rank: turnRank, maxWaitMs: this.hasBetterEntry() ? maxWaitMs : maxCallWaitMs }
   }
 
   /// A turn that continues no stored turn, of a program none of whose calls has started here lately. The program may
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -159,6 +159,21 @@
   expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
 })
 
+// Guards against a turn that is refused as busy by one entry after the other while programs start.
+test.each([
+  ['another entry would serve it sooner', 60, true, ['new', 'turn']],
+  ['no other entry would', 60, false, ['new']],
+  ['no other entry would, and it would end too late', 400, false, ['new', 'turn', 'tool']]
+])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, hasBetterEntry, expected) => {
+  admission = new Admission(backlog, () => hasBetterEntry)
+  backlog.meanDelayMs = meanDelayMs
+  admit('new', { programId: 'p1' })
+  admit('turn', { programId: 'p2', previousTurnId: 't' })
+  admit('tool', { programId: 'p3', kind: RouteKind.idempotent })
+  await iterate(8)
+  expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
+})
+
 test('while turns wait for too long, new programs are refused by a hash of their ids, the others go on', async () => {
   vi.spyOn(performance, 'now').mockImplementation(() => nowMs)
   let nowMs = 0
