Front: what waits of a large response counts as memory also where its connection ends

Callers would have seen: an entry that asks its callers to leave goes beyond its memory and ends with their requests.

Cause: since each response that ends its connection was written in the next iteration of the event loop, after what waits had been counted. Found by the review. Change: it is put off only while more requests may be in what was read with its own, as before.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -41,6 +41,8 @@
   /// Whether no further request is served.
   isEnding = false
   private isPausedHere = false
+  /// Whether more requests may be in what was read with the newest one.
+  private isParsing = false
   private readonly firstByte: number
 
   /// `isServerClosing`: whether the connection is to end with its next response.
@@ -72,15 +74,18 @@
     this.newest = request
     if (this.isToEnd) this.requestsSinceToEnd++
     this.waiting.push(request)
+    this.isParsing = true
     this.startNext()
-    // The parser may still be reading from what arrived with the request.
-    if (this.waiting.length > 0) setImmediate(() => this.updateReading())
+    setImmediate(() => {
+      this.isParsing = false
+      this.updateReading()
+    })
   }
 
   /// Calls `send` when it is known whether a request was read behind one whose response is ready.
   sendInOrder (isWantedLast: boolean, send: () => void): void {
     this.isToEnd ||= isWantedLast || this.isServerClosing()
-    if (this.isToEnd) setImmediate(send)
+    if (this.isToEnd && this.isParsing) setImmediate(send)
     else send()
   }
 
