Front: a request without a Host field is refused in its turn

Callers saw: a request behind one without a Host field was run and got no response, and no line said so.

Cause: Node answered such a request by itself and closed, beside the order of the connection. Class: a place that closes a connection without its other requests. Change: Node leaves the check to ours, which refuses with 400 in the order of the connection.

--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -66,7 +66,8 @@
       forceCloseConnections: 'idle',
       // While the server closes, `serve` decides about requests of open connections.
       return503OnClosing: false,
-      http: { maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false },
+      // Node's own response to a request without a Host field would have no place in the order of its connection.
+      http: { maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false, requireHostHeader: false },
       clientErrorHandler: (error, socket) => this.handleClientError(error.code, socket as Socket)
     })
     this.interceptConnections()
