Relay: a call that was passed on gets status 502 when the other entry is lost before its response

Callers saw: an entry that was in order closed or reset their kept connection, with a request under way that an instance may have run, whenever another entry that it relays to was killed, ended or fell silent: every call under way on relayed connections at once.

Cause: the relay passed the loss of the other entry on as its own close, as if the caller had been connected there. Class: an end of one connection that is taken for an end of another one.

Change: if nothing of the response has been passed on, the caller gets 502, which promises nothing, as for an instance that is lost, and the connection goes on here, with what waits behind the request; within a body that is still sent it closes in order. A response that has begun is broken off as before. `relay-unanswered` has the status.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -10,15 +10,17 @@
 import type { FindCallId } from './requesttracker.js'
 import { ResponseTracker } from './responsetracker.js'
 
-/// A request without a complete response on a relayed connection that this entry or the other one ends.
+/// A request without a complete response of the other entry, whose connection ends.
 export interface UnansweredRequest {
   /// Null if it has none, or the request has not been passed on.
   readonly callId: string | null
   /// Whether all of the request has been passed on.
   readonly isWhole: boolean
-  /// What the caller has sent behind it, and has not been passed on.
+  /// What the caller has sent behind it, and is dropped.
   readonly heldBytes: number
   readonly reason: string
+  /// Of the response that the caller gets instead; absent if it gets none.
+  readonly status?: number
 }
 
 export interface RelayedConnectionOptions {
@@ -45,6 +47,7 @@
 const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
+const statusBadGateway = 502
 const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
@@ -118,16 +121,21 @@
     return this.requests.isBetweenMessages && this.requests.count > this.responses.count
   }
 
+  /// Whether the head of a request has been passed on, and nothing of the response to it has.
+  private get isUnanswered (): boolean {
+    return this.requests.hasMoreThan(this.responses) && this.responses.isBetweenMessages && !this.responses.isLast
+  }
+
   /// Whether the caller has got all that it gets on the connection.
   private get hasLastResponse (): boolean {
     return this.responses.isLast && this.responses.isBetweenMessages
   }
 
   /// Has the connection served here, from the first request on that has not been passed on.
-  private giveBack (): void {
+  private giveBack (reason: string | null = null): void {
     const { caller, onReturned } = this.options
     if (this.isEnded) return
-    this.finish(null)
+    this.finish(reason)
     this.peer.destroy()
     if (this.held !== null) caller.unshift(this.held)
     onReturned(this.isParked || this.requests.count > 0)
@@ -152,6 +160,7 @@
   private readonly onPeerEnd = (): void => {
     if (this.isIdle) return this.leaveIdle()
     if (this.hasLastResponse) return this.endCaller(lastResponseReason)
+    if (this.isUnanswered) return this.handleLoss('the entry ended the connection')
     // Node reports a reset that arrives with the last bytes as an ordinary end; the socket has no remote address then.
     if (this.peer.remoteAddress === undefined) return this.abort('the entry reset the connection')
     this.responses.end()
@@ -270,12 +279,28 @@
     this.options.caller.destroy()
   }
 
-  private readonly onLoss = (): void => this.abort('the entry has fallen silent')
+  private readonly onLoss = (): void => this.handleLoss('the entry has fallen silent')
+
+  /// The response to the request under way says that the other entry is lost, unless a part of one has been passed on.
+  private handleLoss (reason: string): void {
+    if (this.isEnded) return
+    if (!this.isUnanswered) return this.abort(reason)
+    const { caller, onUnanswered } = this.options
+    const isWhole = this.requests.isBetweenMessages
+    const isLast = !isWhole || this.isClosing
+    const heldBytes = isLast ? this.held?.length ?? 0 : 0
+    onUnanswered({ callId: this.requests.callId, isWhole, heldBytes, reason, status: statusBadGateway })
+    caller.write(formatBadGateway(isLast))
+    if (!isLast) return this.giveBack(reason)
+    this.finish(reason)
+    closeInOrder(caller)
+    this.peer.resetAndDestroy()
+  }
 
   private handlePeerError (reason: string): void {
     if (this.isEnded || this.isParked) return
     if (this.hasLastResponse) return this.endCaller(lastResponseReason)
-    if (this.isConnected) return this.isIdle ? this.leaveIdle() : this.abort(reason)
+    if (this.isConnected) return this.isIdle ? this.leaveIdle() : this.handleLoss(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
   }
@@ -300,6 +325,10 @@
   }
 }
 
+function formatBadGateway (isLast: boolean): string {
+  return `HTTP/1.1 ${statusBadGateway} Bad Gateway\r\n${isLast ? 'connection: close\r\n' : ''}content-length: 0\r\n\r\n`
+}
+
 /// Returns a chunk that begins with a response without its field `Connection: close`, null if the field isn't there.
 function withoutClose (chunk: Buffer): Buffer | null {
   const headEnd = chunk.indexOf('\r\n\r\n')
