Relay: a caller that never reads its last response is disconnected

Callers saw: nothing; a caller that read no more kept its connection and a descriptor of the entry for good. Cause: the time for the end of the connection began when all had been written. Change: while bytes wait for the caller, the connection is closed once none has left for 3 s. The system's count of waiting bytes tells, since a buffer counts as written only with its last byte. A caller that reads on gets all, however long that takes.

--- a/connection/front/src/index.ts
+++ b/connection/front/src/index.ts
@@ -1,3 +1,4 @@
+export { destroyIfStalled } from './stalledsend.js'
 export { DisconnectCause, Exchange } from './exchange.js'
 export type { ResponseHeaders } from './exchange.js'
 export { FrontServer } from './server.js'
--- a/process/relay/test/closeinorder.test.ts
+++ b/process/relay/test/closeinorder.test.ts
@@ -21,3 +21,29 @@
   client.destroy()
   server.close()
 })
+
+// Guards against a limit on the whole time that the response takes.
+test('a caller that reads its last response slowly gets all of it', async () => {
+  const bodyBytes = 16 * 1024 * 1024
+  const server = createServer({ allowHalfOpen: true })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  client.pause()
+  const [socket] = await once(server, 'connection') as [Socket]
+  socket.write(Buffer.alloc(bodyBytes))
+  closeInOrder(socket)
+  let receivedBytes = 0
+  client.on('data', chunk => {
+    receivedBytes += chunk.length
+    client.pause()
+  })
+  const startedAtMs = performance.now()
+  const reading = setInterval(() => client.resume(), 15)
+  await once(client, 'end')
+  clearInterval(reading)
+  expect(receivedBytes).toBe(bodyBytes)
+  expect(performance.now() - startedAtMs).toBeGreaterThan(4000)
+  client.destroy()
+  server.close()
+}, 20_000)
