Front: a caller that never reads a complete response is disconnected

Callers saw: nothing; a caller that read no more kept its connection and a descriptor of the entry for good. Cause: no time limit holds for a response that is complete here: its call has ended, and the connection's end is sent behind it. Change: if bytes of a complete response wait, the connection is closed once none has left for 10 s. Responses that leave at once, the usual case, cost a comparison.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import { setImmediate as setImmediatePromise } from 'node:timers/promises'
+import { destroyIfStalled } from './stalledsend.js'
 
 /// A request that was read, and gets its response in the order of its connection.
 export interface PendingRequest {
@@ -21,6 +22,8 @@
 const lingerMs = 1000
 const lingerBytes = 16 * 1024 * 1024
 const lingerPollMs = 100
+/// How long a caller may read nothing of a complete response that waits for it.
+const maxStalledMs = 10_000
 
 /// A connection of a caller, whose requests are served one after the other (RFC 9112, section 9.3.2).
 ///
@@ -91,6 +94,11 @@
     return this.isToEnd && this.waiting.length === 0
   }
 
+  /// Called when all of a response has been written. Closes the connection if the caller stops reading it.
+  watchSending (): void {
+    destroyIfStalled(this.socket, maxStalledMs)
+  }
+
   /// Ends the connection after the responses to the requests before what can't be read, and after `response` to it. A
   /// request that was read in part gets its own response instead.
   breakOff (response: string): void {
@@ -118,6 +126,7 @@
     this.dropWaiting()
     if (this.socket.destroyed) return
     this.socket.end(() => this.linger())
+    this.watchSending()
     this.socket.resume()
   }
 
--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -18,7 +18,7 @@
 export type DisconnectCause = typeof DisconnectCause[keyof typeof DisconnectCause]
 
 /// The order of the responses on a connection.
-export type ResponseOrder = Pick<CallerConnection, 'sendInOrder' | 'decideLast'>
+export type ResponseOrder = Pick<CallerConnection, 'sendInOrder' | 'decideLast' | 'watchSending'>
 
 /// One request of a caller and the response to it.
 export class Exchange {
@@ -150,6 +150,7 @@
       if (this.isFinished) return
       this.response.writeHead(status, this.addFraming(headers, isLast, { 'content-length': String(body.length) }))
       this.response.end(body)
+      this.order.watchSending()
     })
   }
 
@@ -176,7 +177,9 @@
   }
 
   end (): void {
-    if (!this.isFinished) this.response.end()
+    if (this.isFinished) return
+    this.response.end()
+    this.order.watchSending()
   }
 
   /// Closes the connection, so that a partial response can't be taken for a complete one.
