Relay: a caller that stops reading a response is disconnected

Callers saw: nothing; a caller that stopped reading on a relayed connection kept it, and that to the other entry, for good. Cause: the bytes from the other entry aren't read while the caller's wait, so its end was never seen either. Change: once a write asks to wait, the connection is closed if nothing leaves for 10 s, with a line `relay-unanswered`. Writes that leave at once cost a comparison. Result: relayedconnection.test.ts, "stops reading" is new: open 14 s later before (by the test's clock), closed and reported now; the other 24 of the file passed.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { splitAddress } from '#connection/address'
+import { destroyIfStalled } from '#connection/front'
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
@@ -45,6 +46,8 @@
 const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
+/// How long a caller may read nothing of what waits for it.
+const maxStalledMs = 10_000
 const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
@@ -198,7 +201,9 @@
     this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
     const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
-    const readsOn = this.options.caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
+    const { caller } = this.options
+    const readsOn = caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
+    if (!readsOn) destroyIfStalled(caller, maxStalledMs)
     if (this.held !== null || this.isDraining) {
       this.passOn()
       this.updateReading()
@@ -264,10 +269,14 @@
   /// A caller that has sent its end has left, as for calls that are served here. The reset lets the other entry know at
   /// once.
   private readonly onCallerGone = (): void => {
+    const { caller } = this.options
     if (this.isEnded) return
+    if (caller.destroyed && caller.errored === null && !caller.readableEnded) {
+      this.reportUnanswered('the caller stopped reading')
+    }
     this.finish(null)
     this.peer.resetAndDestroy()
-    this.options.caller.destroy()
+    caller.destroy()
   }
 
   private readonly onLoss = (): void => this.abort('the entry has fallen silent')
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -288,3 +288,26 @@
   await vi.waitFor(() => expect(onUnanswered.mock.calls.length + onReturned.mock.calls.length).toBe(1))
   expect([onUnanswered.mock.calls, onReturned.mock.calls.length]).toEqual([[], 1])
 })
+
+// Guards against connections that are never closed, as neither entry can write on.
+test('a caller that stops reading a response does not keep its connections for good, and this is reported', async () => {
+  const { caller, entry, accepted, onUnanswered, onEnd } = await relay()
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  vi.useFakeTimers({ toFake: ['setInterval', 'clearInterval', 'performance'] })
+  try {
+    caller.socket.pause()
+    entry.socket.write('HTTP/1.1 200 X\r\ncontent-length: 99000000\r\n\r\n')
+    entry.socket.write(Buffer.alloc(64 * 1024 * 1024))
+    while (accepted.writableLength === 0) await new Promise(resolve => setImmediate(resolve))
+    for (let i = 0; i < 500; i++) await new Promise(resolve => setImmediate(resolve))
+    await vi.advanceTimersByTimeAsync(8000)
+    expect(accepted.destroyed).toBe(false)
+    await vi.advanceTimersByTimeAsync(6000)
+    expect(accepted.destroyed).toBe(true)
+  } finally {
+    vi.useRealTimers()
+  }
+  await vi.waitFor(() => expect(onEnd).toHaveBeenCalled())
+  expect(onUnanswered.mock.calls).toEqual([[{ callId: 'a1', isWhole: true, heldBytes: 0, reason: 'the caller stopped reading' }]])
+})
