Relay: idle relayed connections are closed by the entry that relays them

Callers saw: no response to a request that was sent at the end of the idle time. Cause: the entry that serves a relayed connection closed it as idle, or as late with its first head, while the entry of the caller passed a request on. An orderly end without a response doesn't prove that the request wasn't run: a process that is killed looks alike. Change: the serving entry leaves idle relayed connections open; the relaying one closes them, between one idle timeout and two after the last use, with one timer a connection and nothing a request. The serving entry notices by TCP keep-alive that the other has vanished; no test shows that.

--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -21,6 +21,8 @@
   readonly offerConnection?: (socket: Socket, serve: ServeConnection) => void
   /// A client that has sent its end still gets the responses to its requests. Else it counts as disconnected.
   readonly allowsHalfOpen?: boolean
+  /// While the server runs, idle connections are closed by their clients only, which know what they have sent.
+  readonly leavesIdleOpen?: boolean
 }
 
 /// Serves a connection. `wasUsed`: it has had requests before, so the next one may have arrived long after its opening.
@@ -33,6 +35,8 @@
 }
 
 const maxHeaderBytes = 16 * 1024
+/// After so long without a word, a client that may close its idle connection late is asked whether it still exists.
+const keepAliveDelayMs = 10_000
 /// A head has not arrived in time.
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const statusByErrorCode: Readonly<Record<string, string>> = {
@@ -105,7 +109,9 @@
       else options.offerConnection(socket, serveHere)
     })
     // A connection that has been idle for too long.
-    server.on('timeout', (socket: Socket) => { this.connections.get(socket)?.closeIfIdle().catch(() => {}) })
+    server.on('timeout', (socket: Socket) => {
+      if (options.leavesIdleOpen !== true) this.connections.get(socket)?.closeIfIdle().catch(() => {})
+    })
     server.on('connect', (_: IncomingMessage, socket: Socket) => {
       // Node has taken its own listener off.
       socket.on('error', () => {})
@@ -116,6 +122,7 @@
   }
 
   private openConnection (socket: Socket): void {
+    if (this.options.leavesIdleOpen === true) socket.setKeepAlive(true, keepAliveDelayMs)
     const connection = new CallerConnection(socket, () => this.isClosing)
     this.connections.set(socket, connection)
     const destroy = socket.destroy.bind(socket)
@@ -156,7 +163,7 @@
     }
     // A response on a connection without a request would be taken for that to the next one.
     if (code === requestTimeoutCode && !connection.hasReceived) {
-      socket.destroy()
+      if (this.options.leavesIdleOpen !== true) socket.destroy()
       return
     }
     this.options.onMalformed(code)
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -23,7 +23,7 @@
   readonly isReady: () => boolean
   /// Serves an exchange of a connection that the entry `origin` relays; must not reject.
   readonly serve: (exchange: Exchange, origin: RelayOrigin | null) => Promise<void>
-  readonly front: Omit<FrontOptions, 'serve' | 'offerConnection' | 'allowsHalfOpen'>
+  readonly front: Omit<FrontOptions, 'serve' | 'offerConnection' | 'allowsHalfOpen' | 'leavesIdleOpen'>
 }
 
 const watchPauseMs = 1000
@@ -70,7 +70,8 @@
         this.origins.set(socket, origin)
         serveHere(false)
       }),
-      allowsHalfOpen: true
+      allowsHalfOpen: true,
+      leavesIdleOpen: true
     })
   }
 
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -175,7 +175,8 @@
         this.origins.set(socket, origin)
         accept(false)
       }),
-      allowsHalfOpen: true
+      allowsHalfOpen: true,
+      leavesIdleOpen: true
     })
   }
 
@@ -184,6 +185,11 @@
     this.relayAddress = (await this.relayFront.listen('127.0.0.1:0')).replace('http://', '')
   }
 
+  /// Sets after which time idle connections that another entry relays are closed here, if they are.
+  setRelayedIdleTimeout (idleTimeoutMs: number): void {
+    this.relayFront.setLimits({ headerTimeoutMs: 60_000, idleTimeoutMs })
+  }
+
   private get routes (): RouteTable {
     const spec = createConfiguration(this.configVersion)
     return new RouteTable(parseConfiguration({ name: 'main', revision: 1, spec, status: null }))
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -1,5 +1,5 @@
-import { createServer, connect } from 'node:net'
-import type { AddressInfo, Server, Socket } from 'node:net'
+import { Socket, createServer, connect } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { sleep } from '#process/clock'
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
@@ -33,6 +33,7 @@
 })
 
 afterEach(async () => {
+  vi.restoreAllMocks()
   for (const client of clients) client.socket.destroy()
   await Promise.all([busy.close(), idle.close()])
   for (const upstream of upstreams) upstream.close()
@@ -231,6 +232,25 @@
     await vi.waitFor(() => expect(countResponses(client)).toBe(1), { timeout: 2000 })
   })
 
+  // Guards against requests without a response that no entry has read.
+  test('idle for the idle time of the other entry: a call that would cross its close gets its response', async () => {
+    idle.setRelayedIdleTimeout(60)
+    const client = connectClient()
+    await callOn(client)
+    const relayPort = Number(idle.relayAddress.split(':')[1])
+    const { destroy } = Socket.prototype
+    const closing = new Promise<void>(resolve => {
+      vi.spyOn(Socket.prototype, 'destroy').mockImplementation(function (this: Socket, error) {
+        if (this.localPort === relayPort) resolve()
+        if (this.localPort === relayPort && countResponses(client) === 1) client.socket.write(formatCall('/charge/1', 'a1'))
+        return destroy.call(this, error)
+      })
+    })
+    const isClosed = await Promise.race([closing.then(() => true), sleep(1500).then(() => false)])
+    if (!isClosed) client.socket.write(formatCall('/charge/1', 'a1'))
+    await vi.waitFor(() => expect(countResponses(client)).toBe(2))
+  })
+
   test('at a stop: a connection that is accepted meanwhile is served here', async () => {
     busy.relay.stop()
     await callOn(connectClient())
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -25,7 +25,7 @@
 export class ConnectionRelay {
   private readonly connections = new Set<RelayedConnection>()
   private isStopping = false
-  /// For connections that were drained.
+  /// For connections that are relayed from now on.
   idleTimeoutMs = defaultIdleTimeoutMs
 
   constructor (
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -37,7 +37,7 @@
   readonly onReturned: (wasUsed: boolean) => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
-  /// How long a connection is kept that no request comes on, after it was drained.
+  /// How long at least a connection is kept that no request comes on.
   readonly idleTimeoutMs: number
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
@@ -150,6 +150,18 @@
     caller.on('end', this.onCallerGone)
     peer.on('drain', () => this.updateReading())
     peer.on('end', this.onPeerEnd)
+    this.watchIdle()
+  }
+
+  /// Ends the connection if it is idle for an interval. The other entry doesn't, as a request might cross its close.
+  private watchIdle (): void {
+    const { caller, idleTimeoutMs } = this.options
+    let bytesBefore = -1
+    this.idleTimer = setInterval(() => {
+      const bytes = caller.bytesRead + caller.bytesWritten
+      if (bytes === bytesBefore && this.isIdle && caller.writableLength === 0) this.endAfterReading()
+      bytesBefore = bytes
+    }, idleTimeoutMs)
   }
 
   private readonly onPeerEnd = (): void => {
@@ -235,6 +247,7 @@
     this.forgetEntry(entry)
     this.peer.destroy()
     this.updateReading()
+    clearTimeout(this.idleTimer)
     this.idleTimer = setTimeout(() => this.endAfterReading(), idleTimeoutMs)
   }
 
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -229,6 +229,47 @@
   expect([caller.isReset, onReturned.mock.calls, onEnd.mock.calls]).toEqual([false, [], [[null]]])
 })
 
+// Guards against connections that both entries leave open, and against requests that cross a close of the other entry.
+test.each([
+  ['is opened', 0],
+  ['has had a response', 1]
+])('no request comes after the connection %s: it is closed after the idle timeout', async (_, requestCount) => {
+  const { caller, entry, onUnanswered, onEnd } = await relay()
+  for (let i = 0; i < requestCount; i++) {
+    caller.socket.write(formatRequest('a1'))
+    await entry.receive(1)
+    entry.socket.write(formatResponse(200))
+    await caller.receive(1)
+  }
+  await new Promise(resolve => setTimeout(resolve, idleTimeoutMs * 0.8))
+  expect(caller.isClosed).toBe(false)
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true))
+  expect([caller.isReset, onUnanswered.mock.calls, onEnd.mock.calls]).toEqual([false, [], [[null]]])
+})
+
+test.each([
+  ['a response is awaited', formatRequest('a1')],
+  ['a part of a request was sent', formatRequest('a1').slice(0, 12)]
+])('%s for longer than the idle timeout: the connection stays', async (_, sent) => {
+  const { caller, entry } = await relay()
+  caller.socket.write(sent)
+  await vi.waitFor(() => expect(entry.text).toContain(sent))
+  await new Promise(resolve => setTimeout(resolve, idleTimeoutMs * 3))
+  expect([caller.isClosed, entry.socket.readableEnded]).toEqual([false, false])
+})
+
+test('requests that come before the idle timeout are served for as long as they come', async () => {
+  const { caller, entry } = await relay()
+  for (let i = 1; i <= 8; i++) {
+    caller.socket.write(formatRequest(`a${i}`))
+    await entry.receive(i)
+    entry.socket.write(formatResponse(200))
+    await caller.receive(i)
+    await new Promise(resolve => setTimeout(resolve, idleTimeoutMs * 0.7))
+  }
+  expect(caller.isClosed).toBe(false)
+})
+
 test('a caller that sends much behind a request is not read until the response is complete', async () => {
   const { caller, entry, accepted } = await relay()
   caller.socket.write(formatRequest('a1') + 'x'.repeat(1_000_000))
