Front: reading pauses once eight requests wait, also within the body of the newest

Callers saw: nothing; an entry held all that a caller sent behind a request, beyond the limit of eight and in no memory budget. Cause: reading paused only if the newest request had been read whole when this was looked at. If bodies span reads it never is: 2,075 requests with 33 MB waited on one connection. Change: it pauses once eight wait. The body of a request that waits isn't needed before its turn, when fewer do. Result: waitingbodies.test.ts is new. Bodies of 16,000 bytes behind a request: 33,658,994 bytes read before, less than 256 KB now. The three other shapes and bodies served whole after a pause: passed, the three on the code before, too. connection/front: 88 passed.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -170,7 +170,7 @@
 
   private isFull (): boolean {
     const limit = this.requestsSinceToEnd < maxWaitingRequests ? maxWaitingRequests : 1
-    return this.waiting.length >= limit && this.newest!.isRead
+    return this.waiting.length >= limit
   }
 
   private linger (): void {
