Front, relay: callers that read slowly have 30 s for each step, not 10 s

Cause: Linux reports progress in steps of a third of its send buffer. Trial on a loopback connection with 32 MB: a steady reader at 300 kB/s shows progress each 4.8 s, 1.43 MB at a time; one at 60 kB/s none in 10 s, and was cut off. Change: 30 s for a complete response, and for what waits on a relayed connection before its end. By the step above that is 48 kB/s (computed). Closing in order keeps its 3 s, by the 4 s of its test; it has no effect while the longer watch runs.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -22,8 +22,9 @@
 const lingerMs = 1000
 const lingerBytes = 16 * 1024 * 1024
 const lingerPollMs = 100
-/// How long a caller may read nothing of a complete response that waits for it.
-const maxStalledMs = 10_000
+/// How long a caller may read nothing of a complete response that waits for it. The system reports progress in steps of
+/// a megabyte or more.
+const maxStalledMs = 30_000
 
 /// A connection of a caller, whose requests are served one after the other (RFC 9112, section 9.3.2).
 ///
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -46,8 +46,9 @@
 const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
-/// How long a caller may read nothing of what waits for it.
-const maxStalledMs = 10_000
+/// How long a caller may read nothing of what waits for it. The system reports progress in steps of
+/// a megabyte or more.
+const maxStalledMs = 30_000
 const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
