--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { splitAddress } from '#connection/address'
+import { destroyIfStalled } from '#connection/front'
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
@@ -38,7 +39,7 @@
   readonly onReturned: (wasUsed: boolean) => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
-  /// How long a connection is kept that no request comes on, after it was drained.
+  /// How long at least a connection is kept that no request comes on.
   readonly idleTimeoutMs: number
   /// Called when the connection has ended, with the reason if it broke.
   readonly onEnd: (reason: string | null) => void
@@ -47,6 +48,9 @@
 const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
+/// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
+/// more.
+const maxStalledMs = 30_000
 const statusBadGateway = 502
 const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
@@ -155,6 +159,18 @@
     caller.on('end', this.onCallerGone)
     peer.on('drain', () => this.updateReading())
     peer.on('end', this.onPeerEnd)
+    this.watchIdle()
+  }
+
+  /// Ends the connection if it is idle for an interval. The other entry doesn't, as a request might cross its close.
+  private watchIdle (): void {
+    const { caller, idleTimeoutMs } = this.options
+    let bytesBefore = -1
+    this.idleTimer = setInterval(() => {
+      const bytes = caller.bytesRead + caller.bytesWritten
+      if (bytes === bytesBefore && this.isIdle && caller.writableLength === 0) this.endAfterReading()
+      bytesBefore = bytes
+    }, idleTimeoutMs)
   }
 
   private readonly onPeerEnd = (): void => {
@@ -207,7 +223,9 @@
     this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
     const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
-    const readsOn = this.options.caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
+    const { caller } = this.options
+    const readsOn = caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
+    if (!readsOn) destroyIfStalled(caller, maxStalledMs)
     if (this.held !== null || this.isDraining) {
       this.passOn()
       this.updateReading()
@@ -239,6 +257,7 @@
     this.forgetEntry(entry)
     this.peer.destroy()
     this.updateReading()
+    clearTimeout(this.idleTimer)
     this.idleTimer = setTimeout(() => this.endAfterReading(), idleTimeoutMs)
   }
 
@@ -273,10 +292,14 @@
   /// A caller that has sent its end has left, as for calls that are served here. The reset lets the other entry know at
   /// once.
   private readonly onCallerGone = (): void => {
+    const { caller } = this.options
     if (this.isEnded) return
+    if (caller.destroyed && caller.errored === null && !caller.readableEnded) {
+      this.reportUnanswered('the caller stopped reading')
+    }
     this.finish(null)
     this.peer.resetAndDestroy()
-    this.options.caller.destroy()
+    caller.destroy()
   }
 
   private readonly onLoss = (): void => this.handleLoss('the entry has fallen silent')
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -229,6 +229,47 @@
   expect([caller.isReset, onReturned.mock.calls, onEnd.mock.calls]).toEqual([false, [], [[null]]])
 })
 
+// Guards against connections that both entries leave open, and against requests that cross a close of the other entry.
+test.each([
+  ['is opened', 0],
+  ['has had a response', 1]
+])('no request comes after the connection %s: it is closed after the idle timeout', async (_, requestCount) => {
+  const { caller, entry, onUnanswered, onEnd } = await relay()
+  for (let i = 0; i < requestCount; i++) {
+    caller.socket.write(formatRequest('a1'))
+    await entry.receive(1)
+    entry.socket.write(formatResponse(200))
+    await caller.receive(1)
+  }
+  await new Promise(resolve => setTimeout(resolve, idleTimeoutMs * 0.8))
+  expect(caller.isClosed).toBe(false)
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true))
+  expect([caller.isReset, onUnanswered.mock.calls, onEnd.mock.calls]).toEqual([false, [], [[null]]])
+})
+
+test.each([
+  ['a response is awaited', formatRequest('a1')],
+  ['a part of a request was sent', formatRequest('a1').slice(0, 12)]
+])('%s for longer than the idle timeout: the connection stays', async (_, sent) => {
+  const { caller, entry } = await relay()
+  caller.socket.write(sent)
+  await vi.waitFor(() => expect(entry.text).toContain(sent))
+  await new Promise(resolve => setTimeout(resolve, idleTimeoutMs * 3))
+  expect([caller.isClosed, entry.socket.readableEnded]).toEqual([false, false])
+})
+
+test('requests that come before the idle timeout are served for as long as they come', async () => {
+  const { caller, entry } = await relay()
+  for (let i = 1; i <= 8; i++) {
+    caller.socket.write(formatRequest(`a${i}`))
+    await entry.receive(i)
+    entry.socket.write(formatResponse(200))
+    await caller.receive(i)
+    await new Promise(resolve => setTimeout(resolve, idleTimeoutMs * 0.7))
+  }
+  expect(caller.isClosed).toBe(false)
+})
+
 test('a caller that sends much behind a request is not read until the response is complete', async () => {
   const { caller, entry, accepted } = await relay()
   caller.socket.write(formatRequest('a1') + 'x'.repeat(1_000_000))
@@ -292,3 +333,26 @@
   await vi.waitFor(() => expect(onUnanswered.mock.calls.length + onReturned.mock.calls.length).toBe(1))
   expect([onUnanswered.mock.calls, onReturned.mock.calls.length]).toEqual([[], 1])
 })
+
+// Guards against connections that are never closed, as neither entry can write on.
+test('a caller that stops reading a response does not keep its connections for good, and this is reported', async () => {
+  const { caller, entry, accepted, onUnanswered, onEnd } = await relay()
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  vi.useFakeTimers({ toFake: ['setInterval', 'clearInterval', 'performance'] })
+  try {
+    caller.socket.pause()
+    entry.socket.write('HTTP/1.1 200 X\r\ncontent-length: 99000000\r\n\r\n')
+    entry.socket.write(Buffer.alloc(64 * 1024 * 1024))
+    while (accepted.writableLength === 0) await new Promise(resolve => setImmediate(resolve))
+    for (let i = 0; i < 500; i++) await new Promise(resolve => setImmediate(resolve))
+    await vi.advanceTimersByTimeAsync(28_000)
+    expect(accepted.destroyed).toBe(false)
+    await vi.advanceTimersByTimeAsync(6000)
+    expect(accepted.destroyed).toBe(true)
+  } finally {
+    vi.useRealTimers()
+  }
+  await vi.waitFor(() => expect(onEnd).toHaveBeenCalled())
+  expect(onUnanswered.mock.calls).toEqual([[{ callId: 'a1', isWhole: true, heldBytes: 0, reason: 'the caller stopped reading' }]])
+})
