Ledger: the account of a program lasts until the retention of its last record has passed

Cause: each reservation, settlement and turn expired by itself, in memory, at a start and on the disk, whatever its program did meanwhile.

Change: `AccountIndex` holds for each program the latest expiry of its records. Until then an expired record that the account needs stays: the settlement of a call, or its reservation if it was never settled. A turn that no chain needs is replaced by its settlement, without its bytes, and its segment is compacted as before. A reservation goes once it is settled; a settlement of no tokens goes after twice its retention, when the other members have it. A start knows the programs that may return after the segments were read, and reads those with expired records once more for what their accounts need. Nothing is added to a turn's path but a comparison for each added record; wire and disk formats are the same.

There is one record for each call that got tokens, not one sum: the sums of two members that lack different records can't be merged. Their number is bounded by the budget, as each counts towards it; the reply to a reservation grows with it.

Each turn has its own program now, so each case asserts the same ids as before.

--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -1,23 +1,23 @@
 import { RecordKind } from '#connection/rpc'
 import type { AccountEntry, LedgerRecord } from '#connection/rpc'
+import { AccountIndex, toAccountRecord } from './accounts.js'
+import { getEmptySettlementExpiryMs, getOwnExpiryMs } from './expiry.js'
 
 /// A record with its expiry and its place on disk.
 export interface IndexedRecord {
-  readonly record: LedgerRecord
+  /// Replaced by what the account needs of it once nothing else needs it. The disk may still hold all of it then.
+  record: LedgerRecord
   /// The end of the record's own retention, or of that of a later turn in its chain if this is later.
   expiresAtMs: number
   /// The disk segment that holds the record, -1 until it has been written to one.
   segment: number
 }
 
-/// Allows for clocks that differ between instances, and for retention that starts at the end of a turn's response.
-const retentionMarginMs = 15_000
-
 /// The records of one storage instance, indexed by key and by program, and listed
 /// in the order of their arrival. Times are wall-clock milliseconds.
 export class RecordIndex {
   private readonly byKey = new Map<string, IndexedRecord>()
-  private readonly accounts = new Map<string, Map<string, AccountEntry>>()
+  private readonly accounts = new AccountIndex()
   /// Expiry times, by key, of turns that are absent here but that later turns of their chain need.
   private readonly absentTurnExpiryMs = new Map<string, number>()
   private arrivalKeys: string[] = []
@@ -41,7 +41,7 @@
     this.absentTurnExpiryMs.delete(key)
     this.byKey.set(key, indexed)
     this.arrivalKeys.push(key)
-    this.addToAccount(record)
+    this.accounts.add(record)
     if (record.kind === RecordKind.turn) this.extendRetention(record.previousId, expiresAtMs)
     return indexed
   }
@@ -60,7 +60,7 @@
   }
 
   getAccount (programId: string): AccountEntry[] {
-    return [...this.accounts.get(programId)?.values() ?? []]
+    return this.accounts.get(programId)
   }
 
   /// Lists up to `limit` keys in the order of arrival, starting at a cursor.
@@ -71,8 +71,8 @@
     return { keys, nextCursor: end + this.firstArrivalCursor, isEnd: end >= this.arrivalKeys.length }
   }
 
-  /// Removes expired records and returns their number. Records that outlive their
-  /// own retention, as later turns need them, move to the end of the arrival order.
+  /// Removes expired records and returns their number. Records that outlive their own retention, as later turns or the
+  /// account of their program need them, move to the end of the arrival order.
   expire (nowMs: number): number {
     let removed = 0
     let scanned = 0
@@ -81,8 +81,9 @@
       const indexed = this.byKey.get(key)!
       if (getOwnExpiryMs(indexed.record) > nowMs) break
       scanned++
-      if (indexed.expiresAtMs > nowMs) {
-        keptKeys.push(key)
+      const keptKey = this.keep(key, indexed, nowMs)
+      if (keptKey !== null) {
+        keptKeys.push(keptKey)
         continue
       }
       this.remove(key, indexed.record)
@@ -100,11 +101,25 @@
     for (const indexed of this.byKey.values()) if (indexed.segment === segment) yield indexed
   }
 
-  private addToAccount (record: LedgerRecord): void {
-    if (record.programId === '') return
-    let account = this.accounts.get(record.programId)
-    if (account === undefined) this.accounts.set(record.programId, account = new Map())
-    account.set(record.id, mergeAccountEntries(account.get(record.id), createAccountEntry(record)))
+  /// Returns the key under which a record outlives its own retention, or null if nothing needs it.
+  private keep (key: string, indexed: IndexedRecord, nowMs: number): string | null {
+    const { record, expiresAtMs } = indexed
+    if (expiresAtMs > nowMs) return key
+    if (!this.accounts.isOpen(record.programId, nowMs)) return null
+    const accountRecord = toAccountRecord(record)
+    const accountKey = recordKey(accountRecord)
+    if (accountKey !== key && this.byKey.has(accountKey)) return null
+    if (!this.isNeededByAccount(accountRecord, nowMs)) return null
+    this.byKey.delete(key)
+    indexed.record = accountRecord
+    this.byKey.set(accountKey, indexed)
+    return accountKey
+  }
+
+  private isNeededByAccount (record: LedgerRecord, nowMs: number): boolean {
+    if (record.kind === RecordKind.reservation) return !this.accounts.isSettled(record)
+    if (record.tokens > 0 || getEmptySettlementExpiryMs(record) > nowMs) return true
+    return this.byKey.has(`${RecordKind.reservation}/${record.id}`)
   }
 
   /// Keeps the previous turns of a chain at least as long as a later turn.
@@ -124,20 +139,12 @@
 
   private remove (key: string, record: LedgerRecord): void {
     this.byKey.delete(key)
-    const account = this.accounts.get(record.programId)
-    if (account === undefined) return
     const hasOthers = [RecordKind.reservation, RecordKind.settlement, RecordKind.turn]
       .some(kind => this.byKey.has(`${kind}/${record.id}`))
-    if (!hasOthers) account.delete(record.id)
-    if (account.size === 0) this.accounts.delete(record.programId)
+    if (!hasOthers) this.accounts.remove(record)
   }
 }
 
-/// When a record expires that no other one needs.
-export function getOwnExpiryMs ({ recordedAtMs, retentionMs }: LedgerRecord): number {
-  return recordedAtMs + retentionMs + retentionMarginMs
-}
-
 export function recordKey (record: LedgerRecord): string {
   return `${record.kind}/${record.id}`
 }
@@ -145,28 +152,3 @@
 function turnKey (id: string): string {
   return `${RecordKind.turn}/${id}`
 }
-
-/// The records of one call share its id. A turn's record has the delivered tokens,
-/// and so settles the call's reservation as a settlement does.
-function createAccountEntry (record: LedgerRecord): AccountEntry {
-  if (record.kind === RecordKind.reservation) {
-    return {
-      id: record.id,
-      reserved: record.tokens,
-      spent: 0,
-      settled: false
-    }
-  }
-  return { id: record.id, reserved: 0, spent: record.tokens, settled: true }
-}
-
-/// Merges what two sources report of one reservation.
-export function mergeAccountEntries (a: AccountEntry | undefined, b: AccountEntry): AccountEntry {
-  if (a === undefined) return b
-  return {
-    id: b.id,
-    reserved: Math.max(a.reserved, b.reserved),
-    spent: Math.max(a.spent, b.spent),
-    settled: a.settled || b.settled
-  }
-}
--- a/process/ledger/src/segmentreader.ts
+++ b/process/ledger/src/segmentreader.ts
@@ -1,8 +1,9 @@
 import { closeSync, fstatSync, openSync, readSync } from 'node:fs'
 import { BinaryReader } from '@bufbuild/protobuf/wire'
 import { LedgerRecord, RecordKind } from '#connection/rpc'
+import { toAccountRecord } from './accounts.js'
+import { getEmptySettlementExpiryMs, getOwnExpiryMs } from './expiry.js'
 import { scanFrames } from './frames.js'
-import { getOwnExpiryMs } from './records.js'
 
 /// A record and the number of the segment that holds it.
 export interface SegmentRecord {
@@ -40,12 +41,14 @@
 const lengthDelimited = 2
 
 /// Reads segments, from the oldest one to the newest, into as little memory as the records need that are still in use:
-/// those that have not expired, and the earlier turns of their chains.
+/// those that have not expired, the earlier turns of their chains, and what the accounts of their programs need.
 export class SegmentReader {
   private buffer = Buffer.alloc(0)
   private readonly current: SegmentRecord[] = []
   /// By their id.
   private readonly expiredTurns = new Map<string, Place>()
+  /// Paths, by number, of the segments with expired records.
+  private readonly pathsWithExpired = new Map<number, string>()
   private count = 0
 
   /// Records expire by the wall clock.
@@ -72,19 +75,46 @@
 
   /// Throws if the bytes are no record.
   private add (body: Buffer, place: Place): void {
-    const head = LedgerRecord.decode(new HeadReader(body))
-    const { id, kind } = head
+    const head = decodeHead(body)
     if (getOwnExpiryMs(head) > this.nowMs) {
       this.current.push({ record: LedgerRecord.decode(body), segment: place.segment })
-    } else if (kind === RecordKind.turn) {
-      this.expiredTurns.set(id, place)
+    } else {
+      if (head.kind === RecordKind.turn) this.expiredTurns.set(head.id, place)
+      this.pathsWithExpired.set(place.segment, place.path)
     }
     this.count++
   }
 
   /// The records that are still in use.
   takeRecords (): SegmentRecord[] {
-    return [...this.readEarlierTurns(), ...this.current]
+    return [...this.readEarlierTurns(), ...this.current, ...this.readAccountRecords()]
+  }
+
+  /// Reads the segments once more, so that what has expired takes memory only if an account needs it. What was spent in
+  /// turns that no chain needs is returned as their settlements.
+  private readAccountRecords (): SegmentRecord[] {
+    const programIds = new Set(this.current.map(({ record }) => record.programId))
+    programIds.delete('')
+    if (programIds.size === 0) return []
+    const records: SegmentRecord[] = []
+    const settledIds = new Set<string>()
+    for (const [segment, path] of this.pathsWithExpired) {
+      scanFrames(this.load(path), body => {
+        const head = tryDecodeHead(body)
+        if (head === null || !programIds.has(head.programId)) return
+        if (head.kind !== RecordKind.reservation) settledIds.add(head.id)
+        if (this.isNeededByAccount(head)) records.push({ record: toAccountRecord(head), segment })
+      })
+    }
+    return records.filter(({ record }) => record.kind !== RecordKind.reservation || !settledIds.has(record.id))
+  }
+
+  /// Whether a record is one that has expired, and that its account needs unless it is a settled reservation.
+  private isNeededByAccount (record: LedgerRecord): boolean {
+    if (getOwnExpiryMs(record) > this.nowMs) return false
+    if (record.kind === RecordKind.reservation) return true
+    if (record.kind === RecordKind.turn && !this.expiredTurns.has(record.id)) return false
+    return record.tokens > 0 || getEmptySettlementExpiryMs(record) > this.nowMs
   }
 
   /// Oldest first in each chain.
@@ -116,6 +146,19 @@
   }
 }
 
+/// Throws if the bytes are no record.
+function decodeHead (body: Buffer): LedgerRecord {
+  return LedgerRecord.decode(new HeadReader(body))
+}
+
+function tryDecodeHead (body: Buffer): LedgerRecord | null {
+  try {
+    return decodeHead(body)
+  } catch {
+    return null
+  }
+}
+
 function readRecord ({ path, offset, bytes }: Place): LedgerRecord {
   const file = openSync(path, 'r')
   try {
--- a/process/ledger/test/expired.test.ts
+++ b/process/ledger/test/expired.test.ts
@@ -19,7 +19,7 @@
   return {
     kind,
     id,
-    programId: 'p',
+    programId: `program of ${id}`,
     tokens: 5,
     previousId,
     input: Buffer.from(`in ${id}`),
--- a/process/storage/test/copier.test.ts
+++ b/process/storage/test/copier.test.ts
@@ -66,3 +66,27 @@
   disk.close()
   rmSync(folder, { recursive: true })
 })
+
+// Guards against a member that counts only the latest turns of a program, as it was cut off when the others got them.
+test('a member that has dropped an account too early gets all of it back', async () => {
+  const folders = [0, 1].map(() => mkdtempSync(join(tmpdir(), 'copier-')))
+  const disks = folders.map(folder => Disk.open(folder, noopLog))
+  const [source, target] = disks.map(({ disk, contents }) => new Ledger(disk, contents)) as [Ledger, Ledger]
+  const earlyMs = 1_000_000
+  const lateMs = earlyMs + 70_000
+  const afterEarlyExpiresMs = earlyMs + 80_000
+  const early = { ...createTurn('early'), recordedAtMs: earlyMs }
+  const late = { ...createTurn('late'), recordedAtMs: lateMs }
+  const copier = new PeerCopier(source as unknown as LedgerPeer, target)
+  await source.persist([early])
+  await copier.runPass(1)
+  await source.persist([late])
+  for (const ledger of [source, target]) await ledger.compact(afterEarlyExpiresMs)
+  expect(target.records.getAccount('p')).toEqual([])
+  await copier.runPass(1)
+  expect(target.records.getAccount('p').map(({ id, spent }) => [id, spent]).sort()).toEqual([['early', 1], ['late', 1]])
+  await target.compact(afterEarlyExpiresMs)
+  expect(target.records.getAccount('p')).toHaveLength(2)
+  for (const { disk } of disks) disk.close()
+  for (const folder of folders) rmSync(folder, { recursive: true })
+})
