Ledger: records that outlive their retention cost less at each expiry

Operators saw nothing yet: with many records kept for accounts, an expiry held up the replies of the storage instance.

Cause: each kept record was put in the index anew, under a key that was built for it.

Change: only a turn, which becomes a settlement, gets a new key; the other records stay in their place.

--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -106,14 +106,21 @@
     const { record, expiresAtMs } = indexed
     if (expiresAtMs > nowMs) return key
     if (!this.accounts.isOpen(record.programId, nowMs)) return null
-    const accountRecord = toAccountRecord(record)
-    const accountKey = recordKey(accountRecord)
-    if (accountKey !== key && this.byKey.has(accountKey)) return null
-    if (!this.isNeededByAccount(accountRecord, nowMs)) return null
+    if (record.kind === RecordKind.turn) return this.replaceTurn(key, indexed, nowMs)
+    if (!this.isNeededByAccount(record, nowMs)) return null
+    indexed.record = toAccountRecord(record)
+    return key
+  }
+
+  /// Puts a settlement in the place of a turn. Returns its key, or null if it isn't needed or is there already.
+  private replaceTurn (key: string, indexed: IndexedRecord, nowMs: number): string | null {
+    const settlement = toAccountRecord(indexed.record)
+    const settlementKey = recordKey(settlement)
+    if (this.byKey.has(settlementKey) || !this.isNeededByAccount(settlement, nowMs)) return null
     this.byKey.delete(key)
-    indexed.record = accountRecord
-    this.byKey.set(accountKey, indexed)
-    return accountKey
+    indexed.record = settlement
+    this.byKey.set(settlementKey, indexed)
+    return settlementKey
   }
 
   private isNeededByAccount (record: LedgerRecord, nowMs: number): boolean {
