Turns wait for storage for half of their remaining time

Callers saw: 503 for a turn that goes on, and for a first one, whenever storage took more than 900 ms, though they wait for seconds; five times in a row while disks are slow.

Change: both last for half of the time that the call has left; what is known to be out of reach still fails at once.

Both of the older tests pass the limit that was the constant.

--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -15,6 +15,8 @@
 const streamIdleTimeoutMs = 900
 /// Share of its remaining time that a turn of a running program may wait for an instance.
 const maxWaitShare = 0.25
+/// Share of its remaining time for which a turn waits for storage before its instance gets it.
+const maxStorageWaitShare = 0.5
 /// Share of the latency target that the first turn of a program may wait for an
 /// instance. A program that is refused early can be started later; one that
 /// completes too late uses capacity but has no value.
@@ -58,9 +60,10 @@
   context: ForwardContext
 ): Promise<[readonly LedgerRecord[], TokenReservation | null]> {
   const { call, route } = routed
+  const timeoutMs = (routed.lastDeadlineMs - performance.now()) * maxStorageWaitShare
   const [history, reservation] = await Promise.allSettled([
-    route.keepsHistory ? readHistory(call, context.ledger, context.cache) : [],
-    TokenReservation.acquire(call, route, maxTokens, context.ledger, context.log)
+    route.keepsHistory ? readHistory(call, context.ledger, context.cache, timeoutMs) : [],
+    TokenReservation.acquire(call, route, { maxTokens, timeoutMs }, context.ledger, context.log)
   ])
   if (history.status === 'rejected') {
     if (reservation.status === 'fulfilled') reservation.value?.settle(0)
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -8,28 +8,28 @@
 import { createRecord } from './ledger.js'
 import type { TurnLedger } from './ledger.js'
 
-const findChainTimeoutMs = 900
 const ledgerRetryAfterMs = 250
 
-/// Reads the history of a call, oldest turn first; empty for the first turn.
+/// Reads the history of a call, oldest turn first; empty for the first turn. Waits up to `timeoutMs` for storage.
 /// Rejects with `RefusedError`: `unknownTurn` only if the previous turn is certainly not stored.
 export async function readHistory (
   call: Call,
   ledger: TurnLedger,
-  cache: ChainCache
+  cache: ChainCache,
+  timeoutMs: number
 ): Promise<readonly LedgerRecord[]> {
   if (call.previousTurnId === null) return []
   const cached = cache.getChain(call.previousTurnId)
   if (cached !== null) return cached
-  const chain = await findChain(call.previousTurnId, ledger)
+  const chain = await findChain(call.previousTurnId, ledger, timeoutMs)
   for (const turn of chain) cache.add(turn)
   return chain
 }
 
-async function findChain (turnId: string, ledger: TurnLedger): Promise<readonly LedgerRecord[]> {
+async function findChain (turnId: string, ledger: TurnLedger, timeoutMs: number): Promise<readonly LedgerRecord[]> {
   let chain: LedgerRecord[] | null
   try {
-    chain = await ledger.findChain(turnId, findChainTimeoutMs)
+    chain = await ledger.findChain(turnId, timeoutMs)
   } catch (error) {
     throw new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), ledgerRetryAfterMs)
   }
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -9,7 +9,6 @@
 import { createRecord } from './ledger.js'
 import type { ReservedAccount, TurnLedger } from './ledger.js'
 
-const reserveTimeoutMs = 900
 /// Assumed maximum of turns of one program that reserve within one round trip and so may miss each other's records.
 const maxConcurrentTurns = 8
 /// Limit and interval for reading the account again until the turns that must give up their reservation have done so.
@@ -24,6 +23,14 @@
 /// Records of an account are retained for at least this time, also if the route retains its turns for less.
 const minAccountRetentionMs = 60_000
 
+/// What a reservation may take.
+export interface ReservationLimits {
+  /// The most that the turn may generate.
+  readonly maxTokens: number
+  /// How long storage is waited for.
+  readonly timeoutMs: number
+}
+
 type AppendRecord = (record: LedgerRecord) => Promise<void>
 
 /// The tokens that a turn has reserved from its program's budget.
@@ -37,7 +44,8 @@
     private readonly log: EventLog,
     private readonly callId: string,
     private readonly programId: string,
-    private readonly retentionMs: number
+    private readonly retentionMs: number,
+    private readonly timeoutMs: number
   ) {}
 
   /// Reserves the most that the turn may generate. Resolves to null if the call
@@ -47,14 +55,14 @@
   static async acquire (
     call: Call,
     route: Route,
-    maxTokens: number,
+    { maxTokens, timeoutMs }: ReservationLimits,
     ledger: TurnLedger,
     log: EventLog
   ): Promise<TokenReservation | null> {
     const budget = call.program?.tokenBudget ?? null
     if (call.program === null || budget === null) return null
     const retentionMs = Math.max(route.retentionMs, minAccountRetentionMs)
-    const reservation = new TokenReservation(ledger, log, call.id, call.program.id, retentionMs)
+    const reservation = new TokenReservation(ledger, log, call.id, call.program.id, retentionMs, timeoutMs)
     const account = await reservation.reserve(maxTokens)
     const { entries } = account
     const otherSpentTokens = countTokens(entries.filter(entry => entry.settled), call.id)
@@ -107,7 +115,7 @@
       ...createRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
       tokens: maxTokens
     }
-    return await this.refuseOnError(this.ledger.reserve(record, reserveTimeoutMs))
+    return await this.refuseOnError(this.ledger.reserve(record, this.timeoutMs))
   }
 
   /// Counts the tokens of other turns again once this turn's reservation is stored.
@@ -130,7 +138,7 @@
   }
 
   private async readAccount (): Promise<AccountEntry[]> {
-    return await this.refuseOnError(this.ledger.readAccount(this.programId, reserveTimeoutMs))
+    return await this.refuseOnError(this.ledger.readAccount(this.programId, this.timeoutMs))
   }
 
   private async refuseOnError<Account> (account: Promise<Account>): Promise<Account> {
--- a/request/turn/test/tokenreservation.test.ts
+++ b/request/turn/test/tokenreservation.test.ts
@@ -29,7 +29,7 @@
     findChain: async () => null
   }
   const call = createCall('c', { program: { id: 'p', sessionId: 's', remainingMs: 4000, tokenBudget } })
-  await TokenReservation.acquire(call, route, maxTurnTokens, ledger, noopLog)
+  await TokenReservation.acquire(call, route, { maxTokens: maxTurnTokens, timeoutMs: 900 }, ledger, noopLog)
   return reads
 }
 
