Quorum: a silent member is asked whether it is present before it counts as down, and a new view is looked at when it comes

Callers saw: 503 for turns, several times in a row, while the disks of all storage machines were slow: a member that replied to nothing for 400 ms counted as down, since all that it was asked waited for its disk; reservations whose replies were on their way were given up, and new ones refused at once. And a turn cut at its deadline although enough members had stored it, where a view that counts them came after their replies while another member was gone.

Cause: slow was taken for down, and a request to several members was looked at again only with the next reply.

Change: after 400 ms of silence a member is asked for a digest of nothing, which needs no sync, and is down if that takes 200 ms more; a lost connection counts at once as before. A new view is a reason to look again, and new members are sent what all are to be sent.

--- a/connection/rpc/src/session.ts
+++ b/connection/rpc/src/session.ts
@@ -9,7 +9,7 @@
   override readonly name = 'PeerError'
 
   /// `isUnresponsive` is false only if the request timed out while the peer replied to others: it is slow then.
-  constructor (message: string, readonly isUnresponsive = true) {
+  constructor (message: string, readonly isUnresponsive = true, readonly isTimeout = false) {
     super(message)
   }
 }
@@ -168,7 +168,7 @@
   private handleTimeout (number: number, request: PendingRequest, sinceMs: number): void {
     const { liveness } = this
     const isUnresponsive = liveness.lastReplyMs < sinceMs
-    this.expire(number, request, new PeerError(`${this.address}: request timed out`, isUnresponsive))
+    this.expire(number, request, new PeerError(`${this.address}: request timed out`, isUnresponsive, true))
     if (isUnresponsive && ++liveness.consecutiveTimeouts >= timeoutsBeforeReplacement) {
       liveness.consecutiveTimeouts = 0
       liveness.generation++
--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -1,5 +1,5 @@
 import { PeerError } from '#connection/rpc'
-import type { DigestReply, LedgerPeer, Member, Standing, View, WaitOptions } from '#connection/rpc'
+import type { DigestReply, DigestRequest, LedgerPeer, Member, Standing, View, WaitOptions } from '#connection/rpc'
 import { sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
@@ -23,6 +23,8 @@
   /// Set by a failed request, cleared by the next reply. A request that times out
   /// while the member replies to others does not count: the member is slow, not down.
   isDown: boolean
+  /// Whether it has been silent, and is asked whether it is present.
+  isAsked: boolean
   /// From 0 to 1: its place among members that are equally suitable.
   readonly spread: number
 }
@@ -44,6 +46,8 @@
 
 /// A request is sent again to a member that replies to nothing for this long.
 const silenceTimeoutMs = 400
+/// A member that has been silent, and then doesn't reply for this long to what needs no sync of its disk, is down.
+const presenceTimeoutMs = 200
 /// For the late reply of a member that is slow, not down.
 const probeTimeoutMs = 2000
 const retryDelayMs = 40
@@ -75,6 +79,8 @@
   private currentQuorums: Quorums = computeQuorums(emptyView, 0)
   private peers: PeerState[] = []
   private probeTimer: ReturnType<typeof setInterval> | null = null
+  /// Called for each new view.
+  readonly onView = new Set<() => void>()
 
   constructor (private readonly options: LedgerPeersOptions, private readonly log: EventLog) {}
 
@@ -98,11 +104,12 @@
       if (existing !== undefined) return Object.assign(existing, { member })
       const peer = this.options.connect(member.address)
       peer.open()
-      return { member, peer, isDown: false, spread: Math.random() }
+      return { member, peer, isDown: false, isAsked: false, spread: Math.random() }
     })
     for (const old of previousPeers) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
     this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
     if (!this.isAvailable) this.startProbing()
+    for (const listener of [...this.onView]) listener()
   }
 
   /// Whether enough members seem to be up to commit an append.
@@ -174,7 +181,24 @@
   }
 
   private recordFailure (state: PeerState, error: unknown): void {
-    if (error instanceof PeerError && !error.isUnresponsive) return
+    if (!(error instanceof PeerError) || !error.isTimeout) this.recordDown(state, error)
+    else if (error.isUnresponsive) this.askWhetherPresent(state)
+  }
+
+  /// A member whose disk is slow may have replied to nothing because all requests wait for it.
+  private askWhetherPresent (state: PeerState): void {
+    if (state.isAsked || state.isDown) return
+    state.isAsked = true
+    state.peer.digest(this.createProbe(), presenceTimeoutMs)
+      .then(reply => this.handleStanding(state, reply.standing!), error => this.recordDown(state, error))
+      .finally(() => { state.isAsked = false })
+  }
+
+  private createProbe (): DigestRequest {
+    return { viewVersion: this.view.version, cursor: 0, limit: 0, epoch: '' }
+  }
+
+  private recordDown (state: PeerState, error: unknown): void {
     if (!state.isDown) this.log.event(Events.memberLost, { member: state.member.name, error: formatError(error) })
     state.isDown = true
     this.options.onStaleView()
@@ -194,7 +218,7 @@
       clearInterval(this.probeTimer)
       this.probeTimer = null
     }
-    const request = { viewVersion: this.view.version, cursor: 0, limit: 0, epoch: '' }
+    const request = this.createProbe()
     for (const state of down) {
       const accept = (reply: DigestReply): void => this.handleStanding(state, reply.standing!)
       state.peer.digest(request, probeTimeoutMs, { silenceTimeoutMs, onLateReply: accept }).then(accept, () => {
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -168,6 +168,7 @@
       isDone: () => chain !== null || !isSameView() || this.isRuledOut(absentDiskIds),
       hedgeDelayMs: chainHedgeDelayMs,
       deadlineMs,
+      onMembers: this.peers.onView,
       send: async state => {
         const request = { viewVersion: version, turnId }
         const reply = await this.peers.sendWithRetry<FindChainReply>(
@@ -218,6 +219,7 @@
       isDone: () => hasQuorum(replies, completeDiskIds),
       hedgeDelayMs: appendHedgeDelayMs,
       deadlineMs,
+      onMembers: this.peers.onView,
       send: async state => {
         const voterDiskId = this.findReadVoter(state)
         const reply = await this.peers.sendWithRetry<AppendReply>(
