Soak: a request that was sent before a SIGHUP and cut after it counts

Those sent before the signal weren't counted.

Cause: the check asked that the request be sent after the signal.

Change: a request that was sent earlier counts if it was cut after the signal.

--- a/standin/soak/src/circumstances.ts
+++ b/standin/soak/src/circumstances.ts
@@ -44,7 +44,7 @@
   const { entry, sentAtMs, startedAtMs, endedAtMs } = attempt
   const { kind, startMs, endMs } = disturbance
   if (kind === 'unplanned' || kind === 'signal' || (disturbance.entry !== null && disturbance.entry !== entry)) return false
-  if (kind === 'settings') return sentAtMs >= startMs && sentAtMs <= startMs + configurationApplyMs
+  if (kind === 'settings') return sentAtMs <= startMs + configurationApplyMs && endedAtMs >= startMs
   return endedAtMs >= startMs && startedAtMs <= endMs && endedAtMs <= endMs
 }
 
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -115,6 +115,21 @@
     found: [planned],
     broken: [planned]
   },
+  {
+    name: 'a request that was sent before a SIGHUP of its entry and cut after it',
+    observed: {
+      attempts: [observe('a', 1000, cut)], runIds: ['a'], disturbances: [createDisturbance('settings', 1100, 1100, entry)]
+    },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was cut before a SIGHUP of its entry',
+    observed: {
+      attempts: [observe('a', 1000, cut)], disturbances: [createDisturbance('settings', 1400, 1400, entry)]
+    },
+    found: []
+  },
   {
     name: 'a request that was cut beside a configuration, where none is cut at other times',
     observed: {
