Soak: trouble at another entry doesn't put an entry out of touch

What callers saw: nothing; the check of the soak was wider than the rule LOST, whose sentence on kept connections holds at any time for machines in touch. Trouble at any entry excused requests that were cut at all of them.

Cause: the check asked whether there was unplanned trouble anywhere, as the sentence on planned work does.

Change: the sentence on kept connections asks whether the attempt's own entry, or what all use, was in trouble.

Evidence: rules.test.ts, 'right after trouble at another entry' failed before (1 of 34), 34 of 34 pass now.

--- a/standin/soak/src/circumstances.ts
+++ b/standin/soak/src/circumstances.ts
@@ -8,12 +8,22 @@
 /// An entry counts the time of a request from when it has read its head.
 const timeoutMarginMs = 50
 
-export function hasUnplanned ({ startedAtMs, endedAtMs }: Attempt, { disturbances }: Observations): boolean {
-  return disturbances.some(({ kind, startMs, endMs }) => {
-    return kind === 'unplanned' && startMs <= endedAtMs && endMs >= startedAtMs - contactMs
+export function hasUnplanned (attempt: Attempt, { disturbances }: Observations): boolean {
+  return disturbances.some(disturbance => isUnplannedBeside(disturbance, attempt))
+}
+
+/// Whether trouble at the attempt's own entry, or at what all entries use, put the entry out of touch.
+export function isOutOfTouch (attempt: Attempt, { disturbances }: Observations): boolean {
+  return disturbances.some(disturbance => {
+    const { entry } = disturbance
+    return (entry === null || entry === attempt.entry) && isUnplannedBeside(disturbance, attempt)
   })
 }
 
+function isUnplannedBeside ({ kind, startMs, endMs }: Disturbance, { startedAtMs, endedAtMs }: Attempt): boolean {
+  return kind === 'unplanned' && startMs <= endedAtMs && endMs >= startedAtMs - contactMs
+}
+
 /// Whether the connection ended without a complete answer, and not for a reason that the rule LOST allows.
 export function isCut (attempt: Attempt, observations: Observations): boolean {
   const { id, isComplete, isLeft, startedAtMs, endedAtMs, deadlineMs, path } = attempt
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,4 +1,4 @@
-import { describe, getOwnDelayMs, hasUnplanned, isCut, isPlannedWork } from './circumstances.js'
+import { describe, getOwnDelayMs, hasUnplanned, isCut, isOutOfTouch, isPlannedWork } from './circumstances.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
 import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
@@ -82,15 +82,14 @@
 }
 
 function findLostOnKeptConnection (attempt: Attempt, observations: Observations): string | null {
-  return attempt.isKept && isRunAndCut(attempt, observations) ? describe(attempt, true) : null
+  const { id, isKept } = attempt
+  const isRunAndCut = observations.runs.has(id) && isCut(attempt, observations)
+  return isKept && isRunAndCut && !isOutOfTouch(attempt, observations) ? describe(attempt, true) : null
 }
 
 /// On a new connection and not around planned work the rule doesn't count it, but the caller misses the answer, too.
 function findCutRun (attempt: Attempt, observations: Observations, graceMs: number): string | null {
-  if (attempt.isKept || !isRunAndCut(attempt, observations)) return null
+  const isRunAndCut = observations.runs.has(attempt.id) && isCut(attempt, observations)
+  if (attempt.isKept || !isRunAndCut || hasUnplanned(attempt, observations)) return null
   return findLostInPlannedWork(attempt, observations, graceMs) === null ? describe(attempt, true) : null
 }
-
-function isRunAndCut (attempt: Attempt, observations: Observations): boolean {
-  return observations.runs.has(attempt.id) && isCut(attempt, observations) && !hasUnplanned(attempt, observations)
-}
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -168,6 +168,34 @@
     found: [kept],
     broken: [kept]
   },
+  {
+    name: 'four requests that were run and cut on kept connections, right after trouble at another entry',
+    observed: {
+      attempts: ids(4).map(id => observe(id, 1000, onKept)),
+      runIds: ids(4),
+      disturbances: [createDisturbance('unplanned', 900, 950, otherEntry)]
+    },
+    found: [kept],
+    broken: [kept]
+  },
+  {
+    name: 'four requests that were run and cut on kept connections, right after trouble at their entry',
+    observed: {
+      attempts: ids(4).map(id => observe(id, 1000, onKept)),
+      runIds: ids(4),
+      disturbances: [createDisturbance('unplanned', 900, 950, entry)]
+    },
+    found: []
+  },
+  {
+    name: 'four requests that were run and cut on kept connections, right after trouble of the store',
+    observed: {
+      attempts: ids(4).map(id => observe(id, 1000, onKept)),
+      runIds: ids(4),
+      disturbances: [createDisturbance('unplanned', 900, 950)]
+    },
+    found: []
+  },
   {
     name: 'a request that was run and cut on a new connection in calm',
     observed: { attempts: [observe('a', 1000, cut)], runIds: ['a'] },
