Soak: a stream that is cut up to 50 ms before its timeout counts

What callers saw: nothing; the check of the soak was wider than the rule LOST, which excuses a cut only if the route's timeout was reached.

Cause: a margin of 50 ms, since an entry counts from when it has read the head. That is later than when its caller has sent it, so that no margin is needed.

Change: 1 ms, by which a timer may be early.

--- a/standin/soak/src/circumstances.ts
+++ b/standin/soak/src/circumstances.ts
@@ -5,8 +5,8 @@
 /// The users' bounds.
 const contactMs = 3000
 const configurationApplyMs = 2000
-/// An entry counts the time of a request from when it has read its head.
-const timeoutMarginMs = 50
+/// Timers count whole milliseconds.
+const timerErrorMs = 1
 
 export function hasUnplanned (attempt: Attempt, { disturbances }: Observations): boolean {
   return disturbances.some(disturbance => isUnplannedBeside(disturbance, attempt))
@@ -31,7 +31,7 @@
   const isTurn = path === '/chat/' || path === '/query/'
   const timeoutMs = isTurn ? lowestTimeoutMs(attempt, observations) : Infinity
   const usedMs = endedAtMs - startedAtMs
-  return !isComplete && !isLeft && !isBrokenOff && usedMs < deadlineMs && usedMs < timeoutMs - timeoutMarginMs
+  return !isComplete && !isLeft && !isBrokenOff && usedMs < deadlineMs && usedMs < timeoutMs - timerErrorMs
 }
 
 /// The lowest timeout of turns in the configurations that may have been in force.
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -107,6 +107,11 @@
     },
     found: []
   },
+  {
+    name: 'a stream that was cut a little before its timeout',
+    observed: { attempts: [observe('a', 1000, { ...onKept, endedAtMs: 4970 })], runIds: ['a'] },
+    found: [kept]
+  },
   {
     name: 'a request that was cut beside a SIGHUP of its entry',
     observed: {
