Soak: a request on a kept connection that has no answer at its timeout counts

What callers saw: nothing; the check of the soak was wider than the rule LOST, whose sentence on kept connections has no exception for the route's timeout: a request that was passed on has to be answered, then with a failure.

Cause: one function says for all sentences what isn't a cut.

Change: on a kept connection the timeout excuses only an answer that is broken off. The case of a stream that is cut at a lowered timeout now has an answer that has begun, as its name says.

--- a/standin/soak/src/circumstances.ts
+++ b/standin/soak/src/circumstances.ts
@@ -26,12 +26,21 @@
 
 /// Whether the connection ended without a complete answer, and not for a reason that the rule LOST allows.
 export function isCut (attempt: Attempt, observations: Observations): boolean {
-  const { id, isComplete, isLeft, startedAtMs, endedAtMs, deadlineMs, path } = attempt
-  const isBrokenOff = observations.runs.get(id)?.at(-1)?.isBrokenOff === true
+  const { startedAtMs, endedAtMs, path } = attempt
   const isTurn = path === '/chat/' || path === '/query/'
   const timeoutMs = isTurn ? lowestTimeoutMs(attempt, observations) : Infinity
-  const usedMs = endedAtMs - startedAtMs
-  return !isComplete && !isLeft && !isBrokenOff && usedMs < deadlineMs && usedMs < timeoutMs - timerErrorMs
+  return isCutBeforeDeadline(attempt, observations) && endedAtMs - startedAtMs < timeoutMs - timerErrorMs
+}
+
+/// Whether the connection ended before any answer. At its timeout a request still has to be answered.
+export function isUnanswered (attempt: Attempt, observations: Observations): boolean {
+  return attempt.status === 0 && isCutBeforeDeadline(attempt, observations)
+}
+
+function isCutBeforeDeadline (attempt: Attempt, { runs }: Observations): boolean {
+  const { id, isComplete, isLeft, startedAtMs, endedAtMs, deadlineMs } = attempt
+  const isBrokenOff = runs.get(id)?.at(-1)?.isBrokenOff === true
+  return !isComplete && !isLeft && !isBrokenOff && endedAtMs - startedAtMs < deadlineMs
 }
 
 /// The lowest timeout of turns in the configurations that may have been in force.
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,4 +1,4 @@
-import { describe, getOwnDelayMs, hasUnplanned, isCut, isOutOfTouch, isPlannedWork } from './circumstances.js'
+import { describe, getOwnDelayMs, hasUnplanned, isCut, isOutOfTouch, isPlannedWork, isUnanswered } from './circumstances.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
 import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
@@ -83,8 +83,8 @@
 
 function findLostOnKeptConnection (attempt: Attempt, observations: Observations): string | null {
   const { id, isKept } = attempt
-  const isRunAndCut = observations.runs.has(id) && isCut(attempt, observations)
-  return isKept && isRunAndCut && !isOutOfTouch(attempt, observations) ? describe(attempt, true) : null
+  const isLost = isCut(attempt, observations) || isUnanswered(attempt, observations)
+  return isKept && observations.runs.has(id) && isLost && !isOutOfTouch(attempt, observations) ? describe(attempt, true) : null
 }
 
 /// On a new connection and not around planned work the rule doesn't count it, but the caller misses the answer, too.
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -101,7 +101,7 @@
   {
     name: 'a stream that was cut at a timeout that a configuration has lowered',
     observed: {
-      attempts: [observe('a', 1000, { ...onKept, endedAtMs: 2500 })],
+      attempts: [observe('a', 1000, { ...onKept, status: 200, endedAtMs: 2500 })],
       runIds: ['a'],
       fields: { timeouts: [{ sinceMs: 0, timeoutMs: 4000 }, { sinceMs: 500, timeoutMs: 1500 }] }
     },
@@ -112,6 +112,18 @@
     observed: { attempts: [observe('a', 1000, { ...onKept, endedAtMs: 4970 })], runIds: ['a'] },
     found: [kept]
   },
+  {
+    name: 'a stream on a kept connection that was cut at its timeout',
+    observed: {
+      attempts: [observe('a', 1000, { ...onKept, status: 200, deadlineMs: 6000, endedAtMs: 5000 })], runIds: ['a']
+    },
+    found: []
+  },
+  {
+    name: 'a request on a kept connection that had no answer at its timeout',
+    observed: { attempts: [observe('a', 1000, { ...onKept, deadlineMs: 6000, endedAtMs: 5000 })], runIds: ['a'] },
+    found: [kept]
+  },
   {
     name: 'a request that was cut beside a SIGHUP of its entry',
     observed: {
