Soak: a request that was read behind an answer that says close counts

What callers saw: nothing; the check of the soak was wider than the rule LOST. Only a request that crosses the close doesn't count; one whose last byte was sent over loss_slack_ms before the close was said does.

Cause: the check took every request behind an answer that said close, which was not run, as crossing it.

Change: the connection notes when the head of an answer said close. The case of rules.test.ts without that time is replaced by three: sent long before (found), crossing, and sent after it.

--- a/standin/soak/src/connection.ts
+++ b/standin/soak/src/connection.ts
@@ -31,6 +31,8 @@
 export interface RawResponse extends Omit<ParsedResponse, 'length'> {
   /// Whether a response before it had said that the connection ends.
   readonly isBehindLast: boolean
+  /// When the head of a response on the connection said that it ends, null if none did.
+  readonly closeSaidAtMs: number | null
   /// Whether the caller left before.
   readonly isLeft: boolean
   /// When the first and the last byte of the request were written, and when the response was complete or the connection
@@ -55,6 +57,7 @@
   private isClosed = false
   private isLeft = false
   private hasLast = false
+  private closeSaidAtMs: number | null = null
   private received = ''
   /// The response before the next one.
   private before = ''
@@ -151,6 +154,7 @@
   private deliver (): void {
     while (this.waiting.length > 0 && !this.hasLast) {
       const response = parseResponse(this.received, this.isClosed)
+      if (response.isLast) this.closeSaidAtMs ??= performance.now()
       if (!response.isComplete) return
       const { before } = this
       this.before = this.received.slice(0, response.length)
@@ -170,7 +174,9 @@
 
   private settle (pending: Pending, { length, ...response }: ParsedResponse, isBehindLast: boolean): void {
     const { startedAtMs, sentAtMs } = pending
-    const { isLeft } = this
-    pending.resolve({ ...response, isBehindLast, isLeft, startedAtMs, sentAtMs, endedAtMs: performance.now() })
+    const { isLeft, closeSaidAtMs } = this
+    pending.resolve({
+      ...response, isBehindLast, closeSaidAtMs, isLeft, startedAtMs, sentAtMs, endedAtMs: performance.now()
+    })
   }
 }
--- a/standin/soak/src/lane.ts
+++ b/standin/soak/src/lane.ts
@@ -62,7 +62,7 @@
     { id, kind, previousTurnId }: ProgramRequest, response: RawResponse, entry: SystemNode, isKept: boolean, way: string
   ): Outcome {
     const { path, method, deadlineMs } = kind
-    const { status, body, isComplete, startedAtMs, sentAtMs, endedAtMs, isBehindLast } = response
+    const { status, body, isComplete, startedAtMs, sentAtMs, endedAtMs, isBehindLast, closeSaidAtMs } = response
     const isLeft = response.isLeft || (!isComplete && endedAtMs - startedAtMs >= deadlineMs)
     const attempt = {
       id,
@@ -80,6 +80,7 @@
       isComplete,
       isLeft,
       isBehindLast,
+      closeSaidAtMs,
       way
     }
     this.observations.addAttempt(attempt)
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -20,6 +20,8 @@
   readonly isLeft: boolean
   /// Whether an answer before it on its connection said that the connection ends, so that it may have to be sent again.
   readonly isBehindLast: boolean
+  /// When the head of an answer on its connection said that the connection ends, null if none did.
+  readonly closeSaidAtMs: number | null
   /// How it was sent.
   readonly way: string
 }
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -64,7 +64,7 @@
 function findLostInPlannedWork (attempt: Attempt, observations: Observations, graceMs: number): string | null {
   const { id, sentAtMs, startedAtMs, endedAtMs, deadlineMs } = attempt
   const isRun = observations.runs.has(id)
-  if (!isCut(attempt, observations) || (attempt.isBehindLast && !isRun)) return null
+  if (!isCut(attempt, observations) || (!isRun && isCrossing(attempt, observations))) return null
   if (!isRun && endedAtMs - sentAtMs - getOwnDelayMs(attempt, observations) <= lossSlackMs) return null
   if (hasUnplanned(attempt, observations)) return null
   const isUsedUp = endedAtMs - startedAtMs >= deadlineMs * maxUsedShare
@@ -75,6 +75,13 @@
   return work === undefined ? null : `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
 }
 
+/// Whether an answer said close while the request was on its way, or before. One that was read by then has to be answered.
+function isCrossing (attempt: Attempt, observations: Observations): boolean {
+  const { sentAtMs, isBehindLast, closeSaidAtMs } = attempt
+  const slackMs = lossSlackMs + getOwnDelayMs(attempt, observations)
+  return isBehindLast && closeSaidAtMs !== null && closeSaidAtMs - sentAtMs <= slackMs
+}
+
 function isCutLate (
   { sentAtMs, endedAtMs }: Attempt, { startMs }: Disturbance, graceMs: number, isRun: boolean
 ): boolean {
--- a/standin/soak/test/observed.ts
+++ b/standin/soak/test/observed.ts
@@ -25,6 +25,7 @@
     isComplete: true,
     isLeft: false,
     isBehindLast: false,
+    closeSaidAtMs: null,
     way: 'plain',
     ...fields
   }
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -74,10 +74,21 @@
     found: []
   },
   {
-    name: 'a request behind an answer that said close, which was not run',
-    observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true })], disturbances: [stop] },
+    name: 'a request that crossed an answer that said close, which was not run',
+    observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true, closeSaidAtMs: 1150 })], disturbances: [stop] },
     found: []
   },
+  {
+    name: 'a request behind an answer that had said close before it was sent, which was not run',
+    observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true, closeSaidAtMs: 500 })], disturbances: [stop] },
+    found: []
+  },
+  {
+    name: 'a request behind an answer that said close, which was not run though it was sent long before',
+    observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true, closeSaidAtMs: 1250 })], disturbances: [stop] },
+    found: [planned],
+    broken: [planned]
+  },
   {
     name: 'a request behind an answer that said close, which was run',
     observed: { attempts: [observe('a', 1000, { ...cut, isBehindLast: true })], runIds: ['a'], disturbances: [stop] },
--- a/standin/soak/test/sending.test.ts
+++ b/standin/soak/test/sending.test.ts
@@ -68,6 +68,8 @@
   })
   expect(responses.map(response => response?.isComplete)).toEqual([true, false])
   expect(responses.map(response => response?.isBehindLast)).toEqual([false, true])
+  expect(responses.map(response => typeof response?.closeSaidAtMs)).toEqual(['number', 'number'])
+  expect(responses[1]!.closeSaidAtMs).toBeGreaterThanOrEqual(responses[1]!.sentAtMs)
 })
 
 test.each(Object.values(Leaving))('a caller that leaves by %s is told from one that was cut', async way => {
