--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -1,7 +1,6 @@
 import { LoopMonitor, sleep } from '#process/clock'
 import { StandinSystem } from '#standin/system'
-import { UpstreamFault } from '#standin/upstream'
-import type { ExecutedRequest, StandinUpstream } from '#standin/upstream'
+import type { StandinUpstream } from '#standin/upstream'
 import { unitHash } from '#version/configuration'
 import { Balancer } from './balancer.js'
 import { findBreaches } from './breaches.js'
@@ -12,10 +11,11 @@
 import { findLifeViolations, isEndedAtBoot } from './liferules.js'
 import type { LifeFinding } from './liferules.js'
 import { Observations } from './observations.js'
-import type { Attempt, Run } from './observations.js'
+import type { Attempt } from './observations.js'
 import { Random } from './random.js'
 import { findViolations } from './rules.js'
 import type { Finding } from './rules.js'
+import { observeRuns } from './runs.js'
 import { Supervisor } from './supervisor.js'
 
 export interface SoakOptions {
@@ -66,10 +66,6 @@
 const settleMs = 2500
 /// For the processes to be ready again at the end; longer than a start may take.
 const maxSettleMs = 20_000
-/// Faults with which the instance breaks off what it has begun.
-const breakingFaults: readonly UpstreamFault[] = [
-  UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframedReset
-]
 /// Final faults that strike right after a change among the storage machines has begun.
 const faultBesideChangeShare = 0.7
 const maxFaultDelayMs = 2500
@@ -98,7 +94,8 @@
     onLoad: () => {}
   })
   try {
-    for (const upstream of [...system.engines, ...system.services]) observe(upstream, observations)
+    for (const upstream of [...system.engines, ...system.services]) observeRuns(upstream, observations)
+    for (const engine of system.engines) setPauses(engine)
     const startMs = performance.now()
     let isTrafficOver = false
     const isOver = (): boolean => performance.now() - startMs > durationMs
@@ -132,24 +129,8 @@
   }
 }
 
-function observe (upstream: StandinUpstream, { runs }: Observations): void {
-  const open = new Map<ExecutedRequest, Run>()
-  const breaksOff = (): boolean => breakingFaults.some(fault => fault === upstream.fault)
-  upstream.onRun = request => {
-    const instanceId = upstream.options.id
-    const run = { instanceId, startedAtMs: performance.now(), endedAtMs: Infinity, isBrokenOff: breaksOff() }
-    open.set(request, run)
-    runs.set(request.callId, [...runs.get(request.callId) ?? [], run])
-  }
-  upstream.onDone = request => {
-    const run = open.get(request)
-    // A probe that began before it was observed.
-    if (run === undefined) return
-    run.endedAtMs = performance.now()
-    run.isBrokenOff ||= breaksOff()
-    open.delete(request)
-  }
-  upstream.getEventIntervalMs = ({ callId }, eventId) => {
+function setPauses (engine: StandinUpstream): void {
+  engine.getEventIntervalMs = ({ callId }, eventId) => {
     if (eventId % eventsBetweenPauses === 0 && unitHash(callId) < pausingShare) return pauseMs
     return minEventIntervalMs + (maxEventIntervalMs - minEventIntervalMs) * unitHash(`${callId}/${eventId}`)
   }
