Soak: an instance that is faulty excuses only what it breaks off itself

What callers saw: nothing; the check of the soak was wider than the rule LOST, which doesn't count a request if the worker broke off. A run that began or ended while its instance had a breaking fault was excused, also if an entry had broken it off.

Cause: the runs were recorded by the fault at their start and end, not by what the instance did.

Change: the stand-in says when it breaks off.

--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -78,6 +78,8 @@
   onRun: (request: ExecutedRequest) => void = () => {}
   /// Called when the response to an executed request was sent, or its connection closed before.
   onDone: (request: ExecutedRequest) => void = () => {}
+  /// Called before the instance itself breaks off an executed request, by its fault.
+  onBreakOff: (request: ExecutedRequest) => void = () => {}
   /// Delay after an event of a stream.
   getEventIntervalMs: (request: ExecutedRequest, eventId: number) => number = () => this.options.eventIntervalMs
   private readonly server: Server
@@ -133,10 +135,12 @@
     }
     if (this.fault === UpstreamFault.late) await sleep(lateMs)
     if (this.fault === UpstreamFault.responseLost) {
+      this.onBreakOff(executed)
       request.socket.resetAndDestroy()
       return
     }
     if (this.fault === UpstreamFault.unframedReset) {
+      this.onBreakOff(executed)
       this.sendUnframedAndReset(request.socket, callId)
       return
     }
@@ -203,6 +207,7 @@
     }
     response.writeHead(200, { ...responseHeaders, 'content-length': String(body.length) })
     if (this.fault === UpstreamFault.broken) {
+      this.onBreakOff(executed)
       response.write(body.slice(0, 3), () => response.destroy())
       return
     }
@@ -222,6 +227,7 @@
       if (request.socket.destroyed) return
       const event = `id: ${id}\ndata: ${this.formatEventData(executed, id)}\n\n`
       if (this.fault === UpstreamFault.broken && id > firstId + 1) {
+        this.onBreakOff(executed)
         response.write(event.slice(0, 6), () => response.destroy())
         return
       }
