Soak: only work that goes on in the last sixth of the grace time excuses a cut

What callers saw: nothing; the check of the soak was wider than the rule LOST, which doesn't count a cut while the worker was still at work in the last sixth of grace_s. Any request that had been run was excused then, also one whose worker had finished.

Cause: the check looked at when the request was cut, not at the run.

Change: a run has to last until then.

Evidence: rules.test.ts, 'whose instance had done its work before' failed before (1 of 42), 42 of 42 pass now.

--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -70,7 +70,7 @@
   const isUsedUp = endedAtMs - startedAtMs >= deadlineMs * maxUsedShare
   const work = observations.disturbances.find(disturbance => {
     return isPlannedWork(disturbance, attempt) && !(disturbance.kind === 'configuration' && isUsedUp) &&
-      !(disturbance.kind === 'stop' && isCutLate(attempt, disturbance, graceMs, isRun))
+      !(disturbance.kind === 'stop' && isCutLate(attempt, disturbance, observations, graceMs))
   })
   return work === undefined ? null : `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
 }
@@ -82,10 +82,13 @@
   return isBehindLast && closeSaidAtMs !== null && closeSaidAtMs - sentAtMs <= slackMs
 }
 
+/// Whether an instance was still at work on the request in the last part of the grace time.
 function isCutLate (
-  { sentAtMs, endedAtMs }: Attempt, { startMs }: Disturbance, graceMs: number, isRun: boolean
+  { id, sentAtMs, endedAtMs }: Attempt, { startMs }: Disturbance, { runs }: Observations, graceMs: number
 ): boolean {
-  return isRun && sentAtMs <= startMs + earlyRequestMs && endedAtMs >= startMs + graceMs * (1 - lastGraceShare)
+  const lastPartAtMs = startMs + graceMs * (1 - lastGraceShare)
+  const isAtWork = runs.get(id)?.some(run => run.endedAtMs >= lastPartAtMs) === true
+  return isAtWork && sentAtMs <= startMs + earlyRequestMs && endedAtMs >= lastPartAtMs
 }
 
 function findLostOnKeptConnection (attempt: Attempt, observations: Observations): string | null {
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -95,6 +95,35 @@
     found: [planned],
     broken: [planned]
   },
+  {
+    name: 'a request that was cut right before the last sixth of the grace time while an instance was at work on it',
+    observed: {
+      attempts: [observe('a', 3500, { ...cut, endedAtMs: 7000 })],
+      disturbances: [createDisturbance('stop', 500, 9500, entry)],
+      fields: { runs: new Map([['a', [{ instanceId: 'm', startedAtMs: 3600, endedAtMs: Infinity, isBrokenOff: false }]]]) }
+    },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was cut in the last sixth of the grace time while an instance was still at work on it',
+    observed: {
+      attempts: [observe('a', 3500, { ...cut, endedAtMs: 7400 })],
+      disturbances: [createDisturbance('stop', 500, 9500, entry)],
+      fields: { runs: new Map([['a', [{ instanceId: 'm', startedAtMs: 3600, endedAtMs: 7400, isBrokenOff: false }]]]) }
+    },
+    found: ['run and cut']
+  },
+  {
+    name: 'a request that was cut in the last sixth of the grace time, whose instance had done its work before',
+    observed: {
+      attempts: [observe('a', 3500, { ...cut, endedAtMs: 7400 })],
+      disturbances: [createDisturbance('stop', 500, 9500, entry)],
+      fields: { runs: new Map([['a', [{ instanceId: 'm', startedAtMs: 3600, endedAtMs: 5000, isBrokenOff: false }]]]) }
+    },
+    found: [planned],
+    broken: [planned]
+  },
   {
     name: 'a request that its caller left',
     observed: { attempts: [observe('a', 1000, { ...onKept, isLeft: true })], runIds: ['a'], disturbances: [stop] },
