--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,4 +1,5 @@
 import { describe, getOwnDelayMs, hasUnplanned, isCut, isOutOfTouch, isPlannedWork, isUnanswered } from './circumstances.js'
+import { charge, turn } from './kinds.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
 import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
@@ -12,6 +13,8 @@
 const lastGraceShare = 1 / 6
 const earlyRequestMs = 3000
 const maxShownBytes = 100
+/// Of requests that may run once at most.
+const unrepeatablePaths = [turn, charge].map(({ path }) => path)
 /// A request that has used more of its time doesn't count beside a change of the configuration.
 const maxUsedShare = 0.7
 
@@ -44,7 +47,7 @@
   },
   'run twice': ({ id, path }, { runs }) => {
     const count = runs.get(id)?.length ?? 0
-    return path.startsWith('/charge') && count > 1 ? `${count} runs` : null
+    return unrepeatablePaths.includes(path) && count > 1 ? `${count} runs` : null
   },
   'bytes that are no response': ({ status, body }) => {
     return status === noStatus ? `${JSON.stringify(body.slice(0, maxShownBytes))} ${JSON.stringify(body.slice(body.indexOf('\nAFTER')))}` : null
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { findBreaches } from '../src/breaches.js'
-import type { Attempt } from '../src/observations.js'
+import type { Attempt, Run } from '../src/observations.js'
 import { findViolations } from '../src/rules.js'
 import { createDisturbance, createObservations, cut, entry, observe, otherEntry, refused } from './observed.js'
 import type { Observed } from './observed.js'
@@ -32,6 +32,9 @@
   return ids(count).map((id, i) => goOnFrom(id, startMs + i * 700, fields))
 }
 const previous = observe('t', 0)
+const twoRuns: Run[] = ['models-0', 'models-1'].map(instanceId => {
+  return { instanceId, startedAtMs: 1000, endedAtMs: 1100, isBrokenOff: false }
+})
 const others = (count: number, startMs: number, fields: Partial<Attempt> = {}): Attempt[] => {
   return ids(count).map((id, i) => observe(`o${id}`, startMs + i * 10, fields))
 }
@@ -258,6 +261,16 @@
     observed: { attempts: [observe('a', 1000, cut)], runIds: ['a'] },
     found: ['run and cut']
   },
+  {
+    name: 'a turn that is run twice',
+    observed: { attempts: [observe('a', 1000)], fields: { runs: new Map([['a', twoRuns]]) } },
+    found: ['run twice']
+  },
+  {
+    name: 'a stream that is resumed at another instance',
+    observed: { attempts: [observe('a', 1000, { path: '/query/' })], fields: { runs: new Map([['a', twoRuns]]) } },
+    found: []
+  },
   {
     name: 'a turn that is denied though its previous turn is kept',
     observed: { attempts: [previous, goOnFrom('a', 59_000, { status: 404 })] },
