--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -38,7 +38,7 @@
   'run and cut': findCutRun,
   'sound request denied': ({ status, isComplete, previousTurnId }) => {
     const isTurnUnknown = previousTurnId !== null && (status === 404 || status === 410)
-    return isComplete && status >= 400 && status < 500 && ![402, 408, 421, 429].includes(status) && !isTurnUnknown
+    return isComplete && status >= 300 && status < 500 && ![402, 408, 421, 429].includes(status) && !isTurnUnknown
       ? `answered ${status}`
       : null
   },
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -271,6 +271,11 @@
     observed: { attempts: [observe('a', 1000, { path: '/query/' })], fields: { runs: new Map([['a', twoRuns]]) } },
     found: []
   },
+  {
+    name: 'a sound request that is redirected',
+    observed: { attempts: [observe('a', 1000, { status: 307 })] },
+    found: ['sound request denied']
+  },
   {
     name: 'a turn that is denied though its previous turn is kept',
     observed: { attempts: [previous, goOnFrom('a', 59_000, { status: 404 })] },
