Soak: cuts at other times are counted as those beside a configuration

What callers saw: nothing; the check of the soak was wider than the rule LOST, which compares how often the machine cuts requests beside a configuration and at other times. At other times each connection that ended was counted, also those that trouble ended, that an instance broke off or that reached their timeout, so that a cut beside a configuration seldom counted.

Cause: two measures of a cut.

Change: one measure for both, that of the finding without its planned work.

--- a/standin/soak/src/breaches.ts
+++ b/standin/soak/src/breaches.ts
@@ -1,4 +1,4 @@
-import { isPlannedWork } from './circumstances.js'
+import { hasUnplanned, isLost, isPlannedWork, isUsedUp } from './circumstances.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import type { Finding } from './rules.js'
 
@@ -16,7 +16,7 @@
 const breaches: Readonly<Record<string, Breach>> = {
   'lost on a kept connection': findings => findings.length > maxLostOnKeptConnections,
   'lost around planned work': (findings, observations) => findings.some(({ attempt }) => {
-    return isNearOwnWork(attempt, observations) || isCutMoreOften(attempt, findings, observations)
+    return isNearOwnWork(attempt, observations) || isCutMoreOften(attempt, observations)
   }),
   'previous turn denied': findings => findings.length > 0,
   'previous turn reaches no instance': findings => findings.length > 0,
@@ -36,20 +36,20 @@
   return disturbances.some(disturbance => disturbance.kind !== 'configuration' && isPlannedWork(disturbance, attempt))
 }
 
-function isCutMoreOften ({ entry }: Attempt, findings: readonly Finding[], observations: Observations): boolean {
+function isCutMoreOften ({ entry }: Attempt, observations: Observations): boolean {
   const { attempts, disturbances } = observations
   const windows = disturbances.filter(({ kind }) => kind === 'configuration')
   const isBeside = ({ endedAtMs }: Attempt): boolean => windows.some(window => isWithin(window, endedAtMs))
   const own = attempts.filter(attempt => attempt.entry === entry)
-  const cuts = new Set(findings.map(({ attempt }) => attempt))
   const share = (all: readonly Attempt[]): number => {
-    return all.length === 0 ? 0 : all.filter(attempt => cuts.has(attempt) || isCutAtAll(attempt)).length / all.length
+    return all.length === 0 ? 0 : all.filter(attempt => isCutByEntry(attempt, observations)).length / all.length
   }
   return share(own.filter(isBeside)) > minCutRatio * share(own.filter(attempt => !isBeside(attempt)))
 }
 
-function isCutAtAll ({ isComplete, isLeft, isBehindLast }: Attempt): boolean {
-  return !isComplete && !isLeft && !isBehindLast
+/// Whether the request would count beside a configuration.
+function isCutByEntry (attempt: Attempt, observations: Observations): boolean {
+  return isLost(attempt, observations) && !isUsedUp(attempt) && !hasUnplanned(attempt, observations)
 }
 
 function isWithin ({ startMs, endMs }: Disturbance, atMs: number): boolean {
--- a/standin/soak/src/circumstances.ts
+++ b/standin/soak/src/circumstances.ts
@@ -5,6 +5,9 @@
 /// The users' bounds.
 const contactMs = 3000
 const configurationApplyMs = 2000
+const lossSlackMs = 200
+/// A request that has used more of its time doesn't count beside a change of the configuration.
+const maxUsedShare = 0.7
 /// Timers count whole milliseconds.
 const timerErrorMs = 1
 
@@ -32,6 +35,23 @@
   return isCutBeforeDeadline(attempt, observations) && endedAtMs - startedAtMs < timeoutMs - timerErrorMs
 }
 
+/// Whether the request was cut after it had been passed on, or later than it may be otherwise.
+export function isLost (attempt: Attempt, observations: Observations): boolean {
+  if (!isCut(attempt, observations)) return false
+  if (observations.runs.has(attempt.id)) return true
+  const slackMs = lossSlackMs + getOwnDelayMs(attempt, observations)
+  return attempt.endedAtMs - attempt.sentAtMs > slackMs && !isCrossing(attempt, slackMs)
+}
+
+/// Whether an answer said close while the request was on its way, or before. One that was read by then needs an answer.
+function isCrossing ({ sentAtMs, isBehindLast, closeSaidAtMs }: Attempt, slackMs: number): boolean {
+  return isBehindLast && closeSaidAtMs !== null && closeSaidAtMs - sentAtMs <= slackMs
+}
+
+export function isUsedUp ({ startedAtMs, endedAtMs, deadlineMs }: Attempt): boolean {
+  return endedAtMs - startedAtMs >= deadlineMs * maxUsedShare
+}
+
 /// Whether the connection ended before any answer. At its timeout a request still has to be answered.
 export function isUnanswered (attempt: Attempt, observations: Observations): boolean {
   return attempt.status === 0 && isCutBeforeDeadline(attempt, observations)
@@ -53,7 +73,7 @@
 }
 
 /// How late the process that runs the callers itself was between the end of a request and that of its connection.
-export function getOwnDelayMs ({ sentAtMs, endedAtMs }: Attempt, { delays }: Observations): number {
+function getOwnDelayMs ({ sentAtMs, endedAtMs }: Attempt, { delays }: Observations): number {
   const meanwhile = delays.filter(({ atMs, delayMs }) => atMs >= sentAtMs && atMs - delayMs <= endedAtMs)
   return Math.max(0, ...meanwhile.map(({ delayMs }) => delayMs))
 }
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,4 +1,6 @@
-import { describe, getOwnDelayMs, hasUnplanned, isCut, isOutOfTouch, isPlannedWork, isUnanswered } from './circumstances.js'
+import {
+  describe, hasUnplanned, isCut, isLost, isOutOfTouch, isPlannedWork, isUnanswered, isUsedUp
+} from './circumstances.js'
 import { charge, turn } from './kinds.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
@@ -6,8 +8,6 @@
 
 // The sentences of the users' rule LOST, and those near it, as the callers and instances saw them.
 
-/// The users' bounds.
-const lossSlackMs = 200
 /// Of the grace time of a stop, in its last part an instance that is at work may be cut off, on a request that was sent
 /// no later than this after the signal.
 const lastGraceShare = 1 / 6
@@ -15,8 +15,6 @@
 const maxShownBytes = 100
 /// Of requests that may run once at most.
 const unrepeatablePaths = [turn, charge].map(({ path }) => path)
-/// A request that has used more of its time doesn't count beside a change of the configuration.
-const maxUsedShare = 0.7
 
 /// What broke a rule, or might have.
 export interface Finding {
@@ -65,24 +63,15 @@
 }
 
 function findLostInPlannedWork (attempt: Attempt, observations: Observations, graceMs: number): string | null {
-  const { id, sentAtMs, startedAtMs, endedAtMs, deadlineMs } = attempt
+  if (!isLost(attempt, observations) || hasUnplanned(attempt, observations)) return null
+  const { id, endedAtMs } = attempt
   const isRun = observations.runs.has(id)
-  if (!isCut(attempt, observations) || (!isRun && isCrossing(attempt, observations))) return null
-  if (!isRun && endedAtMs - sentAtMs - getOwnDelayMs(attempt, observations) <= lossSlackMs) return null
-  if (hasUnplanned(attempt, observations)) return null
-  const isUsedUp = endedAtMs - startedAtMs >= deadlineMs * maxUsedShare
   const work = observations.disturbances.find(disturbance => {
-    return isPlannedWork(disturbance, attempt) && !(disturbance.kind === 'configuration' && isUsedUp) &&
+    return isPlannedWork(disturbance, attempt) && !(disturbance.kind === 'configuration' && isUsedUp(attempt)) &&
       !(disturbance.kind === 'stop' && isCutLate(attempt, disturbance, observations, graceMs))
   })
-  return work === undefined ? null : `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
-}
-
-/// Whether an answer said close while the request was on its way, or before. One that was read by then has to be answered.
-function isCrossing (attempt: Attempt, observations: Observations): boolean {
-  const { sentAtMs, isBehindLast, closeSaidAtMs } = attempt
-  const slackMs = lossSlackMs + getOwnDelayMs(attempt, observations)
-  return isBehindLast && closeSaidAtMs !== null && closeSaidAtMs - sentAtMs <= slackMs
+  if (work === undefined) return null
+  return `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
 }
 
 /// Whether an instance was still at work on the request in the last part of the grace time.
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -209,6 +209,32 @@
     },
     found: [planned]
   },
+  {
+    name: 'a request that was cut beside a configuration, where others are cut by trouble at other times',
+    observed: {
+      attempts: [observe('a', 1000, cut), observe('b', 1500), observe('c', 20_000, cut), observe('d', 20_500)],
+      runIds: ['a', 'c'],
+      disturbances: [createDisturbance('configuration', 900, 3900), createDisturbance('unplanned', 20_100, 20_200, entry)]
+    },
+    found: [planned],
+    broken: [planned]
+  },
+  {
+    name: 'a request that was cut beside a configuration, where an instance breaks others off at other times',
+    observed: {
+      attempts: [observe('a', 1000, cut), observe('b', 1500), observe('c', 20_000, cut), observe('d', 20_500)],
+      runIds: ['a'],
+      disturbances: [createDisturbance('configuration', 900, 3900)],
+      fields: {
+        runs: new Map([
+          ['a', [{ instanceId: 'm', startedAtMs: 0, endedAtMs: 0, isBrokenOff: false }]],
+          ['c', [{ instanceId: 'm', startedAtMs: 0, endedAtMs: 0, isBrokenOff: true }]]
+        ])
+      }
+    },
+    found: [planned],
+    broken: [planned]
+  },
   {
     name: 'a request that was cut beside a configuration after most of its time',
     observed: {
