--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -84,9 +84,8 @@
 }
 
 function findLostOnKeptConnection (attempt: Attempt, observations: Observations): string | null {
-  const { id, isKept } = attempt
-  const isLost = isCut(attempt, observations) || isUnanswered(attempt, observations)
-  return isKept && observations.runs.has(id) && isLost && !isOutOfTouch(attempt, observations) ? describe(attempt, true) : null
+  if (!attempt.isKept || !observations.runs.has(attempt.id) || isOutOfTouch(attempt, observations)) return null
+  return isCut(attempt, observations) || isUnanswered(attempt, observations) ? describe(attempt, true) : null
 }
 
 /// On a new connection and not around planned work the rule doesn't count it, but the caller misses the answer, too.
