Soak: a turn that reaches no instance by the end of recovery counts after one try, too

Change: the last try before the end of the recovery time decides, or the next one if that was over 4 s before; one that was first made after the recovery time doesn't. The case 'that was tried too seldom' held the wider reading. Three stand for it: once late in vain, once before and once after (both found), and never before (not found).

--- a/standin/soak/src/turnrules.ts
+++ b/standin/soak/src/turnrules.ts
@@ -46,8 +46,7 @@
   if (finalFault === null || attempt.startedAtMs < finalFault.backAtMs) return null
   const recoveredAtMs = finalFault.backAtMs + recoveryMs
   const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= finalFault.startMs)
-  const isFirstAfter = tries.findIndex(({ startedAtMs }) => startedAtMs >= recoveredAtMs) === tries.indexOf(attempt)
-  if (attempt.startedAtMs < recoveredAtMs || !isFirstAfter || tries.length < maxTriesInVain) return null
+  if (!isLastByRecovery(attempt, tries, recoveredAtMs, observations)) return null
   if (findAgeMs(attempt, observations) === null || tries.some(({ id }) => runs.has(id))) return null
   const others = attempts.filter(other => {
     return isTurn(other) && other.previousTurnId !== attempt.previousTurnId && other.startedAtMs >= recoveredAtMs
@@ -58,6 +57,23 @@
     `after all are back${formatStatuses(tries)}; ${servedCount} of ${others.length} others were served`
 }
 
+/// Whether the attempt is the last try by the end of the recovery time or, if that one was long before, the next try.
+function isLastByRecovery (
+  attempt: Attempt, tries: readonly Attempt[], recoveredAtMs: number, { attempts }: Observations
+): boolean {
+  const { previousTurnId, startedAtMs } = attempt
+  const isBefore = (other: Attempt): boolean => other.startedAtMs < recoveredAtMs
+  if (!isBefore(attempt)) {
+    const before = tries.filter(isBefore)
+    const isTriedLate = before.some(other => other.startedAtMs >= recoveredAtMs - finalWindowMs)
+    return before.length > 0 && before.length === tries.length - 1 && !isTriedLate
+  }
+  const isTriedAgain = attempts.some(other => {
+    return other.previousTurnId === previousTurnId && other.startedAtMs > startedAtMs && isBefore(other)
+  })
+  return startedAtMs >= recoveredAtMs - finalWindowMs && !isTriedAgain
+}
+
 /// In the last part of the traffic after the final fault a turn reaches no instance, whatever is answered.
 export const findUnreachableAtEnd: TurnCheck = (attempt, observations) => {
   const { finalFault, runs } = observations
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -21,6 +21,8 @@
 
 const planned = 'lost around planned work'
 const kept = 'lost on a kept connection'
+const notRecovered = 'previous turn not reached by the end of recovery'
+const notReachedAtEnd = 'previous turn reaches no instance at the end'
 const stop = createDisturbance('stop', 0, 9000, entry)
 const failed = { status: 502 }
 const onKept = { ...cut, isKept: true }
@@ -345,8 +347,8 @@
       disturbances: [createDisturbance('unplanned', faultMs, backMs)],
       fields: { finalFault }
     },
-    found: ['previous turn not reached by the end of recovery'],
-    broken: ['previous turn not reached by the end of recovery']
+    found: [notRecovered],
+    broken: [notRecovered]
   },
   {
     name: 'a turn that reaches no instance by the end of the recovery time, as few others are served',
@@ -368,7 +370,39 @@
     found: []
   },
   {
-    name: 'a turn that was tried too seldom by the end of the recovery time',
+    name: 'a turn that was tried only once in vain by the end of the recovery time, though others are served',
+    observed: {
+      attempts: [previous, goOnFrom('z', recoveredMs - 2000, refused), ...others(8, recoveredMs)],
+      runIds: ids(8).map(id => `o${id}`),
+      disturbances: [createDisturbance('unplanned', faultMs, backMs)],
+      fields: { finalFault }
+    },
+    found: [notRecovered],
+    broken: [notRecovered]
+  },
+  {
+    name: 'a turn that was tried in vain once before the end of the recovery time and once after it',
+    observed: {
+      attempts: [
+        previous, goOnFrom('y', backMs, refused), goOnFrom('z', recoveredMs, refused), ...others(8, recoveredMs)
+      ],
+      runIds: ids(8).map(id => `o${id}`),
+      fields: { finalFault }
+    },
+    found: [notRecovered],
+    broken: [notRecovered]
+  },
+  {
+    name: 'a turn that was tried in vain only long before the end of the recovery time, then in vain no more',
+    observed: {
+      attempts: [previous, goOnFrom('y', backMs, refused), goOnFrom('z', recoveredMs, {}), ...others(8, recoveredMs)],
+      runIds: ['z', ...ids(8).map(id => `o${id}`)],
+      fields: { finalFault }
+    },
+    found: []
+  },
+  {
+    name: 'a turn that was not tried by the end of the recovery time, then once in vain',
     observed: {
       attempts: [previous, goOnFrom('z', recoveredMs, refused), ...others(8, recoveredMs)],
       runIds: ids(8).map(id => `o${id}`),
@@ -384,8 +418,8 @@
       disturbances: [createDisturbance('unplanned', recoveredMs, recoveredMs + 9000)],
       fields: { finalFault }
     },
-    found: ['previous turn reaches no instance at the end'],
-    broken: ['previous turn reaches no instance at the end']
+    found: [notReachedAtEnd],
+    broken: [notReachedAtEnd]
   }
 ]
 
