Soak: after the final fault five tries in vain count while the instances are under half full, too

What callers saw: nothing; the check of the soak was wider than the rule LOST, which counts them in the last 4 s 'while the workers are under half full or first turns do reach them'. It asked that nine tenths of the first turns reach an instance.

Change: a try while under half of the places of the engines are taken is enough. The runs that the instances saw say how many are.

--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -67,6 +67,8 @@
   readonly attempts: Attempt[] = []
   /// When all processes were killed at the end, and when they were started again; null without such an end.
   finalFault: { readonly startMs: number, readonly backAtMs: number } | null = null
+  /// How many turns all engines run at once.
+  places = 0
   /// Called with each attempt when it is over.
   onAttempt: (attempt: Attempt) => void = () => {}
   readonly runs = new Map<string, Run[]>()
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -1,5 +1,5 @@
 import { LoopMonitor, sleep } from '#process/clock'
-import { StandinSystem } from '#standin/system'
+import { instanceSlots, StandinSystem } from '#standin/system'
 import type { StandinUpstream } from '#standin/upstream'
 import { unitHash } from '#version/configuration'
 import { Balancer } from './balancer.js'
@@ -96,6 +96,7 @@
   try {
     for (const upstream of [...system.engines, ...system.services]) observeRuns(upstream, observations)
     for (const engine of system.engines) setPauses(engine)
+    observations.places = system.engines.length * instanceSlots
     const startMs = performance.now()
     let isTrafficOver = false
     const isOver = (): boolean => performance.now() - startMs > durationMs
--- a/standin/soak/src/turnrules.ts
+++ b/standin/soak/src/turnrules.ts
@@ -16,6 +16,8 @@
 const firstTurnWindowMs = 500
 /// While fewer of the other turns are served in the last part, turns that reach no instance by then don't count.
 const minServedShare = 4 / 5
+/// Ids of instances that run turns begin with this.
+const engineIdPrefix = 'models-'
 
 export type TurnCheck = (attempt: Attempt, observations: Observations) => string | null
 
@@ -82,11 +84,20 @@
   const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= recoveredAtMs)
   if (tries.length !== maxTriesInVain || tries.some(({ id }) => runs.has(id))) return null
   const firstTurns = findFirstTurnsBeside(tries, observations)
-  if (findAgeMs(attempt, observations) === null || !areReached(firstTurns, observations)) return null
+  const isRoom = tries.some(other => isUnderHalfFull(other, observations)) || areReached(firstTurns, observations)
+  if (findAgeMs(attempt, observations) === null || !isRoom) return null
   return `${maxTriesInVain} tries to go on from ${attempt.previousTurnId} after the recovery time${formatStatuses(tries)}; ` +
     `beside ${firstTurns.length} first turns`
 }
 
+/// Whether under half of the places of the engines were taken when the attempt was over.
+function isUnderHalfFull ({ endedAtMs }: Attempt, { runs, places }: Observations): boolean {
+  const taken = [...runs.values()].flat().filter(run => {
+    return run.instanceId.startsWith(engineIdPrefix) && run.startedAtMs <= endedAtMs && run.endedAtMs >= endedAtMs
+  })
+  return taken.length * 2 < places
+}
+
 function isTurn ({ path }: Attempt): boolean {
   return path === '/chat/'
 }
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -11,6 +11,13 @@
 const recoveredMs = backMs + 12_000
 const finalFault = { startMs: faultMs, backAtMs: backMs }
 
+/// So many runs at once.
+const busyRuns = (count: number, startedAtMs: number, endedAtMs = Infinity): Map<string, Run[]> => {
+  return new Map(Array.from({ length: count }, (_, i) => {
+    return [`busy${i}`, [{ instanceId: 'models-0', startedAtMs, endedAtMs, isBrokenOff: false }]]
+  }))
+}
+
 interface Case {
   readonly name: string
   readonly observed: Observed
@@ -410,6 +417,32 @@
     },
     found: []
   },
+  {
+    name: 'five tries in vain after the recovery time while first turns reach no instance, as half of the places are taken',
+    observed: {
+      attempts: [previous, ...tries(5, recoveredMs), ...others(8, recoveredMs, refused)],
+      fields: { finalFault, places: 4, runs: busyRuns(2, recoveredMs) }
+    },
+    found: []
+  },
+  {
+    name: 'five tries in vain after the recovery time while first turns reach no instance, though few places are taken',
+    observed: {
+      attempts: [previous, ...tries(5, recoveredMs), ...others(8, recoveredMs, refused)],
+      fields: { finalFault, places: 5, runs: busyRuns(2, recoveredMs) }
+    },
+    found: [notReachedAtEnd],
+    broken: [notReachedAtEnd]
+  },
+  {
+    name: 'five tries in vain after the recovery time while first turns reach no instance, some as few places are taken',
+    observed: {
+      attempts: [previous, ...tries(5, recoveredMs), ...others(8, recoveredMs, refused)],
+      fields: { finalFault, places: 4, runs: busyRuns(2, recoveredMs, recoveredMs + 500) }
+    },
+    found: [notReachedAtEnd],
+    broken: [notReachedAtEnd]
+  },
   {
     name: 'five tries in vain after the recovery time, during other trouble',
     observed: {
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -49,6 +49,8 @@
 const defaultStopGraceMs = 4000
 const startTimeoutMs = 15_000
 const toleratedLosses = 1
+/// Requests that an instance runs at once.
+export const instanceSlots = 32
 const defaultTurnTimeoutMs = 4000
 
 export const tokensPerEvent = 10
@@ -168,7 +170,7 @@
     const address = await upstream.listen();
     (service === 'models' ? this.engines : this.services).push(upstream)
     const zone = zones[index % zones.length]!
-    this.store.put('servers', id, { service, address, zone, version: 'v1', slots: 32, state: 'ready', cold_remaining_ms: 0, seq: 1 })
+    this.store.put('servers', id, { service, address, zone, version: 'v1', slots: instanceSlots, state: 'ready', cold_remaining_ms: 0, seq: 1 })
   }
 
   private async addNode (role: SystemNode['role'], index: number): Promise<SystemNode> {
@@ -269,7 +271,7 @@
       })
     ],
     services: [
-      { name: 'models', health_path: '/healthz', max_conns: 240, protocol: 'h1', tls: false, engine: { slots: 32, kv_capacity: 800_000, chunk_tokens: tokensPerEvent } },
+      { name: 'models', health_path: '/healthz', max_conns: 240, protocol: 'h1', tls: false, engine: { slots: instanceSlots, kv_capacity: 800_000, chunk_tokens: tokensPerEvent } },
       { name: 'tools', health_path: '/healthz', max_conns: 110, protocol: 'h1', tls: false }
     ],
     limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
