Soak: only trouble that can hinder a start or a stop excuses it

What callers saw: nothing; the checks of the soak were wider than the rule Fault ('if a program doesn't start'), which names no exception. A process that never was ready was excused by trouble of another entry, and by any long after its start; one that outlived its grace time by trouble at any time of its life.

--- a/standin/soak/src/liferules.ts
+++ b/standin/soak/src/liferules.ts
@@ -1,5 +1,6 @@
-import type { Observations, ProcessLife } from './observations.js'
-import { hasStopSignal } from './supervisor.js'
+import type { SystemNode } from '#standin/system'
+import type { Disturbance, Observations, ProcessLife } from './observations.js'
+import { hasStopSignal, isStop } from './supervisor.js'
 
 // The sentences of the users' rule Fault on processes, as the platform that starts and signals them sees it.
 
@@ -18,16 +19,16 @@
   'ended by itself': life => {
     return life.endedAtMs === Infinity || isAskedFor(life) || isEndedAtBoot(life) ? null : describeEnd(life)
   },
-  "doesn't start": ({ readyAtMs, startedAtMs, endedAtMs, signals }, { disturbances, endedAtMs: nowMs }) => {
+  "doesn't start": (life, { disturbances, endedAtMs: nowMs }) => {
+    const { node, readyAtMs, startedAtMs, endedAtMs, signals } = life
     if (readyAtMs !== null || signals.some(({ signal }) => signal !== 'SIGHUP')) return null
     const triedMs = Math.min(endedAtMs, nowMs) - startedAtMs
-    const isHindered = disturbances.some(({ kind, endMs }) => kind === 'unplanned' && endMs >= startedAtMs)
+    const isHindered = [node, null].some(at => isTroubled(at, startedAtMs, startedAtMs + maxStartMs, disturbances))
     return triedMs < maxStartMs || isHindered ? null : `not ready ${Math.round(triedMs)} ms after its start`
   },
   'outlived its grace time': (life, { disturbances }) => {
-    const isHindered = disturbances.some(({ kind, entry, startMs, endMs }) => {
-      return kind === 'unplanned' && entry === life.node && endMs >= life.startedAtMs && startMs <= life.endedAtMs
-    })
+    const stoppedAtMs = life.signals.find(isStop)?.atMs ?? life.startedAtMs
+    const isHindered = isTroubled(life.node, stoppedAtMs, life.endedAtMs, disturbances)
     return life.outlivedGrace === true && !isHindered ? describeEnd(life) : null
   }
 }
@@ -44,6 +45,15 @@
   return ['SIGTERM', 'SIGINT', 'SIGHUP'].includes(endSignal ?? '') && lines.length === 0
 }
 
+/// Whether there was trouble of a process, or of what all use without one, in the time.
+function isTroubled (
+  node: SystemNode | null, fromMs: number, toMs: number, disturbances: readonly Disturbance[]
+): boolean {
+  return disturbances.some(({ kind, entry, startMs, endMs }) => {
+    return kind === 'unplanned' && entry === node && startMs <= toMs && endMs >= fromMs
+  })
+}
+
 function isAskedFor (life: ProcessLife): boolean {
   if (life.endSignal === 'SIGKILL') return life.outlivedGrace === true || life.signals.some(({ signal }) => signal === 'SIGKILL')
   return life.exitCode === 0 && hasStopSignal(life)
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -177,5 +177,9 @@
 }
 
 export function hasStopSignal ({ signals }: ProcessLife): boolean {
-  return signals.some(({ signal }) => isStopSignal(signal))
+  return signals.some(isStop)
+}
+
+export function isStop ({ signal }: ProcessLife['signals'][number]): boolean {
+  return isStopSignal(signal)
 }
