Soak: planned work, storage turns and faults are modules of their own

disturber.ts (320 lines) had several jobs. Now it only orders them: PlannedWork has the stops, signals and configurations, Faults the kills, freezes and outages, StorageTurns says when storage instances may be disturbed, StorageChanges (as before) changes their members, DisturbanceLog notes them all.

No change of behaviour; the order of draws from the random source is the same.

--- /dev/null
+++ b/standin/soak/src/faults.ts
@@ -0,0 +1,107 @@
+import { sleep } from '#process/clock'
+import { StoreFault } from '#standin/store'
+import type { StandinSystem, SystemNode } from '#standin/system'
+import { UpstreamFault } from '#standin/upstream'
+import type { StandinUpstream } from '#standin/upstream'
+import type { DisturbanceLog } from './disturbancelog.js'
+import { chooseEntry } from './entrychoice.js'
+import type { Random } from './random.js'
+import type { StorageTurns } from './storageturns.js'
+import type { Supervisor } from './supervisor.js'
+
+export interface FaultOptions {
+  readonly system: StandinSystem
+  readonly supervisor: Supervisor
+  readonly log: DisturbanceLog
+  readonly storageTurns: StorageTurns
+  readonly random: Random
+}
+
+const maxReadyMs = 15_000
+const minFreezeMs = 300
+const maxFreezeMs = 1500
+const minOutageMs = 300
+const maxOutageMs = 2500
+const diskLossShare = 0.5
+const storeFaults = [StoreFault.busy, StoreFault.silent, StoreFault.reset, StoreFault.responseLost]
+const instanceFaults = [
+  UpstreamFault.full, UpstreamFault.responseLost, UpstreamFault.broken, UpstreamFault.unframed,
+  UpstreamFault.unframedReset
+]
+
+/// What nobody does on purpose: processes that are killed or frozen, outages of the store, instances that fail.
+export class Faults {
+  private readonly instances: readonly StandinUpstream[]
+
+  constructor (private readonly options: FaultOptions) {
+    const { engines, services } = options.system
+    this.instances = [...engines, ...services]
+  }
+
+  readonly actions: readonly (() => Promise<void>)[] = [
+    () => this.killEntry(),
+    () => this.freezeEntry(),
+    () => this.killStorage(),
+    () => this.failStore()
+  ]
+
+  /// The rules say themselves what doesn't count of a request that a faulty instance ran.
+  async failInstance (): Promise<void> {
+    const { log, random } = this.options
+    const upstream = random.pick(this.instances)
+    if (upstream.fault !== UpstreamFault.none) return
+    upstream.fault = random.pick(instanceFaults)
+    const durationMs = random.between(minOutageMs, maxOutageMs)
+    log.add('signal', null, durationMs, `${upstream.options.id} is ${upstream.fault} for ${Math.round(durationMs)} ms`)
+    await sleep(durationMs)
+    upstream.fault = UpstreamFault.none
+  }
+
+  private async killEntry (): Promise<void> {
+    const { system, supervisor, random } = this.options
+    const entry = chooseEntry(system, supervisor, random)
+    if (entry === null) return
+    await this.kill(entry, false)
+  }
+
+  private async killStorage (): Promise<void> {
+    const { storageTurns, random } = this.options
+    const losesDisk = random.next() < diskLossShare
+    await storageTurns.disturb(async storage => {
+      if (losesDisk) storageTurns.isDiskMissing = true
+      await this.kill(storage, losesDisk)
+    })
+  }
+
+  private async kill (node: SystemNode, losesDisk: boolean): Promise<void> {
+    const { supervisor, log } = this.options
+    const life = supervisor.life(node)
+    const entry = node.role === 'entry' ? node : null
+    const trouble = log.add('unplanned', entry, Infinity, `SIGKILL of ${node.name}${losesDisk ? ', which loses its disk' : ''}`)
+    supervisor.kill(node, losesDisk)
+    await supervisor.waitUntilReadyAfter(life, maxReadyMs)
+    trouble.endMs = performance.now()
+  }
+
+  private async freezeEntry (): Promise<void> {
+    const { system, log, random } = this.options
+    const entry = random.pick(system.entries)
+    const { process } = entry
+    const durationMs = random.between(minFreezeMs, maxFreezeMs)
+    log.add('unplanned', entry, durationMs, `SIGSTOP of ${entry.name} for ${Math.round(durationMs)} ms`)
+    process.kill('SIGSTOP')
+    await sleep(durationMs)
+    process.kill('SIGCONT')
+  }
+
+  private async failStore (): Promise<void> {
+    const { system, log, random } = this.options
+    const { store } = system
+    if (store.fault !== StoreFault.none) return
+    store.fault = random.pick(storeFaults)
+    const durationMs = random.between(minOutageMs, maxOutageMs)
+    log.add('unplanned', null, durationMs, `the store is ${store.fault} for ${Math.round(durationMs)} ms`)
+    await sleep(durationMs)
+    store.fault = StoreFault.none
+  }
+}
--- a/standin/soak/src/storagechanges.ts
+++ b/standin/soak/src/storagechanges.ts
@@ -7,7 +7,7 @@
 export interface ChangeLog {
   /// Notes a planned step.
   add (text: string): void
-  /// Notes a loss. The function that it returns says that it is over.
+  /// Notes that a machine loses its disk. The function that it returns says that the loss is over.
   addLoss (text: string): () => void
 }
 
@@ -23,9 +23,6 @@
 
 /// Changes among the storage machines that the operator plans, or that a lost machine brings with it.
 export class StorageChanges {
-  /// Whether a disk was lost that no other one has made up for yet.
-  isDiskMissing = false
-
   constructor (
     private readonly system: StandinSystem,
     private readonly supervisor: Supervisor,
@@ -40,7 +37,7 @@
     (storage: SystemNode) => this.replaceAndRetire(storage)
   ]
 
-  /// Plays one change. A disk that it loses counts as missing until the one who called it says otherwise.
+  /// Plays one change.
   async play (storage: SystemNode): Promise<void> {
     const isFull = this.system.storages.length > maxStorages
     await (isFull ? this.retire(storage) : this.random.pick(this.changes)(storage))
@@ -54,7 +51,6 @@
   /// The machine is gone for good, and an empty one comes at another address.
   private async replace (storage: SystemNode): Promise<void> {
     const endLoss = this.log.addLoss(`${storage.name} is gone for good`)
-    this.isDiskMissing = true
     await this.supervisor.remove(storage)
     await sleep(this.random.between(minReplacementMs, maxReplacementMs))
     this.log.add(`a storage machine replaces ${storage.name}`)
@@ -90,7 +86,6 @@
     const wiped = this.random.pick(this.system.storages)
     const life = this.supervisor.life(wiped)
     const endLoss = this.log.addLoss(`${wiped.name} is killed and loses its disk`)
-    this.isDiskMissing = true
     this.supervisor.kill(wiped, true)
     await this.supervisor.waitUntilReadyAfter(life, maxReadyMs)
     endLoss()
