Soak: the trouble of a process ends as it is started again

The soak let the trouble last until the process, or its successor, was ready, for up to 15 s.

Cause: one wait, for readiness, was both the end of the trouble and that of the storage turn.

Change: the trouble ends at the start; the storage turn waits for readiness, as before.

Evidence: disturber.test.ts, 'the trouble of a process that is killed', 'killed after a retirement' and 'gone for good' failed before (3 of 4), 4 of 4 pass now.

--- a/standin/soak/src/faults.ts
+++ b/standin/soak/src/faults.ts
@@ -79,8 +79,10 @@
     const entry = node.role === 'entry' ? node : null
     const trouble = log.add('unplanned', entry, Infinity, `SIGKILL of ${node.name}${losesDisk ? ', which loses its disk' : ''}`)
     supervisor.kill(node, losesDisk)
-    await supervisor.waitUntilReadyAfter(life, maxReadyMs)
+    const ready = supervisor.waitUntilReadyAfter(life, maxReadyMs)
+    await supervisor.waitUntilStartedAfter(life, maxReadyMs)
     trouble.endMs = performance.now()
+    await ready
   }
 
   private async freezeEntry (): Promise<void> {
--- a/standin/soak/src/storagechanges.ts
+++ b/standin/soak/src/storagechanges.ts
@@ -54,8 +54,7 @@
     await this.supervisor.remove(storage)
     await sleep(this.random.between(minReplacementMs, maxReplacementMs))
     this.log.add(`a storage machine replaces ${storage.name}`)
-    await this.addReady()
-    endLoss()
+    await this.addReady(endLoss)
   }
 
   /// Asks that a machine be emptied, and takes it away with its disk as soon as that is completed.
@@ -87,8 +86,10 @@
     const life = this.supervisor.life(wiped)
     const endLoss = this.log.addLoss(`${wiped.name} is killed and loses its disk`)
     this.supervisor.kill(wiped, true)
-    await this.supervisor.waitUntilReadyAfter(life, maxReadyMs)
+    const ready = this.supervisor.waitUntilReadyAfter(life, maxReadyMs)
+    await this.supervisor.waitUntilStartedAfter(life, maxReadyMs)
     endLoss()
+    await ready
   }
 
   private async replaceAndRetire (storage: SystemNode): Promise<void> {
@@ -96,8 +97,9 @@
     await this.retire(storage)
   }
 
-  private async addReady (): Promise<void> {
+  private async addReady (onStarted = (): void => {}): Promise<void> {
     const added = await this.supervisor.addStorage()
+    onStarted()
     const deadlineMs = performance.now() + maxReadyMs
     while (!this.supervisor.isSteady(added) && performance.now() < deadlineMs) await sleep(pollIntervalMs)
   }
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -91,6 +91,12 @@
     await this.system.remove(node)
   }
 
+  /// Resolves when the process that follows `life` is started, or when the time is over.
+  async waitUntilStartedAfter (life: ProcessLife, timeoutMs: number): Promise<void> {
+    const deadlineMs = performance.now() + timeoutMs
+    while (this.life(life.node) === life && performance.now() < deadlineMs) await sleep(readyIntervalMs)
+  }
+
   /// Resolves when the process that runs after `life` is ready, or when the time is over.
   async waitUntilReadyAfter (life: ProcessLife, timeoutMs: number): Promise<void> {
     const deadlineMs = performance.now() + timeoutMs
--- a/standin/soak/test/disturber.test.ts
+++ b/standin/soak/test/disturber.test.ts
@@ -8,8 +8,10 @@
 import type { Supervisor } from '../src/supervisor.js'
 
 const graceMs = 8000
-const durationMs = 20_000
 const restartMs = 700
+/// A machine that is gone for good has a successor after this time at most.
+const maxReplacementMs = 1500
+const marginMs = 10
 
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => { vi.useRealTimers() })
@@ -40,13 +42,13 @@
   return system as unknown as StandinSystem
 }
 
-/// Processes end and are ready again a fixed time after each stop or kill.
+/// Processes are started again a fixed time after each stop or kill, and ready twice as long after it.
 class Processes {
   onStart: (node: SystemNode) => void = () => {}
   private readonly lives = new Map<SystemNode, { signals: { signal: string }[], isReady: boolean }>()
   private added = 0
 
-  constructor (private readonly system: StandinSystem) {}
+  constructor (private readonly system: StandinSystem, private readonly addedReadyMs: number) {}
 
   life (node: SystemNode): unknown {
     if (!this.lives.has(node)) this.lives.set(node, { signals: [], isReady: true })
@@ -72,9 +74,16 @@
   async addStorage (): Promise<SystemNode> {
     const node = createNode('storage', 3 + this.added++)
     this.system.nodes.push(node)
+    const life = { signals: [], isReady: this.addedReadyMs === 0 }
+    this.lives.set(node, life)
+    setTimeout(() => { life.isReady = true }, this.addedReadyMs)
     return node
   }
 
+  async waitUntilStartedAfter (): Promise<void> {
+    await new Promise(resolve => { setTimeout(resolve, restartMs) })
+  }
+
   async waitUntilReadyAfter (): Promise<void> {
     await new Promise(resolve => { setTimeout(resolve, 2 * restartMs) })
   }
@@ -116,10 +125,10 @@
   'settings: SIGHUP of storage-1 at 16575 ms'
 ]
 
-test('a seed keeps its meaning', async () => {
+async function run (durationMs: number, addedReadyMs: number): Promise<Observations> {
   const system = createSystem()
   const observations = new Observations()
-  const supervisor = new Processes(system) as unknown as Supervisor
+  const supervisor = new Processes(system, addedReadyMs) as unknown as Supervisor
   const disturber = new Disturber(system, supervisor, observations, new Random(seed), {
     graceMs, hasTrouble: true, changesStorage: true, hasFaultyInstances: true
   })
@@ -127,5 +136,21 @@
   const running = disturber.run(() => performance.now() - startMs > durationMs)
   await vi.advanceTimersByTimeAsync(durationMs + 5000)
   await running
-  expect(observations.disturbances.map(({ kind, text }) => `${kind}: ${text}`)).toEqual(disturbancesOfSeed)
+  return observations
+}
+
+test('a seed keeps its meaning', async () => {
+  const { disturbances } = await run(20_000, 0)
+  expect(disturbances.map(({ kind, text }) => `${kind}: ${text}`)).toEqual(disturbancesOfSeed)
+})
+
+test.each([
+  ['is killed', /^SIGKILL of/, restartMs],
+  ['is killed after a retirement', /^storage-\d+ is killed and loses its disk/, restartMs],
+  ['is gone for good', /is gone for good/, maxReplacementMs]
+])('the trouble of a process that %s ends as it or its successor is started', async (_, pattern, maxMs) => {
+  const { disturbances } = await run(120_000, 2000)
+  const lengthsMs = disturbances.filter(({ text }) => pattern.test(text)).map(({ startMs, endMs }) => endMs - startMs)
+  expect(lengthsMs.length).toBeGreaterThan(0)
+  for (const lengthMs of lengthsMs) expect(lengthMs).toBeLessThanOrEqual(maxMs + marginMs)
 })
