--- a/standin/soak/src/breaches.ts
+++ b/standin/soak/src/breaches.ts
@@ -2,22 +2,25 @@
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import type { Finding } from './rules.js'
 
-// The users' rule LOST counts some sentences only from a number on. Each finding is a fault; this says which of them
-// break the rule.
+// The users' rules LOST and BUDGET count some sentences only from a number on. Each finding is a fault; this says which
+// of them break the rule.
 
 /// More than so many requests from kept connections break the rule.
 const maxLostOnKeptConnections = 3
+/// So do more requests than this that are run at more instances than their route allows.
+const maxRunAtTooMany = 3
 /// Beside a configuration an entry has to cut requests so many times as often as at other times.
 const minCutRatio = 3
 
 export type Breach = (findings: readonly Finding[], observations: Observations) => boolean
 
-/// By the name of the finding's rule: whether all findings of it together break the rule LOST.
+/// By the name of the finding's rule: whether all findings of it together break the rule.
 const breaches: Readonly<Record<string, Breach>> = {
   'lost on a kept connection': findings => findings.length > maxLostOnKeptConnections,
   'lost around planned work': (findings, observations) => findings.some(({ attempt }) => {
     return isNearOwnWork(attempt, observations) || isCutMoreOften(attempt, observations)
   }),
+  'run at too many instances': findings => findings.length > maxRunAtTooMany,
   'previous turn denied': findings => findings.length > 0,
   'previous turn reaches no instance': findings => findings.length > 0,
   'previous turn not reached by the end of recovery': findings => findings.length > 0,
--- a/standin/soak/src/kinds.ts
+++ b/standin/soak/src/kinds.ts
@@ -8,15 +8,26 @@
   readonly method: 'GET' | 'POST'
   readonly deadlineMs: number
   readonly maxBodyBytes: number
+  /// At how many instances an attempt may be run.
+  readonly maxInstances: number
   /// Whether it may be sent again after any failure.
   readonly isRepeatable: boolean
 }
 
 /// A turn whose input the system keeps.
-export const turn: RequestKind = { path: '/chat/', method: 'POST', deadlineMs: 4000, maxBodyBytes: 17_000, isRepeatable: false }
-export const query: RequestKind = { path: '/query/', method: 'POST', deadlineMs: 4000, maxBodyBytes: 17_000, isRepeatable: true }
-export const check: RequestKind = { path: '/check/', method: 'GET', deadlineMs: 1200, maxBodyBytes: 0, isRepeatable: true }
-export const charge: RequestKind = { path: '/charge/', method: 'POST', deadlineMs: 1500, maxBodyBytes: 1200, isRepeatable: false }
+export const turn: RequestKind = {
+  path: '/chat/', method: 'POST', deadlineMs: 4000, maxBodyBytes: 17_000, maxInstances: 2, isRepeatable: false
+}
+export const query: RequestKind = {
+  path: '/query/', method: 'POST', deadlineMs: 4000, maxBodyBytes: 17_000, maxInstances: 2, isRepeatable: true
+}
+export const check: RequestKind = {
+  path: '/check/', method: 'GET', deadlineMs: 1200, maxBodyBytes: 0, maxInstances: 2, isRepeatable: true
+}
+export const charge: RequestKind = {
+  path: '/charge/', method: 'POST', deadlineMs: 1500, maxBodyBytes: 1200, maxInstances: 1, isRepeatable: false
+}
+export const kinds: readonly RequestKind[] = [turn, query, check, charge]
 
 /// A request of a program.
 export interface ProgramRequest {
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,7 +1,7 @@
 import {
   describe, hasUnplanned, isCut, isLost, isOutOfTouch, isPlannedWork, isUnanswered, isUsedUp
 } from './circumstances.js'
-import { charge, turn } from './kinds.js'
+import { charge, kinds, turn } from './kinds.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
 import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
@@ -47,6 +47,11 @@
     const count = runs.get(id)?.length ?? 0
     return unrepeatablePaths.includes(path) && count > 1 ? `${count} runs` : null
   },
+  'run at too many instances': ({ id, path }, { runs }) => {
+    const { size } = new Set(runs.get(id)?.map(({ instanceId }) => instanceId))
+    const maxInstances = kinds.find(kind => kind.path === path)?.maxInstances ?? Infinity
+    return size > maxInstances ? `${size} instances` : null
+  },
   'bytes that are no response': ({ status, body }) => {
     return status === noStatus ? `${JSON.stringify(body.slice(0, maxShownBytes))} ${JSON.stringify(body.slice(body.indexOf('\nAFTER')))}` : null
   },
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -30,6 +30,7 @@
 const kept = 'lost on a kept connection'
 const notRecovered = 'previous turn not reached by the end of recovery'
 const notReachedAtEnd = 'previous turn reaches no instance at the end'
+const tooMany = 'run at too many instances'
 const stop = createDisturbance('stop', 0, 9000, entry)
 const failed = { status: 502 }
 const onKept = { ...cut, isKept: true }
@@ -41,9 +42,9 @@
   return ids(count).map((id, i) => goOnFrom(id, startMs + i * 700, fields))
 }
 const previous = observe('t', 0)
-const twoRuns: Run[] = ['models-0', 'models-1'].map(instanceId => {
-  return { instanceId, startedAtMs: 1000, endedAtMs: 1100, isBrokenOff: false }
-})
+const runAt = (instanceId: string): Run => ({ instanceId, startedAtMs: 1000, endedAtMs: 1100, isBrokenOff: false })
+const twoRuns = ['models-0', 'models-1'].map(runAt)
+const threeRuns = ['models-0', 'models-1', 'models-2'].map(runAt)
 const others = (count: number, startMs: number, fields: Partial<Attempt> = {}): Attempt[] => {
   return ids(count).map((id, i) => observe(`o${id}`, startMs + i * 10, fields))
 }
@@ -306,6 +307,23 @@
     observed: { attempts: [observe('a', 1000, { path: '/query/' })], fields: { runs: new Map([['a', twoRuns]]) } },
     found: []
   },
+  {
+    name: 'three streams that are run at three instances',
+    observed: {
+      attempts: ids(3).map(id => observe(id, 1000, { path: '/query/' })),
+      fields: { runs: new Map(ids(3).map(id => [id, threeRuns])) }
+    },
+    found: [tooMany]
+  },
+  {
+    name: 'four streams that are run at three instances',
+    observed: {
+      attempts: ids(4).map(id => observe(id, 1000, { path: '/query/' })),
+      fields: { runs: new Map(ids(4).map(id => [id, threeRuns])) }
+    },
+    found: [tooMany],
+    broken: [tooMany]
+  },
   {
     name: 'a sound request that is redirected',
     observed: { attempts: [observe('a', 1000, { status: 307 })] },
