--- a/standin/soak/src/caller.ts
+++ b/standin/soak/src/caller.ts
@@ -70,8 +70,10 @@
     for (const lane of [this.main, ...this.others]) lane.close()
   }
 
-  private createRequest (kind: RequestKind, previousTurnId: string | null = null): ProgramRequest {
-    return { id: `${this.name}x${this.count++}`, kind, programId: this.programId, previousTurnId }
+  private createRequest (
+    kind: RequestKind, previousTurnId: string | null = null, lineId: string = this.name
+  ): ProgramRequest {
+    return { id: `${this.name}x${this.count++}`, kind, programId: this.programId, lineId, previousTurnId }
   }
 
   private createTurn (): ProgramRequest {
@@ -144,13 +146,14 @@
   private async runSubAgents (): Promise<void> {
     const parentId = this.previousTurnId
     if (parentId === null) return
-    await Promise.all(this.others.slice(0, subAgents).map(lane => this.runSubAgent(lane, parentId)))
+    const lanes = this.others.slice(0, subAgents)
+    await Promise.all(lanes.map((lane, i) => this.runSubAgent(lane, parentId, `${this.name}a${i}`)))
   }
 
-  private async runSubAgent (lane: Lane, parentId: string): Promise<void> {
+  private async runSubAgent (lane: Lane, parentId: string, lineId: string): Promise<void> {
     let previousTurnId = parentId
     for (let i = 0; i < subAgentTurns; i++) {
-      const [outcome] = await this.send(lane, [this.createRequest(turn, previousTurnId)])
+      const [outcome] = await this.send(lane, [this.createRequest(turn, previousTurnId, lineId)])
       if (outcome === undefined || !isWhole(outcome.attempt)) return
       previousTurnId = outcome.attempt.id
     }
--- a/standin/soak/src/finalfault.ts
+++ b/standin/soak/src/finalfault.ts
@@ -26,6 +26,7 @@
 /// With the callers, about as many turns a second as small deployments have.
 const lanes = 20
 const retryIntervalMs = 700
+const lineId = 'end'
 
 /// The end of a day: right after a turn was answered whole all processes are killed at one moment, one storage instance
 /// loses its disk, and all come back. Then the turns of the last seconds are gone on from.
@@ -80,7 +81,7 @@
     const { observations } = this.options
     for (let tries = 0; tries < maxTriesInVain && performance.now() < endMs;) {
       const id = `end${this.count++}`
-      const [outcome] = await lane.send([{ id, kind: turn, programId: `p${id}`, previousTurnId }])
+      const [outcome] = await lane.send([{ id, kind: turn, programId: `p${id}`, lineId, previousTurnId }])
       if (observations.runs.has(id) || outcome?.attempt.status === 404) return
       if (outcome !== undefined) tries++
       lane.close()
--- a/standin/soak/src/kinds.ts
+++ b/standin/soak/src/kinds.ts
@@ -34,6 +34,8 @@
   readonly id: string
   readonly kind: RequestKind
   readonly programId: string
+  /// Whose turns it belongs to: those of a caller, or of one of its sub-agents.
+  readonly lineId: string
   readonly previousTurnId: string | null
 }
 
--- a/standin/soak/src/lane.ts
+++ b/standin/soak/src/lane.ts
@@ -59,8 +59,9 @@
   }
 
   private record (
-    { id, kind, previousTurnId }: ProgramRequest, response: RawResponse, entry: SystemNode, isKept: boolean, way: string
+    request: ProgramRequest, response: RawResponse, entry: SystemNode, isKept: boolean, way: string
   ): Outcome {
+    const { id, kind, previousTurnId, lineId } = request
     const { path, method, deadlineMs } = kind
     const { status, body, isComplete, startedAtMs, sentAtMs, endedAtMs, isBehindLast, closeSaidAtMs } = response
     const isLeft = response.isLeft || (!isComplete && endedAtMs - startedAtMs >= deadlineMs)
@@ -72,6 +73,7 @@
       isKept,
       deadlineMs,
       previousTurnId,
+      lineId,
       startedAtMs,
       sentAtMs,
       endedAtMs,
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -10,6 +10,8 @@
   readonly isKept: boolean
   readonly deadlineMs: number
   readonly previousTurnId: string | null
+  /// Whose turns it belongs to: those of a caller, or of one of its sub-agents.
+  readonly lineId: string
   readonly startedAtMs: number
   readonly sentAtMs: number
   readonly endedAtMs: number
--- a/standin/soak/src/turnrules.ts
+++ b/standin/soak/src/turnrules.ts
@@ -31,17 +31,24 @@
 
 /// The entries are asked in vain for the same turn, time after time, while nothing is wrong and programs start.
 export const findUnreachableTurn: TurnCheck = (attempt, observations) => {
-  const { runs } = observations
-  if (attempt.previousTurnId === null || runs.has(attempt.id)) return null
-  const tries = triesUntil(attempt, observations).slice(-maxTriesInVain)
-  if (tries.length < maxTriesInVain || findAgeMs(attempt, observations) === null) return null
-  const isInVain = tries.every(other => !runs.has(other.id) && !hasUnplanned(other, observations))
+  if (attempt.previousTurnId === null || observations.runs.has(attempt.id)) return null
+  if (findAgeMs(attempt, observations) === null) return null
+  const all = triesUntil(attempt, observations)
+  const ofLine = all.filter(({ lineId }) => lineId === attempt.lineId)
+  const tries = [all, ofLine].map(some => some.slice(-maxTriesInVain)).find(some => areInVain(some, observations))
+  if (tries === undefined) return null
   const firstTurns = findFirstTurnsBeside(tries, observations)
-  if (!isInVain || !areReached(firstTurns, observations)) return null
   return `${maxTriesInVain} tries to go on from ${attempt.previousTurnId}${formatStatuses(tries)}; ` +
     `beside ${firstTurns.length} first turns`
 }
 
+/// Whether enough tries reached no instance without trouble, while first turns did.
+function areInVain (tries: readonly Attempt[], observations: Observations): boolean {
+  return tries.length >= maxTriesInVain &&
+    tries.every(other => !observations.runs.has(other.id) && !hasUnplanned(other, observations)) &&
+    areReached(findFirstTurnsBeside(tries, observations), observations)
+}
+
 /// After the final fault a turn reaches no instance by the end of the recovery time, though others are served.
 export const findUnrecoveredTurn: TurnCheck = (attempt, observations) => {
   const { finalFault, runs, attempts } = observations
--- a/standin/soak/test/observed.ts
+++ b/standin/soak/test/observed.ts
@@ -17,6 +17,7 @@
     isKept: false,
     deadlineMs: 4000,
     previousTurnId: null,
+    lineId: 'main',
     startedAtMs,
     sentAtMs: startedAtMs,
     endedAtMs,
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -28,6 +28,7 @@
 
 const planned = 'lost around planned work'
 const kept = 'lost on a kept connection'
+const unreachable = 'previous turn reaches no instance'
 const notRecovered = 'previous turn not reached by the end of recovery'
 const notReachedAtEnd = 'previous turn reaches no instance at the end'
 const tooMany = 'run at too many instances'
@@ -41,6 +42,7 @@
 const tries = (count: number, startMs: number, fields: Partial<Attempt> = refused): Attempt[] => {
   return ids(count).map((id, i) => goOnFrom(id, startMs + i * 700, fields))
 }
+const asLater = (attempt: Attempt): Attempt => ({ ...attempt, id: `later-${attempt.id}` })
 const previous = observe('t', 0)
 const runAt = (instanceId: string): Run => ({ instanceId, startedAtMs: 1000, endedAtMs: 1100, isBrokenOff: false })
 const twoRuns = ['models-0', 'models-1'].map(runAt)
@@ -359,6 +361,23 @@
     observed: { attempts: [previous, ...tries(4, 1000)] },
     found: []
   },
+  {
+    name: 'five tries of one line in vain, while another line goes on from the same turn',
+    observed: {
+      attempts: [
+        previous, ...tries(3, 1000), goOnFrom('x', 2500, { lineId: 'agent' }), ...tries(2, 3000).map(asLater)
+      ],
+      runIds: ['x']
+    },
+    found: [unreachable],
+    broken: [unreachable]
+  },
+  {
+    name: 'five tries of two lines in vain',
+    observed: { attempts: [previous, ...tries(3, 1000), ...tries(2, 3500, { ...refused, lineId: 'agent' }).map(asLater)] },
+    found: [unreachable],
+    broken: [unreachable]
+  },
   {
     name: 'five tries in vain while first turns reach no instance',
     observed: { attempts: [previous, ...tries(5, 1000), ...others(9, 1000, refused)] },
