Soak: trouble that strikes another entry meanwhile may be that of the one that passed a request on

The rule LOST holds for the machine that passed the request on, which wasn't in touch.

The soak was not run again with it.

--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -276,6 +276,15 @@
     found: [kept],
     broken: [kept]
   },
+  {
+    name: 'four requests that were run and cut on kept connections, as trouble struck another entry',
+    observed: {
+      attempts: ids(4).map(id => observe(id, 1000, onKept)),
+      runIds: ids(4),
+      disturbances: [createDisturbance('unplanned', 1250, 1300, otherEntry)]
+    },
+    found: []
+  },
   {
     name: 'four requests that were run and cut on kept connections, right after trouble at their entry',
     observed: {
