--- a/standin/soak/src/lane.ts
+++ b/standin/soak/src/lane.ts
@@ -59,10 +59,11 @@
   }
 
   private record (
-    { id, kind, previousTurnId }: ProgramRequest, response: RawResponse, entry: SystemNode, isKept: boolean, way: string
+    request: ProgramRequest, response: RawResponse, entry: SystemNode, isKept: boolean, way: string
   ): Outcome {
+    const { id, kind, previousTurnId, lineId } = request
     const { path, method, deadlineMs } = kind
-    const { status, body, isComplete, startedAtMs, sentAtMs, endedAtMs, isBehindLast } = response
+    const { status, body, isComplete, startedAtMs, sentAtMs, endedAtMs, isBehindLast, closeSaidAtMs } = response
     const isLeft = response.isLeft || (!isComplete && endedAtMs - startedAtMs >= deadlineMs)
     const attempt = {
       id,
@@ -72,6 +73,7 @@
       isKept,
       deadlineMs,
       previousTurnId,
+      lineId,
       startedAtMs,
       sentAtMs,
       endedAtMs,
@@ -80,6 +82,7 @@
       isComplete,
       isLeft,
       isBehindLast,
+      closeSaidAtMs,
       way
     }
     this.observations.addAttempt(attempt)
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -10,6 +10,8 @@
   readonly isKept: boolean
   readonly deadlineMs: number
   readonly previousTurnId: string | null
+  /// Whose turns it belongs to: those of a caller, or of one of its sub-agents.
+  readonly lineId: string
   readonly startedAtMs: number
   readonly sentAtMs: number
   readonly endedAtMs: number
@@ -20,6 +22,8 @@
   readonly isLeft: boolean
   /// Whether an answer before it on its connection said that the connection ends, so that it may have to be sent again.
   readonly isBehindLast: boolean
+  /// When the head of an answer on its connection said that the connection ends, null if none did.
+  readonly closeSaidAtMs: number | null
   /// How it was sent.
   readonly way: string
 }
@@ -65,6 +69,8 @@
   readonly attempts: Attempt[] = []
   /// When all processes were killed at the end, and when they were started again; null without such an end.
   finalFault: { readonly startMs: number, readonly backAtMs: number } | null = null
+  /// How many turns all engines run at once.
+  places = 0
   /// Called with each attempt when it is over.
   onAttempt: (attempt: Attempt) => void = () => {}
   readonly runs = new Map<string, Run[]>()
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -1,19 +1,20 @@
-import { describe, getOwnDelayMs, hasUnplanned, isCut, isPlannedWork } from './circumstances.js'
+import {
+  describe, hasUnplanned, isCut, isLost, isOutOfTouch, isPlannedWork, isUnanswered, isUsedUp
+} from './circumstances.js'
+import { charge, kinds, turn } from './kinds.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
 import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
 
 // The sentences of the users' rule LOST, and those near it, as the callers and instances saw them.
 
-/// The users' bounds.
-const lossSlackMs = 200
 /// Of the grace time of a stop, in its last part an instance that is at work may be cut off, on a request that was sent
 /// no later than this after the signal.
 const lastGraceShare = 1 / 6
 const earlyRequestMs = 3000
 const maxShownBytes = 100
-/// A request that has used more of its time doesn't count beside a change of the configuration.
-const maxUsedShare = 0.7
+/// Of requests that may run once at most.
+const unrepeatablePaths = [turn, charge].map(({ path }) => path)
 
 /// What broke a rule, or might have.
 export interface Finding {
@@ -35,7 +36,7 @@
   'run and cut': findCutRun,
   'sound request denied': ({ status, isComplete, previousTurnId }) => {
     const isTurnUnknown = previousTurnId !== null && (status === 404 || status === 410)
-    return isComplete && status >= 400 && status < 500 && ![402, 408, 421, 429].includes(status) && !isTurnUnknown
+    return isComplete && status >= 300 && status < 500 && ![402, 408, 421, 429].includes(status) && !isTurnUnknown
       ? `answered ${status}`
       : null
   },
@@ -44,7 +45,12 @@
   },
   'run twice': ({ id, path }, { runs }) => {
     const count = runs.get(id)?.length ?? 0
-    return path.startsWith('/charge') && count > 1 ? `${count} runs` : null
+    return unrepeatablePaths.includes(path) && count > 1 ? `${count} runs` : null
+  },
+  'run at too many instances': ({ id, path }, { runs }) => {
+    const { size } = new Set(runs.get(id)?.map(({ instanceId }) => instanceId))
+    const maxInstances = kinds.find(kind => kind.path === path)?.maxInstances ?? Infinity
+    return size > maxInstances ? `${size} instances` : null
   },
   'bytes that are no response': ({ status, body }) => {
     return status === noStatus ? `${JSON.stringify(body.slice(0, maxShownBytes))} ${JSON.stringify(body.slice(body.indexOf('\nAFTER')))}` : null
@@ -62,35 +68,34 @@
 }
 
 function findLostInPlannedWork (attempt: Attempt, observations: Observations, graceMs: number): string | null {
-  const { id, sentAtMs, startedAtMs, endedAtMs, deadlineMs } = attempt
+  if (!isLost(attempt, observations) || hasUnplanned(attempt, observations)) return null
+  const { id, endedAtMs } = attempt
   const isRun = observations.runs.has(id)
-  if (!isCut(attempt, observations) || (attempt.isBehindLast && !isRun)) return null
-  if (!isRun && endedAtMs - sentAtMs - getOwnDelayMs(attempt, observations) <= lossSlackMs) return null
-  if (hasUnplanned(attempt, observations)) return null
-  const isUsedUp = endedAtMs - startedAtMs >= deadlineMs * maxUsedShare
   const work = observations.disturbances.find(disturbance => {
-    return isPlannedWork(disturbance, attempt) && !(disturbance.kind === 'configuration' && isUsedUp) &&
-      !(disturbance.kind === 'stop' && isCutLate(attempt, disturbance, graceMs, isRun))
+    return isPlannedWork(disturbance, attempt) && !(disturbance.kind === 'configuration' && isUsedUp(attempt)) &&
+      !(disturbance.kind === 'stop' && isCutLate(attempt, disturbance, observations, graceMs))
   })
-  return work === undefined ? null : `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
+  if (work === undefined) return null
+  return `${describe(attempt, isRun)}, ${Math.round(endedAtMs - work.startMs)} ms after: ${work.text}`
 }
 
+/// Whether an instance was still at work on the request in the last part of the grace time.
 function isCutLate (
-  { sentAtMs, endedAtMs }: Attempt, { startMs }: Disturbance, graceMs: number, isRun: boolean
+  { id, sentAtMs, endedAtMs }: Attempt, { startMs }: Disturbance, { runs }: Observations, graceMs: number
 ): boolean {
-  return isRun && sentAtMs <= startMs + earlyRequestMs && endedAtMs >= startMs + graceMs * (1 - lastGraceShare)
+  const lastPartAtMs = startMs + graceMs * (1 - lastGraceShare)
+  const isAtWork = runs.get(id)?.some(run => run.endedAtMs >= lastPartAtMs) === true
+  return isAtWork && sentAtMs <= startMs + earlyRequestMs && endedAtMs >= lastPartAtMs
 }
 
 function findLostOnKeptConnection (attempt: Attempt, observations: Observations): string | null {
-  return attempt.isKept && isRunAndCut(attempt, observations) ? describe(attempt, true) : null
+  if (!attempt.isKept || !observations.runs.has(attempt.id) || isOutOfTouch(attempt, observations)) return null
+  return isCut(attempt, observations) || isUnanswered(attempt, observations) ? describe(attempt, true) : null
 }
 
 /// On a new connection and not around planned work the rule doesn't count it, but the caller misses the answer, too.
 function findCutRun (attempt: Attempt, observations: Observations, graceMs: number): string | null {
-  if (attempt.isKept || !isRunAndCut(attempt, observations)) return null
+  const isRunAndCut = observations.runs.has(attempt.id) && isCut(attempt, observations)
+  if (attempt.isKept || !isRunAndCut || hasUnplanned(attempt, observations)) return null
   return findLostInPlannedWork(attempt, observations, graceMs) === null ? describe(attempt, true) : null
 }
-
-function isRunAndCut (attempt: Attempt, observations: Observations): boolean {
-  return observations.runs.has(attempt.id) && isCut(attempt, observations) && !hasUnplanned(attempt, observations)
-}
--- a/standin/soak/src/turnrules.ts
+++ b/standin/soak/src/turnrules.ts
@@ -16,6 +16,8 @@
 const firstTurnWindowMs = 500
 /// While fewer of the other turns are served in the last part, turns that reach no instance by then don't count.
 const minServedShare = 4 / 5
+/// Ids of instances that run turns begin with this.
+const engineIdPrefix = 'models-'
 
 export type TurnCheck = (attempt: Attempt, observations: Observations) => string | null
 
@@ -29,25 +31,31 @@
 
 /// The entries are asked in vain for the same turn, time after time, while nothing is wrong and programs start.
 export const findUnreachableTurn: TurnCheck = (attempt, observations) => {
-  const { runs } = observations
-  if (attempt.previousTurnId === null || runs.has(attempt.id)) return null
-  const tries = triesUntil(attempt, observations).slice(-maxTriesInVain)
-  if (tries.length < maxTriesInVain || findAgeMs(attempt, observations) === null) return null
-  const isInVain = tries.every(other => !runs.has(other.id) && !hasUnplanned(other, observations))
+  if (attempt.previousTurnId === null || observations.runs.has(attempt.id)) return null
+  if (findAgeMs(attempt, observations) === null) return null
+  const all = triesUntil(attempt, observations)
+  const ofLine = all.filter(({ lineId }) => lineId === attempt.lineId)
+  const tries = [all, ofLine].map(some => some.slice(-maxTriesInVain)).find(some => areInVain(some, observations))
+  if (tries === undefined) return null
   const firstTurns = findFirstTurnsBeside(tries, observations)
-  if (!isInVain || !areReached(firstTurns, observations)) return null
   return `${maxTriesInVain} tries to go on from ${attempt.previousTurnId}${formatStatuses(tries)}; ` +
     `beside ${firstTurns.length} first turns`
 }
 
+/// Whether enough tries reached no instance without trouble, while first turns did.
+function areInVain (tries: readonly Attempt[], observations: Observations): boolean {
+  return tries.length >= maxTriesInVain &&
+    tries.every(other => !observations.runs.has(other.id) && !hasUnplanned(other, observations)) &&
+    areReached(findFirstTurnsBeside(tries, observations), observations)
+}
+
 /// After the final fault a turn reaches no instance by the end of the recovery time, though others are served.
 export const findUnrecoveredTurn: TurnCheck = (attempt, observations) => {
   const { finalFault, runs, attempts } = observations
   if (finalFault === null || attempt.startedAtMs < finalFault.backAtMs) return null
   const recoveredAtMs = finalFault.backAtMs + recoveryMs
   const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= finalFault.startMs)
-  const isFirstAfter = tries.findIndex(({ startedAtMs }) => startedAtMs >= recoveredAtMs) === tries.indexOf(attempt)
-  if (attempt.startedAtMs < recoveredAtMs || !isFirstAfter || tries.length < maxTriesInVain) return null
+  if (!isLastByRecovery(attempt, tries, recoveredAtMs, observations)) return null
   if (findAgeMs(attempt, observations) === null || tries.some(({ id }) => runs.has(id))) return null
   const others = attempts.filter(other => {
     return isTurn(other) && other.previousTurnId !== attempt.previousTurnId && other.startedAtMs >= recoveredAtMs
@@ -58,6 +66,23 @@
     `after all are back${formatStatuses(tries)}; ${servedCount} of ${others.length} others were served`
 }
 
+/// Whether the attempt is the last try by the end of the recovery time or, if that one was long before, the next try.
+function isLastByRecovery (
+  attempt: Attempt, tries: readonly Attempt[], recoveredAtMs: number, { attempts }: Observations
+): boolean {
+  const { previousTurnId, startedAtMs } = attempt
+  const isBefore = (other: Attempt): boolean => other.startedAtMs < recoveredAtMs
+  if (!isBefore(attempt)) {
+    const before = tries.filter(isBefore)
+    const isTriedLate = before.some(other => other.startedAtMs >= recoveredAtMs - finalWindowMs)
+    return before.length > 0 && before.length === tries.length - 1 && !isTriedLate
+  }
+  const isTriedAgain = attempts.some(other => {
+    return other.previousTurnId === previousTurnId && other.startedAtMs > startedAtMs && isBefore(other)
+  })
+  return startedAtMs >= recoveredAtMs - finalWindowMs && !isTriedAgain
+}
+
 /// In the last part of the traffic after the final fault a turn reaches no instance, whatever is answered.
 export const findUnreachableAtEnd: TurnCheck = (attempt, observations) => {
   const { finalFault, runs } = observations
@@ -66,11 +91,20 @@
   const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= recoveredAtMs)
   if (tries.length !== maxTriesInVain || tries.some(({ id }) => runs.has(id))) return null
   const firstTurns = findFirstTurnsBeside(tries, observations)
-  if (findAgeMs(attempt, observations) === null || !areReached(firstTurns, observations)) return null
+  const isRoom = tries.some(other => isUnderHalfFull(other, observations)) || areReached(firstTurns, observations)
+  if (findAgeMs(attempt, observations) === null || !isRoom) return null
   return `${maxTriesInVain} tries to go on from ${attempt.previousTurnId} after the recovery time${formatStatuses(tries)}; ` +
     `beside ${firstTurns.length} first turns`
 }
 
+/// Whether under half of the places of the engines were taken when the attempt was over.
+function isUnderHalfFull ({ endedAtMs }: Attempt, { runs, places }: Observations): boolean {
+  const taken = [...runs.values()].flat().filter(run => {
+    return run.instanceId.startsWith(engineIdPrefix) && run.startedAtMs <= endedAtMs && run.endedAtMs >= endedAtMs
+  })
+  return taken.length * 2 < places
+}
+
 function isTurn ({ path }: Attempt): boolean {
   return path === '/chat/'
 }
