Relay: one job a file: heads of responses and the idle watch; a lost entry's connection is reset

And an entry that had only fallen silent would have gone on with the call, since an end of the sending side alone is taken for half-closed between entries. Change: responsehead.ts and idlewatch.ts; the connection to the lost entry is reset before the caller's is served here.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -5,10 +5,12 @@
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
+import { watchIdle } from './idlewatch.js'
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
 import { RequestTracker } from './requesttracker.js'
 import type { FindCallId } from './requesttracker.js'
+import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
 import { ResponseTracker } from './responsetracker.js'
 
 /// A request without a complete response of the other entry, whose connection ends.
@@ -51,7 +53,6 @@
 /// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
 /// more.
 const maxStalledMs = 30_000
-const statusBadGateway = 502
 const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
@@ -71,7 +72,7 @@
   private isReadingRest = false
   /// It isn't connected to the other entry any more, and waits for a request.
   private isParked = false
-  private idleTimer: ReturnType<typeof setTimeout> | undefined
+  private idleTimer: NodeJS.Timeout | undefined
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
   private readonly requests: RequestTracker
@@ -147,7 +148,7 @@
   }
 
   private start (): void {
-    const { caller, entry, origin } = this.options
+    const { caller, entry, origin, idleTimeoutMs } = this.options
     const { peer } = this
     clearTimeout(this.connectTimer)
     this.isConnected = true
@@ -159,18 +160,10 @@
     caller.on('end', this.onCallerGone)
     peer.on('drain', () => this.updateReading())
     peer.on('end', this.onPeerEnd)
-    this.watchIdle()
-  }
-
-  /// Ends the connection if it is idle for an interval. The other entry doesn't, as a request might cross its close.
-  private watchIdle (): void {
-    const { caller, idleTimeoutMs } = this.options
-    let bytesBefore = -1
-    this.idleTimer = setInterval(() => {
-      const bytes = caller.bytesRead + caller.bytesWritten
-      if (bytes === bytesBefore && this.isIdle && caller.writableLength === 0) this.endAfterReading()
-      bytesBefore = bytes
-    }, idleTimeoutMs)
+    // The other entry doesn't close it, as a request might cross that.
+    this.idleTimer = watchIdle(caller, idleTimeoutMs, () => {
+      if (this.isIdle && caller.writableLength === 0) this.endAfterReading()
+    })
   }
 
   private readonly onPeerEnd = (): void => {
@@ -314,10 +307,10 @@
     const heldBytes = isLast ? this.held?.length ?? 0 : 0
     onUnanswered({ callId: this.requests.callId, isWhole, heldBytes, reason, status: statusBadGateway })
     caller.write(formatBadGateway(isLast))
+    this.peer.resetAndDestroy()
     if (!isLast) return this.giveBack(reason)
     this.finish(reason)
     closeInOrder(caller)
-    this.peer.resetAndDestroy()
   }
 
   private handlePeerError (reason: string): void {
@@ -348,17 +341,4 @@
   }
 }
 
-function formatBadGateway (isLast: boolean): string {
-  return `HTTP/1.1 ${statusBadGateway} Bad Gateway\r\n${isLast ? 'connection: close\r\n' : ''}content-length: 0\r\n\r\n`
-}
-
-/// Returns a chunk that begins with a response without its field `Connection: close`, null if the field isn't there.
-function withoutClose (chunk: Buffer): Buffer | null {
-  const headEnd = chunk.indexOf('\r\n\r\n')
-  const head = chunk.toString('latin1', 0, Math.max(0, headEnd))
-  const kept = head.replace(/\r\nconnection:[ \t]*close[ \t]*(?=\r\n|$)/i, '')
-  if (!head.startsWith('HTTP/') || kept === head) return null
-  return Buffer.concat([Buffer.from(kept, 'latin1'), chunk.subarray(headEnd)])
-}
-
 function ignoreError (): void {}
