--- a/process/entry/test/relayedstop.test.ts
+++ b/process/entry/test/relayedstop.test.ts
@@ -32,11 +32,11 @@
 
 /// Calls the tool `charge` again and again on kept connections until `isOver`. Returns the ids of the calls whose
 /// connection ended before their response was complete.
-async function callUntil (address: string, caller: number, isOver: () => boolean): Promise<string[]> {
+async function callUntil (address: string, caller: string, isOver: () => boolean): Promise<string[]> {
   const broken: string[] = []
   let socket: Socket | null = null
   for (let number = 0; !isOver(); number++) {
-    const id = `c${caller}x${number}`
+    const id = `${caller}x${number}`
     socket ??= await open(address).catch(() => null)
     const isLast = socket === null || await call(socket, id)
     if (isLast === 'broken') broken.push(id)
@@ -78,24 +78,26 @@
 const hasEvent = (index: number, name: string): boolean =>
   system.entries[index]!.outputLines.some(line => line.includes(`"msg":"${name}"`))
 
-// Guards against calls without a response at a restart, on connections that an entry relays.
-test.each([
-  ['that callers are connected to', 0],
-  ['that serves the calls', 1],
-  ['that serves other calls', 2]
-])('SIGTERM of the entry %s: each call that an instance has run gets its response', async (_, index) => {
+// Guards against calls without a response at a restart or a loss of power, on connections that an entry relays.
+test.each<['SIGTERM' | 'SIGKILL', string, number]>([
+  ['SIGTERM', 'that callers are connected to', 0],
+  ['SIGTERM', 'that serves the calls', 1],
+  ['SIGTERM', 'that serves other calls', 2],
+  ['SIGKILL', 'that serves the calls', 1],
+  ['SIGKILL', 'that serves other calls', 2]
+])('%s of the entry %s: each call that an instance has run gets a response', async (signal, _, index) => {
   const [small] = system.entries
   const release = throttle(small!, processorShare)
   try {
     await sendAtRate(small!.callersAddress, callsPerSecond, warmUpMs)
     let isOver = false
     const callers = Array.from({ length: callerCount }, (__, caller) => {
-      return callUntil(small!.callersAddress, index * 1000 + caller, () => isOver)
+      return callUntil(small!.callersAddress, `${signal}${index}x${caller}`, () => isOver)
     })
     await sleep(loadMs)
     expect(hasEvent(0, 'connection-relayed')).toBe(true)
     if (index === 0) release()
-    await system.restart(system.entries[index]!, 'SIGTERM', false)
+    await system.restart(system.entries[index]!, signal, false)
     await sleep(loadMs)
     isOver = true
     const broken = new Set((await Promise.all(callers)).flat())
