Quorum: a member that replies to others while it is asked whether it is present is not down

Cause: took a late reply to that question for a loss, whatever else the member replied to; before it, a member that replies to others was never taken for down. Found on reading the diff. Change: as for all other requests, a timeout counts only if there was no reply at all.

--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -190,7 +190,10 @@
     if (state.isAsked || state.isDown) return
     state.isAsked = true
     state.peer.digest(this.createProbe(), presenceTimeoutMs)
-      .then(reply => this.handleStanding(state, reply.standing!), error => this.recordDown(state, error))
+      .then(reply => this.handleStanding(state, reply.standing!), error => {
+        const hasRepliedToOthers = error instanceof PeerError && !error.isUnresponsive
+        if (!hasRepliedToOthers) this.recordDown(state, error)
+      })
       .finally(() => { state.isAsked = false })
   }
 
