Lines that tell how a turn that was answered whole can't be gone on from, and where it was stored

Cause: call-refused, answer-broken and the others didn't name the turn that a call goes on from; a 404 didn't say which disks lack the turn, nothing said which disks had acknowledged it, and a storage instance that lacks a turn left no line. Change: previousTurnId in every line that ends a call; storedOn and storedInView in call-finished; turn-ruled-out (entry), turn-absent and chain-incomplete (storage instance), each with the turn's id; explain prints the calls that go on from a turn. No logic changed.

--- a/process/cli/src/lines.ts
+++ b/process/cli/src/lines.ts
@@ -53,8 +53,8 @@
 }
 
 function mentions (line: LogLine, id: string): boolean {
-  const { callId, programId, ids, turnId } = line.fields
-  return callId === id || programId === id || turnId === id || (Array.isArray(ids) && ids.includes(id))
+  const { callId, programId, previousTurnId, ids, turnId } = line.fields
+  return [callId, programId, previousTurnId, turnId].includes(id) || (Array.isArray(ids) && ids.includes(id))
 }
 
 /// Events 5xx concern single calls; all others are changes of a process's state.
--- a/process/cli/test/cli.test.ts
+++ b/process/cli/test/cli.test.ts
@@ -11,6 +11,7 @@
   '{"level":40,"time":180,"node":"e1","event":332,"of":"append","ids":["c1"],"answered":1,"msg":"quorum-missed"}',
   '{"level":40,"time":200,"node":"e1","event":502,"callId":"c1","programId":"p","refusal":"ledger-unavailable","durationMs":120,"msg":"call-refused"}',
   '{"level":30,"time":300,"node":"e2","event":501,"callId":"c2","programId":"p","status":200,"durationMs":50,"msg":"call-finished"}',
+  '{"level":40,"time":305,"node":"e1","event":502,"callId":"c4","programId":"r","previousTurnId":"c2","refusal":"busy","msg":"call-refused"}',
   '{"level":30,"time":310,"node":"e2","event":501,"callId":"c3","programId":"q"'
 ].join('\n')
 
@@ -41,6 +42,12 @@
     .toEqual(['e1 call-dispatched', 'e1 member-lost', 'e1 quorum-missed', 'e1 call-refused'])
 })
 
+test('explain of a turn prints the calls that go on from it', async () => {
+  const { output } = await run('explain', 'c2', '--json', '--around-ms', '0')
+  expect(JSON.parse(output).map((line: { name: string, node: string }) => `${line.node} ${line.name}`))
+    .toEqual(['e2 call-finished', 'e1 call-refused'])
+})
+
 test('timeline draws the calls of a program in all processes', async () => {
   const { output } = await run('timeline', 'p')
   expect(output.split('\n').filter(line => line !== '').map(line => line.split(' ')[0])).toEqual(['c1', 'c2'])
--- a/process/daemon/src/storagerole.ts
+++ b/process/daemon/src/storagerole.ts
@@ -32,7 +32,7 @@
       signal: stopping
     })
     this.stopCallbacks.push(() => disk.close())
-    const ledger = new Ledger(disk, contents)
+    const ledger = new Ledger(disk, contents, log)
     // After a failed write the contents of the disk are unknown; the next start reads them again.
     ledger.onFailure = fail
     server.serve(ledger)
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -11,6 +11,7 @@
 import type { MemoryShare } from '#process/memory'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
+import type { Commit } from '#request/turn'
 import type { CallDrain } from './calldrain.js'
 
 /// The state of the entry that each exchange reads.
@@ -156,6 +157,7 @@
     context.log.event(Events.callAbandoned, {
       callId: call.id,
       programId: call.program?.id,
+      previousTurnId: call.previousTurnId ?? undefined,
       relayedBy: response.relayedBy,
       reason: String(signal.reason),
       disconnect: response.disconnectCause,
@@ -203,7 +205,8 @@
   if (response.isBrokenOff) return
   const durationMs = Math.round(performance.now() - receivedAtMs)
   const { relayedBy } = response
-  const fields = { callId: call?.id ?? '', programId: call?.program?.id, relayedBy, refusal: refused.refusal, verdict: refused.verdict, reason: refused.message, durationMs }
+  const previousTurnId = call?.previousTurnId ?? undefined
+  const fields = { callId: call?.id ?? '', programId: call?.program?.id, previousTurnId, relayedBy, refusal: refused.refusal, verdict: refused.verdict, reason: refused.message, durationMs }
   if (signal.aborted && signal.reason === AbortReason.callerDisconnected) {
     context.log.event(Events.callAbandoned, { ...fields, disconnect: response.disconnectCause })
     return
@@ -227,6 +230,8 @@
   bytes = 0
   /// Set when the response was broken off, and logged, for want of memory.
   isBrokenOff = false
+  /// Null unless it is a turn that was stored.
+  private commit: Commit | null = null
   /// What waits for the caller, if that is much.
   private memory: MemoryShare | null = null
 
@@ -267,9 +272,12 @@
     return {
       callId: call?.id ?? '',
       programId: call?.program?.id,
+      previousTurnId: call?.previousTurnId ?? undefined,
       relayedBy: this.relayedBy,
       status: this.status,
       bytes: this.bytes,
+      storedOn: this.commit?.diskIds,
+      storedInView: this.commit?.viewVersion,
       durationMs: Math.round(performance.now() - receivedAtMs)
     }
   }
@@ -296,6 +304,10 @@
     this.countPending()
   }
 
+  setCommit (commit: Commit): void {
+    this.commit = commit
+  }
+
   end (): void {
     this.exchange.end()
   }
@@ -315,8 +327,14 @@
     if (this.isBrokenOff || this.memory.set(pendingBytes)) return
     const reason = `the caller reads too slowly for the memory that is left: ${pendingBytes} bytes wait`
     const { call, relayedBy, bytes } = this
-    const callId = call?.id ?? ''
-    this.context.log.event(Events.answerBroken, { callId, programId: call?.program?.id, relayedBy, reason, bytes })
+    this.context.log.event(Events.answerBroken, {
+      callId: call?.id ?? '',
+      programId: call?.program?.id,
+      previousTurnId: call?.previousTurnId ?? undefined,
+      relayedBy,
+      reason,
+      bytes
+    })
     this.isBrokenOff = true
     this.abort()
   }
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -6,7 +6,7 @@
 import type { LedgerRecord } from '#connection/rpc'
 import { InstanceClient } from '#connection/upstream'
 import { ChainCache } from '#request/turn'
-import type { ReservedAccount, TurnLedger } from '#request/turn'
+import type { Commit, ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
 import { CallDrain, recordDropped, serveExchange } from '#process/entry'
@@ -30,9 +30,10 @@
   readonly records = new Map<string, LedgerRecord>()
   isUnavailable = false
 
-  async append (records: readonly LedgerRecord[]): Promise<void> {
+  async append (records: readonly LedgerRecord[]): Promise<Commit> {
     if (this.isUnavailable) throw new Error('away')
     for (const record of records) this.records.set(`${record.kind}/${record.id}`, record)
+    return { diskIds: ['disk-0', 'disk-1'], viewVersion: 1 }
   }
 
   async appendSoon (record: LedgerRecord): Promise<void> {
--- a/process/entry/test/slowstorage.test.ts
+++ b/process/entry/test/slowstorage.test.ts
@@ -31,6 +31,7 @@
 ])('storing a turn takes %s', async (_, neededMs, isWhole) => {
   vi.spyOn(entry.ledger, 'append').mockImplementation(async (...[, timeoutMs]: [unknown, number?]) => {
     if (timeoutMs! < neededMs) throw new Error('too few replies in time')
+    return { diskIds: [], viewVersion: 1 }
   })
   const response = await callTurn()
   expect(response).toMatch(/^HTTP\/1\.1 200 [^]*id: 2\n/)
--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -1,5 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, LedgerHandler, LedgerRecord, Standing, View } from '#connection/rpc'
+import { Events, noopLog } from '#process/log'
+import type { EventFields, EventLog } from '#process/log'
 import { emptyView } from '#process/membership'
 import { DiskClosedError } from './disk.js'
 import type { Disk, DiskContents } from './disk.js'
@@ -27,7 +29,7 @@
   /// Called when a write to the disk fails.
   onFailure: (error: Error) => void = () => {}
 
-  constructor (private readonly disk: Disk, contents: DiskContents) {
+  constructor (private readonly disk: Disk, contents: DiskContents, private readonly log: EventLog = noopLog) {
     for (const { record, segment } of contents.records) this.records.add(record, segment)
   }
 
@@ -48,10 +50,21 @@
   async findChain (request: FindChainRequest): Promise<FindChainReply> {
     const standing = this.createStanding(request.viewVersion)
     const found = this.records.getChain(request.turnId)
-    if (found === null) return { standing, chain: [], incomplete: false }
+    if (found === null) {
+      this.log.event(Events.turnAbsent, this.describeQuery(request))
+      return { standing, chain: [], incomplete: false }
+    }
+    if (!found.isComplete) {
+      const lackingId = found.records[0]!.previousId
+      this.log.event(Events.chainIncomplete, { ...this.describeQuery(request), lackingId })
+    }
     return { standing, chain: found.records, incomplete: !found.isComplete }
   }
 
+  private describeQuery ({ turnId, viewVersion }: FindChainRequest): EventFields {
+    return { turnId, diskId: this.diskId, viewVersion: this.view.version, askedInView: viewVersion }
+  }
+
   async digest (request: DigestRequest): Promise<DigestReply> {
     const cursor = request.epoch === this.epoch ? request.cursor : 0
     const { keys, nextCursor, isEnd } = this.records.listKeys(cursor, request.limit)
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,5 +1,5 @@
 import type { AccountEntry, AppendReply, FindChainReply, LedgerRecord, View } from '#connection/rpc'
-import type { ReservedAccount } from '#request/turn'
+import type { Commit, ReservedAccount } from '#request/turn'
 import { sleep } from '#process/clock'
 import { mergeAccountEntries } from '#process/ledger'
 import { Events } from '#process/log'
@@ -73,18 +73,20 @@
 
   /// Appends records and resolves once they are committed. Retries until the
   /// timeout, even while too few storage instances seem to be up.
-  async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void> {
-    await this.collect(records, '', timeoutMs, replies =>
-      countVoters(replies.keys(), this.peers.quorums.appendVoters) >= this.peers.quorums.appendQuorum).quorum
+  async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<Commit> {
+    const { replies, quorum } = this.collect(records, '', timeoutMs, replies =>
+      countVoters(replies.keys(), this.peers.quorums.appendVoters) >= this.peers.quorums.appendQuorum)
+    await quorum
+    return { diskIds: [...replies.keys()], viewVersion: this.viewVersion }
   }
 
   /// Appends the record after `batchDelayMs`, together with all others of that time, and resolves once it is committed.
   appendSoon (record: LedgerRecord): Promise<void> {
     if (this.batch === null) {
       const records: LedgerRecord[] = []
-      const committed = sleep(batchDelayMs).then(() => {
+      const committed = sleep(batchDelayMs).then(async () => {
         this.batch = null
-        return this.append(records, batchTimeoutMs)
+        await this.append(records, batchTimeoutMs)
       })
       this.batch = { records, committed }
     }
@@ -148,9 +150,13 @@
       if (chain !== null) return chain
       const hasNewView = this.peers.view.version !== version
       if (hasNewView && performance.now() < deadlineMs) continue
-      if (!hasNewView && this.isRuledOut(absentDiskIds)) return null
+      const { viewVersion } = this
+      if (!hasNewView && this.isRuledOut(absentDiskIds)) {
+        this.log.event(Events.turnRuledOut, { turnId, absentOn: [...absentDiskIds], viewVersion })
+        return null
+      }
       const absent = absentDiskIds.size
-      this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent, viewVersion: this.viewVersion })
+      this.log.event(Events.quorumMissed, { of: 'chain', turnId, absent, absentOn: [...absentDiskIds], viewVersion })
       throw new QuorumError(`turn neither found nor ruled out: absent on ${absent} storage instances, a quorum needs ${this.peers.quorums.absenceQuorum}`)
     }
   }
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -7,6 +7,7 @@
 import { sleep } from '#process/clock'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
+import type { EventFields, EventKind } from '#process/log'
 import { LedgerQuorum } from '#process/quorum'
 
 const folders: string[] = []
@@ -129,6 +130,21 @@
   expect(await quorum.findChain('t2', 900)).toBeNull()
 })
 
+// Guards against a 404 of which no line says which disks lack the turn.
+test('a turn that is ruled out leaves a line with the disks that lack it, one that is stored tells its disks', async () => {
+  const events: [string, EventFields | undefined][] = []
+  const event = (kind: EventKind, fields?: EventFields): void => { events.push([kind.name, fields]) }
+  const logging = new LedgerQuorum({ zone: 'a', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStaleView: () => {} }, { event })
+  logging.adoptView(view, 'test')
+  const { diskIds, viewVersion } = await logging.append([createRecord(RecordKind.turn, 't1')], 900)
+  await logging.findChain('t2', 900)
+  logging.close()
+  const holders = view.members.filter((_, i) => ledgers[i]!.records.get(`${RecordKind.turn}/t1`) !== undefined)
+  expect([new Set(diskIds), viewVersion]).toEqual([new Set(holders.map(({ diskId }) => diskId)), 3])
+  const ruledOut = ['turn-ruled-out', { turnId: 't2', absentOn: expect.any(Array), viewVersion: 3 }]
+  expect(events.filter(([name]) => name === 'turn-ruled-out')).toEqual([ruledOut])
+})
+
 test('with one of three storage instances down, turns are committed, found and ruled out', async () => {
   servers[0]!.close()
   await quorum.append([createRecord(RecordKind.turn, 't1')], 900)
--- a/request/forward/src/context.ts
+++ b/request/forward/src/context.ts
@@ -1,6 +1,6 @@
 import type { ResponseHead, HeaderCodec } from '#connection/header'
 import type { Call, RequestMemory } from '#request/call'
-import type { ChainCache, TurnLedger } from '#request/turn'
+import type { ChainCache, Commit, TurnLedger } from '#request/turn'
 import type { Route, Service } from '#version/configuration'
 import type { Admission } from '#process/admission'
 import type { EventLog } from '#process/log'
@@ -56,6 +56,8 @@
   end (): void
   /// Closes the connection, so that the caller can't take a truncated response for a complete one.
   abort (): void
+  /// Says where the turn is stored, before `end`.
+  setCommit (commit: Commit): void
   readonly hasStarted: boolean
 }
 
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -151,7 +151,7 @@
     const startedAtMs = performance.now()
     const timeoutMs = routed.lastDeadlineMs - startedAtMs
     try {
-      await unlessAborted(context.ledger.append([record], timeoutMs), routed.signal)
+      response.setCommit(await unlessAborted(context.ledger.append([record], timeoutMs), routed.signal))
     } catch (error) {
       if (routed.signal.aborted) throw this.dispatcher.toError(Verdict.ran, null)
       throw new RefusedError(Refusal.notStored, Verdict.ran, formatError(error))
@@ -261,7 +261,7 @@
 }
 
 /// Settles as `promise` does, and rejects as soon as the signal is aborted.
-function unlessAborted (promise: Promise<void>, signal: AbortSignal): Promise<void> {
+function unlessAborted<Result> (promise: Promise<Result>, signal: AbortSignal): Promise<Result> {
   return new Promise((resolve, reject) => {
     const onAbort = (): void => reject(new Error(String(signal.reason)))
     signal.addEventListener('abort', onAbort, { once: true })
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -4,7 +4,7 @@
 /// storage instances reply in time.
 export interface TurnLedger {
   /// Resolves once the records are committed.
-  append (records: readonly LedgerRecord[], timeoutMs: number): Promise<void>
+  append (records: readonly LedgerRecord[], timeoutMs: number): Promise<Commit>
   /// Appends the record a little later, together with others, and resolves once it is committed.
   appendSoon (record: LedgerRecord): Promise<void>
   /// Resolves, once the reservation is committed, to the account of its program.
@@ -15,6 +15,13 @@
   findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null>
 }
 
+/// Where records were committed.
+export interface Commit {
+  /// The disks that had acknowledged them by then.
+  readonly diskIds: readonly string[]
+  readonly viewVersion: number
+}
+
 /// The account of a program, as read together with the append of a reservation.
 export interface ReservedAccount {
   /// All reservations and settlements that were stored before the append began.
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -31,7 +31,7 @@
   readonly timeoutMs: number
 }
 
-type AppendRecord = (record: LedgerRecord) => Promise<void>
+type AppendRecord = (record: LedgerRecord) => Promise<unknown>
 
 /// The tokens that a turn has reserved from its program's budget.
 export class TokenReservation {
