Storage: a pass over a new disk that still copies does not count once that disk serves

Callers: 404 for a turn that was answered whole. The model denies record 1 in view 8.

A member counts as a source of copies by its state now, and by the latest pass over it, which may be from before it held all: a retirement begins, another disk is lost, and its new disk is copied before it has copied the machine that leaves. Once the new disk serves, that pass let a member count as synced, which had copied neither; the machine that leaves is removed, and the member without the record is an absence quorum by itself.

A pass now says whether its peer held what it must when it started, and only such a pass counts. Passes are incremental, so one that starts after the peer holds all includes what earlier ones copied.

The new case of viewfaults.test.ts failed before (InvariantError: record 1 is denied in view 8).

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -11,6 +11,9 @@
   readonly diskId: string
   /// Version of the peer's view when the pass started.
   readonly viewVersion: number
+  /// Whether the peer held what it must when the pass started, as far as this instance knew. One that doesn't may lack
+  /// records that it has copied by the time it serves.
+  readonly wasComplete: boolean
 }
 
 /// What a storage instance knows when it decides on a change of the view.
@@ -60,7 +63,8 @@
 /// that hold what they must, this one included, so many have been copied since then that they can't all lack one.
 function holdsAllBefore (view: View, viewVersion: number, { own, passes, toleratedLosses }: Standpoint): boolean {
   const sources = view.members.filter(member => {
-    const hasBeenCopied = (passes.get(member.diskId)?.viewVersion ?? -1) >= viewVersion
+    const pass = passes.get(member.diskId)
+    const hasBeenCopied = pass !== undefined && pass.wasComplete && pass.viewVersion >= viewVersion
     return hasCopied(member) && (hasBeenCopied || member.diskId === own.diskId)
   })
   return sources.length >= requiredCopySources(view, toleratedLosses)
--- a/process/membership/test/model.ts
+++ b/process/membership/test/model.ts
@@ -1,5 +1,5 @@
 import type { Member, View } from '#connection/rpc'
-import { MemberState, computeNextView, computeQuorums, emptyView, needsMember } from '#process/membership'
+import { MemberState, computeNextView, computeQuorums, emptyView, hasCopied, needsMember } from '#process/membership'
 import type { CompletedPass } from '#process/membership'
 
 /// Enough rounds for each machine to finish each step of several changes of the view.
@@ -112,7 +112,9 @@
   copy (machine: Machine, peer: Machine): void {
     if (!machine.isUp || !peer.isUp || machine === peer) return
     for (const record of peer.disk.records) machine.disk.records.add(record)
-    machine.passes.set(peer.disk.id, { diskId: peer.disk.id, viewVersion: peer.view.version })
+    const member = findDisk(machine.view, peer.disk)
+    const wasComplete = member !== undefined && hasCopied(member)
+    machine.passes.set(peer.disk.id, { diskId: peer.disk.id, viewVersion: peer.view.version, wasComplete })
   }
 
   /// The machine decides on a change of the view and writes it under a condition. Returns whether the view has changed.
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -67,6 +67,20 @@
     append(model, first)
     decide(model, wiped)
   },
+  'a new disk is copied before it holds all, and then serves: that pass does not stand for the machine that leaves': model => {
+    const [leaving, lagging, wiped] = model.machines as [Machine, Machine, Machine]
+    append(model, leaving, wiped)
+    model.retire(leaving)
+    decide(model, lagging)
+    model.loseDisk(wiped)
+    decide(model, wiped)
+    for (const machine of [leaving, lagging]) model.adopt(machine)
+    model.copy(lagging, wiped)
+    for (const peer of [leaving, lagging]) model.copy(wiped, peer)
+    for (const machine of [wiped, lagging, wiped]) decide(model, machine)
+    model.checkRecords()
+    model.settle()
+  },
   'a new member acknowledges a turn before the others know of it: an entry on the older view does not deny the turn': model => {
     const [retired, silent, other] = model.machines as [Machine, Machine, Machine]
     model.retire(retired)
--- a/process/storage/src/copier.ts
+++ b/process/storage/src/copier.ts
@@ -2,6 +2,9 @@
 import type { Ledger } from '#process/ledger'
 import type { CompletedPass } from '#process/membership'
 
+/// What the peer has told in a pass.
+type CopiedPass = Pick<CompletedPass, 'diskId' | 'viewVersion'>
+
 const requestTimeoutMs = 1500
 const digestPageSize = 2000
 const fetchBatchSize = 200
@@ -16,7 +19,7 @@
   /// Copies what has arrived at the peer since the previous pass. Resolves to the
   /// complete pass and the number of copied records. Rejects with `PeerError`, or
   /// with the error of a failed write to this instance's disk.
-  async runPass (viewVersion: number): Promise<{ pass: CompletedPass, copied: number }> {
+  async runPass (viewVersion: number): Promise<{ pass: CopiedPass, copied: number }> {
     let copied = 0
     let startViewVersion = -1
     while (true) {
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -2,7 +2,7 @@
 import type { Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { MemberState, emptyView } from '#process/membership'
+import { MemberState, emptyView, hasCopied } from '#process/membership'
 import type { AbsentMember, CompletedPass } from '#process/membership'
 import { PeerCopier } from './copier.js'
 
@@ -167,8 +167,9 @@
   }
 
   private copy (state: PeerState): void {
+    const wasComplete = this.isComplete(state.member.diskId)
     state.copier.runPass(this.view.version).then(({ pass, copied }) => {
-      state.lastPass = pass
+      state.lastPass = { ...pass, wasComplete }
       this.recordContact(state, pass.viewVersion)
       if (copied > 0) {
         this.log.event(Events.copyCompleted, {
@@ -186,6 +187,11 @@
     })
   }
 
+  /// Whether a member holds what it must. Its state in `PeerState` may be an earlier one.
+  private isComplete (diskId: string): boolean {
+    return this.view.members.some(member => member.diskId === diskId && hasCopied(member))
+  }
+
   /// Only shows whether the member is present.
   private probe (state: PeerState): void {
     const request = { viewVersion: this.view.version, cursor: 0, limit: 0, epoch: '' }
