Storage: an adopted view is synced on the disk before it is told, and a start begins with it

A storage instance that had just started acknowledged an append by the view of an entry that still counted a machine which had been removed since ('record 1 is denied in view 6').

What an instance knew of views was only in its memory, while the removal of a machine relies on members that have seen the step. So the view is a promise: it is saved, synced and only then told, followed and used in own decisions. Reading the store before the first acknowledgement would keep the promise, too, but not serve while the store is down.

Each view gets a file of its own with a checksum and the disk id, and the one before goes once that is synced; a rename may be taken back by halves in a loss of power. Saves are made in order, by another thread when the disk is slow. One that fails is tried again, and the view isn't adopted meanwhile. A damaged file or one of another disk is ignored with a line.

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -5,12 +5,14 @@
 } from 'node:fs'
 import type { Dirent } from 'node:fs'
 import { join } from 'node:path'
-import type { LedgerRecord } from '#connection/rpc'
+import type { LedgerRecord, View } from '#connection/rpc'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
+import { DiskClosedError } from './diskclosed.js'
 import { encodeFrame } from './frames.js'
 import { SegmentReader } from './segmentreader.js'
 import type { SegmentRecord } from './segmentreader.js'
+import { ViewFile } from './viewfile.js'
 
 /// The contents of a disk when it was opened.
 export interface DiskContents {
@@ -20,6 +22,8 @@
   readonly wasEmpty: boolean
   /// The disk was new in the first start of the system, and has got no records since.
   readonly isFromFirstStart: boolean
+  /// The newest view that was saved, or the empty one.
+  readonly view: View
 }
 
 export interface DiskOpenOptions {
@@ -29,11 +33,6 @@
   readonly isFirstStart?: boolean
 }
 
-/// An append came after the close.
-export class DiskClosedError extends Error {
-  override readonly name = 'DiskClosedError'
-}
-
 const identityFileName = 'identity'
 /// Marks a disk that was new in the first start of the system.
 const firstStartFileName = 'first-start'
@@ -61,7 +60,12 @@
   private lastSyncMs = 0
   private isClosed = false
 
-  private constructor (private readonly folder: string, readonly diskId: string, private readonly log: EventLog) {}
+  private constructor (
+    private readonly folder: string,
+    readonly diskId: string,
+    private readonly viewFile: ViewFile,
+    private readonly log: EventLog
+  ) {}
 
   /// Opens a data folder, creates it if needed, and reads the records that have not expired, or that one of these
   /// needs. Appends go to a new segment, so that no record follows a torn write.
@@ -74,17 +78,19 @@
     const existingDiskId = names.has(identityFileName) ? readIdentity(folder) : null
     // Before the disk has an id, so that a start that ends in between doesn't lose the mark.
     if (isFirstStart && existingDiskId === null) writeFile(folder, firstStartFileName, '')
-    const disk = new Disk(folder, existingDiskId ?? writeIdentity(folder), log)
+    const diskId = existingDiskId ?? writeIdentity(folder)
+    const viewFile = new ViewFile(folder, diskId, names, log)
+    const disk = new Disk(folder, diskId, viewFile, log)
     const reader = new SegmentReader(nowMs)
     disk.readSegments(entries, reader)
     const records = reader.takeRecords()
     disk.startSegment()
-    const { diskId, segments } = disk
     log.event(Events.diskOpened, {
       diskId,
       records: records.length,
       expired: reader.recordCount - records.length,
-      segments: segments.length - 1,
+      segments: disk.segmentCount - 1,
+      viewVersion: viewFile.view.version,
       isNew: existingDiskId === null
     })
     const hasRecords = reader.recordCount > 0
@@ -94,7 +100,8 @@
       contents: {
         records,
         wasEmpty: existingDiskId === null && !hasRecords,
-        isFromFirstStart: !hasRecords && (isFirstStart || names.has(firstStartFileName))
+        isFromFirstStart: !hasRecords && (isFirstStart || names.has(firstStartFileName)),
+        view: viewFile.view
       }
     }
   }
@@ -119,6 +126,12 @@
     return await this.pending.synced
   }
 
+  /// Resolves once each start from this disk begins with this view or a newer one. Rejects with `DiskClosedError` if
+  /// the disk is closed before. After another error it may be tried again.
+  saveView (view: View): Promise<void> {
+    return this.viewFile.save(view, { isInThread: this.lastSyncMs >= slowSyncMs })
+  }
+
   /// Removes a segment whose records are in another segment or have expired.
   dropSegment (segment: number): void {
     this.segments = this.segments.filter(other => other !== segment)
@@ -128,6 +141,7 @@
 
   /// Appends that wait are written before it. May be called again.
   close (): void {
+    this.viewFile.close()
     this.syncAll()
     this.isClosed = true
     if (this.file !== noFile) closeSync(this.file)
--- a/process/ledger/src/index.ts
+++ b/process/ledger/src/index.ts
@@ -1,4 +1,5 @@
-export { Disk, DiskClosedError } from './disk.js'
+export { Disk } from './disk.js'
+export { DiskClosedError } from './diskclosed.js'
 export type { DiskContents } from './disk.js'
 export { encodeFrame, decodeFrames } from './frames.js'
 export { openDisk } from './opendisk.js'
--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -1,8 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import type { AppendReply, AppendRequest, DigestReply, DigestRequest, FetchReply, FetchRequest, FindChainReply, FindChainRequest, LedgerHandler, LedgerRecord, Standing, View } from '#connection/rpc'
-import { emptyView } from '#process/membership'
-import { DiskClosedError } from './disk.js'
 import type { Disk, DiskContents } from './disk.js'
+import { DiskClosedError } from './diskclosed.js'
 import { RecordIndex, recordKey } from './records.js'
 import type { IndexedRecord } from './records.js'
 
@@ -17,8 +16,9 @@
   readonly records = new RecordIndex()
   /// Identifies this process's order of arrival. The cursors of digests are positions in it.
   private readonly epoch = randomBytes(6).toString('hex')
-  /// The newest view that this instance has adopted.
-  private view: View = emptyView
+  /// The newest view that this instance has adopted. It is on the disk: this instance must not acknowledge by an older
+  /// one after a restart, since a machine may be removed once enough others know the view without it.
+  private adoptedView: View
   /// Syncs in flight by record key: a repeated append waits for the first one.
   private readonly pendingSyncs = new Map<string, Promise<unknown>>()
   /// Set once a write fails. The contents of the disk are uncertain from then on,
@@ -28,6 +28,7 @@
   onFailure: (error: Error) => void = () => {}
 
   constructor (private readonly disk: Disk, contents: DiskContents) {
+    this.adoptedView = contents.view
     for (const { record, segment } of contents.records) this.records.add(record, segment)
   }
 
@@ -35,8 +36,15 @@
     return this.disk.diskId
   }
 
-  adoptView (view: View): void {
-    if (view.version > this.view.version) this.view = view
+  get view (): View {
+    return this.adoptedView
+  }
+
+  /// Adopts a view, unless a newer one is adopted before. Resolves once it is on the disk, and told to others from then
+  /// on. Rejects as `Disk.saveView` does.
+  async adoptView (view: View): Promise<void> {
+    await this.disk.saveView(view)
+    if (view.version > this.view.version) this.adoptedView = view
   }
 
   async append (request: AppendRequest): Promise<AppendReply> {
--- /dev/null
+++ b/process/ledger/src/viewfile.ts
@@ -0,0 +1,125 @@
+import { closeSync, fsync, fsyncSync, openSync, readFileSync, unlinkSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { promisify } from 'node:util'
+import { crc32 } from 'node:zlib'
+import type { View } from '#connection/rpc'
+import { Events, errorMessage } from '#process/log'
+import type { EventLog } from '#process/log'
+import { emptyView, parseView } from '#process/membership'
+import { DiskClosedError } from './diskclosed.js'
+
+/// Named after the version of the view.
+const namePattern = /^view-\d+$/
+/// The CRC-32 of the contents in hexadecimal digits, a space, and the contents as JSON.
+const textPattern = /^([0-9a-f]{8}) (.+)\n$/
+
+export interface SaveOptions {
+  /// Whether another thread waits for the disk, in place of the event loop.
+  readonly isInThread: boolean
+}
+
+const syncInThread = promisify(fsync)
+
+/// The newest view that an instance has adopted, on its disk. Others rely on its having told them of a view, also after
+/// a restart or a loss of power. Each view gets a file of its own, and the one before is removed once that is synced: a
+/// loss of power may take back a rename by halves.
+export class ViewFile {
+  private saved = emptyView
+  private names: readonly string[]
+  private lastSave = Promise.resolve()
+  private isClosed = false
+
+  /// Reads the newest view of `names`, the files of the folder. One that is damaged or of another disk is ignored.
+  constructor (
+    private readonly folder: string,
+    private readonly diskId: string,
+    names: Iterable<string>,
+    log: EventLog
+  ) {
+    this.names = [...names].filter(name => namePattern.test(name))
+    for (const name of this.names) {
+      try {
+        const view = decode(readFileSync(join(folder, name), 'utf8'), diskId)
+        if (view.version > this.saved.version) this.saved = view
+      } catch (error) {
+        log.event(Events.diskEntryIgnored, { name, reason: errorMessage(error) })
+      }
+    }
+  }
+
+  /// The newest view that is synced.
+  get view (): View {
+    return this.saved
+  }
+
+  /// Resolves once this view or a newer one is synced. Saves are made one after the other. One that is rejected may be
+  /// tried again.
+  save (view: View, options: SaveOptions): Promise<void> {
+    const save = this.lastSave.then(() => this.saveIfNewer(view, options))
+    this.lastSave = save.catch(() => {})
+    return save
+  }
+
+  /// Nothing is written afterwards. A save that is under way is rejected with `DiskClosedError`.
+  close (): void {
+    this.isClosed = true
+  }
+
+  private async saveIfNewer (view: View, { isInThread }: SaveOptions): Promise<void> {
+    if (view.version <= this.saved.version) return
+    const name = `view-${view.version}`
+    const sync = isInThread ? syncInThread : fsyncSync
+    this.assertOpen()
+    const file = openSync(join(this.folder, name), 'w')
+    try {
+      writeFileSync(file, encode(view, this.diskId))
+      await sync(file)
+    } finally {
+      closeSync(file)
+    }
+    this.assertOpen()
+    const folder = openSync(this.folder, 'r')
+    try {
+      await sync(folder)
+    } finally {
+      closeSync(folder)
+    }
+    this.assertOpen()
+    this.saved = view
+    this.removeOthers(name)
+  }
+
+  private removeOthers (name: string): void {
+    const others = this.names.filter(other => other !== name)
+    this.names = [name]
+    for (const other of others) {
+      try {
+        unlinkSync(join(this.folder, other))
+      } catch {
+        // An older view that stays does no harm.
+      }
+    }
+  }
+
+  private assertOpen (): void {
+    if (this.isClosed) throw new DiskClosedError('the disk is closed')
+  }
+}
+
+function encode (view: View, diskId: string): string {
+  const json = JSON.stringify({ diskId, view })
+  return `${formatChecksum(json)} ${json}\n`
+}
+
+/// Throws if the text is no view of this disk.
+function decode (text: string, diskId: string): View {
+  const [, checksum, json] = textPattern.exec(text) ?? []
+  if (json === undefined || formatChecksum(json) !== checksum) throw new Error('a damaged view')
+  const contents = JSON.parse(json) as { diskId: unknown, view: unknown }
+  if (contents.diskId !== diskId) throw new Error('a view of another disk')
+  return parseView(contents.view)
+}
+
+function formatChecksum (text: string): string {
+  return crc32(text).toString(16).padStart(8, '0')
+}
--- a/process/ledger/test/slowdisk.test.ts
+++ b/process/ledger/test/slowdisk.test.ts
@@ -20,6 +20,10 @@
       vi.advanceTimersByTime(syncs.blockingMs)
       fs.fdatasyncSync(file)
     },
+    fsyncSync: (file: number) => {
+      syncs.blockingCount++
+      fs.fsyncSync(file)
+    },
     fdatasync: (_: number, callback: Callback) => { syncs.inThread.push(callback) }
   }
 })
@@ -75,6 +79,15 @@
   return reopened.contents.records.map(({ record }) => record.id)
 }
 
+test('after a slow sync, saving a view does not block', async () => {
+  await disk.saveView({ version: 3, members: [], leaveVersion: 0 })
+  expect(syncs.blockingCount).toBe(0)
+  disk.close()
+  const reopened = Disk.open(folder, noopLog)
+  reopened.disk.close()
+  expect(reopened.contents.view.version).toBe(3)
+})
+
 // Guards against a storage instance that replies to nothing, reads and probes included, while its disk syncs.
 test('after a slow sync, the next one does not block, and a record is acknowledged only after it', async () => {
   const appended = append('a')
--- a/process/membership/test/histories.test.ts
+++ b/process/membership/test/histories.test.ts
@@ -27,6 +27,7 @@
   loseDisk: { weight: 3, run: (model, a) => model.loseDisk(pick(model.machines, a)) },
   remove: { weight: 2, run: (model, a) => model.remove(pick(model.machines, a)) },
   stop: { weight: 2, run: (model, a) => model.stop(pick(model.machines, a)) },
+  startWithoutStore: { weight: 2, run: (model, a) => model.startWithoutStore(pick(model.machines, a)) },
   start: { weight: 2, run: (model, a) => model.start(pick(model.machines, a)) },
   add: { weight: 2, run: model => { if (model.machines.length < maxMachines) model.add() } }
 }
--- a/process/membership/test/model.ts
+++ b/process/membership/test/model.ts
@@ -8,6 +8,8 @@
 interface ModelDisk {
   readonly id: string
   readonly records: Set<number>
+  /// The newest view that the machine has adopted. What it tells others of its view is on its disk.
+  view: View
 }
 
 /// A storage machine, with what its process knows.
@@ -74,10 +76,17 @@
   }
 
   start (machine: Machine): void {
+    this.startWithoutStore(machine)
+    this.adopt(machine)
+  }
+
+  /// The machine starts and can't read the view in the platform's store yet.
+  startWithoutStore (machine: Machine): void {
     if (machine.isUp || machine.isGone) return
-    Object.assign(machine, { isUp: true, view: emptyView })
+    const { view } = machine.disk
+    const listedVersion = findDisk(view, machine.disk) === undefined ? 0 : view.version
+    Object.assign(machine, { isUp: true, view, listedVersion, stateVersion: listedVersion })
     machine.passes.clear()
-    this.adopt(machine)
   }
 
   loseDisk (machine: Machine): void {
@@ -105,7 +114,7 @@
     const previous = findDisk(machine.view, machine.disk)
     if (previous === undefined) machine.listedVersion = this.view.version
     if (previous?.state !== findDisk(this.view, machine.disk)?.state) machine.stateVersion = this.view.version
-    machine.view = this.view
+    machine.view = machine.disk.view = this.view
   }
 
   /// The machine copies all that a peer holds.
@@ -114,7 +123,7 @@
     for (const record of peer.disk.records) machine.disk.records.add(record)
     const member = findDisk(machine.view, peer.disk)
     const wasComplete = member !== undefined && hasCopied(member)
-    machine.passes.set(peer.disk.id, { diskId: peer.disk.id, viewVersion: peer.view.version, wasComplete })
+    machine.passes.set(peer.disk.id, { diskId: peer.disk.id, viewVersion: peer.disk.view.version, wasComplete })
   }
 
   /// The machine decides on a change of the view and writes it under a condition. Returns whether the view has changed.
@@ -248,7 +257,8 @@
   }
 
   private adoptReply (entry: Entry, machine: Machine): void {
-    if (machine.view.version > entry.view.version) entry.view = machine.view
+    const { view } = machine.disk
+    if (view.version > entry.view.version) entry.view = view
   }
 
   private isRuledOut (view: View, absent: ReadonlySet<string>): boolean {
@@ -261,7 +271,7 @@
   }
 
   private createDisk (): ModelDisk {
-    return { id: `d${this.diskCount++}`, records: new Set() }
+    return { id: `d${this.diskCount++}`, records: new Set(), view: emptyView }
   }
 }
 
--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -159,7 +159,7 @@
     const address = `127.0.0.1:${await server.listen('127.0.0.1:0')}`
     members.push({ name, diskId: disk.diskId, address, zone: name, state: 'serving', replacement: false, syncedView: 0 })
   }
-  for (const ledger of ledgers) ledger.adoptView({ version: 9, members, leaveVersion: 0 })
+  for (const ledger of ledgers) await ledger.adoptView({ version: 9, members, leaveVersion: 0 })
   const staleQuorum = new LedgerQuorum({ zone: 'a', toleratedLosses: 1, connect: address => new LedgerConnection(address), onStaleView: () => {} }, noopLog)
   staleQuorum.adoptView({ version: 8, members: members.slice(0, 1), leaveVersion: 0 }, 'test')
   await staleQuorum.append([createRecord(RecordKind.turn, 't1')], 900)
--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -1,6 +1,7 @@
 import type { LedgerPeer, Member, View } from '#connection/rpc'
 import { ObjectKind, ObjectWatch, StoreConflictError, handleObject } from '#connection/store'
 import type { ObjectStore, StoredObject } from '#connection/store'
+import { retry } from '#process/clock'
 import type { Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
@@ -25,6 +26,7 @@
 const watchPauseMs = 50
 const reconcileIntervalMs = 400
 const writeRetryDelayMs = 800
+const saveRetryDelayMs = 400
 /// Longer than the others' presence times, a copy pass and its timeout together.
 const lastingPresenceMs = 8000
 /// Between two times that this instance takes back that it leaves.
@@ -39,6 +41,8 @@
 export class MembershipController {
   private view: View = emptyView
   private revision = 0
+  /// Of the latest view that is adopted or being saved.
+  private latestRevision = 0
   /// Whether the view's object has been read, or found not to exist.
   private hasReadView = false
   private isWriting = false
@@ -46,6 +50,7 @@
   private nextTakeBackMs = 0
   private readonly peers: StoragePeers
   private readonly retirements: Retirements
+  private readonly stopping = new AbortController()
   private nextViewRefreshMs = 0
   private viewWatch: ObjectWatch | null = null
   private retirementWatch: ObjectWatch | null = null
@@ -62,8 +67,10 @@
     this.retirements = new Retirements(store, () => this.reconcile(), log)
   }
 
+  /// Begins with the view that this instance has adopted before its start.
   start (): void {
-    const { store, log, options } = this
+    const { store, log, options, ledger } = this
+    if (ledger.view.version > 0) this.followView(ledger.view)
     const watchOptions = { kind: ObjectKind.storageViews, getWaitMs: () => viewWatchWaitMs, pauseMs: watchPauseMs }
     const viewHandler = handleObject(viewObjectName, object => this.onView(object))
     this.viewWatch = new ObjectWatch(store, watchOptions, viewHandler, log)
@@ -72,6 +79,7 @@
   }
 
   stop (): void {
+    this.stopping.abort()
     this.viewWatch?.stop()
     this.retirementWatch?.stop()
     clearTimeout(this.formingTimer)
@@ -81,9 +89,9 @@
 
   private onView (object: StoredObject | null): void {
     this.hasReadView = true
-    if (object !== null && object.revision > this.revision) {
+    if (object !== null && object.revision > this.latestRevision) {
       try {
-        this.adoptView(parseView(object.spec), object.revision)
+        this.startAdoption(parseView(object.spec), object.revision)
       } catch (error) {
         this.log.event(Events.viewRejected, { revision: object.revision, error: formatError(error) })
       }
@@ -91,14 +99,33 @@
     this.reconcile()
   }
 
-  private adoptView (view: View, revision: number): void {
+  private startAdoption (view: View, revision: number): void {
+    this.adoptView(view, revision).then(() => this.reconcile(), (error: unknown) => {
+      if (this.stopping.signal.aborted) return
+      this.log.event(Events.unexpectedError, { where: 'adopting a view', error: formatError(error) })
+    })
+  }
+
+  /// Resolves once the view, or a newer one, is adopted. It is on the disk by then: also in its own decisions, this
+  /// instance relies only on a view that it can't forget.
+  private async adoptView (view: View, revision: number): Promise<void> {
+    this.latestRevision = revision
+    await retry(() => this.ledger.adoptView(view), {
+      delayMs: saveRetryDelayMs,
+      signal: this.stopping.signal,
+      onFailure: error => this.log.event(Events.diskFailed, { of: 'view', error: formatError(error) })
+    })
+    if (this.stopping.signal.aborted || revision <= this.revision) return
     this.revision = revision
     if (view.version <= this.view.version) return
+    this.followView(view)
+    this.log.event(Events.viewAdopted, { version: view.version, revision, members: view.members.map(describeMember) })
+  }
+
+  private followView (view: View): void {
     this.view = view
-    this.ledger.adoptView(view)
     this.peers.update(view)
     if (this.options.isFirstStart && !this.peers.isListed) this.delayFormingWrite()
-    this.log.event(Events.viewAdopted, { version: view.version, revision, members: view.members.map(describeMember) })
   }
 
   private delayFormingWrite (): void {
@@ -111,7 +138,8 @@
   private reconcile (): void {
     const nowMs = performance.now()
     this.peers.contactWhenDue(nowMs)
-    if (this.hasReadView && !this.isWriting && nowMs >= this.nextWriteMs) this.proposeChange(nowMs)
+    const knowsView = this.hasReadView && this.revision === this.latestRevision
+    if (knowsView && !this.isWriting && nowMs >= this.nextWriteMs) this.proposeChange(nowMs)
   }
 
   /// Writes the next change of the view, if one is due; otherwise reports retirements.
@@ -180,7 +208,7 @@
       to: next.version,
       members: next.members.map(describeMember)
     })
-    if (object.revision > this.revision) this.adoptView(next, object.revision)
+    if (object.revision > this.latestRevision) await this.adoptView(next, object.revision)
   }
 
   /// A write that failed without a response may have been applied all the same;
