A silent connection between entries ends at the deadline of its request

Callers saw: a request relayed on a connection that goes silent while load reports pass got no answer at all, and nothing was logged. Cause: the entry that relays knew nothing of deadlines, only of entries that answer no load query. Change: it reads the deadline from the head, once a request has waited for a tick of 100 ms (one timer for all connections, nothing per chunk); 200 ms after it, without a byte meanwhile, the caller gets 502 or its response is broken off, the other connections to that entry are drained and none is relayed there for a second. Call ids are read from heads only when they are reported, so a request costs one search less. A response that its caller is slow to read isn't taken for a silence.

--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -82,6 +82,7 @@
 export class HeaderCodec {
   private readonly droppedHeaders: ReadonlySet<string>
   private readonly callIdPattern: RegExp
+  private readonly callerTimeoutPattern: RegExp
 
   constructor (private readonly names: HeaderNames) {
     this.droppedHeaders = new Set([
@@ -92,6 +93,7 @@
       names.lastEventId
     ])
     this.callIdPattern = new RegExp(`^${names.callId}:[ \\t]*(\\S{1,200})[ \\t]*$`, 'im')
+    this.callerTimeoutPattern = new RegExp(`^${names.callerTimeoutMs}:[ \\t]*([\\d.]+)[ \\t]*$`, 'im')
   }
 
   /// Returns the call id in a request head as it was received, null if there is none. The text is not kept in memory.
@@ -101,6 +103,11 @@
     return id === undefined ? null : Buffer.from(id, 'latin1').toString('latin1')
   }
 
+  /// Returns the caller timeout in a request head as it was received, as `parseCall` reads it.
+  findCallerTimeoutMs (head: string): number {
+    return limitCallerTimeout(this.callerTimeoutPattern.exec(head)?.[1] ?? null)
+  }
+
   /// Throws `InvalidCallError` if the call id or the host is missing or the call id has an invalid length. Malformed
   /// values of other fields are ignored.
   parseCall (head: RequestHead, receivedAtMs: number): Call {
@@ -116,10 +123,7 @@
       path: head.path,
       host,
       forwardedHeaders: this.filterRequestHeaders(head),
-      callerTimeoutMs: Math.min(
-        parsePositive(firstValue(headers[names.callerTimeoutMs])) ?? defaultCallerTimeoutMs,
-        maxCallerTimeoutMs
-      ),
+      callerTimeoutMs: limitCallerTimeout(firstValue(headers[names.callerTimeoutMs])),
       receivedAtMs,
       program: this.parseProgram(headers),
       previousTurnId: firstValue(headers[names.previousTurnId]),
@@ -220,6 +224,10 @@
   return null
 }
 
+function limitCallerTimeout (text: string | null): number {
+  return Math.min(parsePositive(text) ?? defaultCallerTimeoutMs, maxCallerTimeoutMs)
+}
+
 function parsePositive (text: string | null): number | null {
   const value = parseNumber(text)
   return value !== null && value > 0 ? value : null
--- a/connection/header/src/index.ts
+++ b/connection/header/src/index.ts
@@ -3,3 +3,5 @@
 export { findRequestProblem, findResponseHeadProblem } from './headcheck.js'
 export type { ReceivedRequest } from './headcheck.js'
 export { nativeHeaders } from './native.js'
+export { findRequestTarget } from './requesttarget.js'
+export type { RequestTarget } from './requesttarget.js'
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -24,6 +24,7 @@
 import type { RelayOrigin } from '#process/relay'
 import { ActiveConfiguration } from './activeconfiguration.js'
 import { CallDrain } from './calldrain.js'
+import { findCallTimeoutMs } from './calltimeout.js'
 import { EntryPeers } from './entrypeers.js'
 import { recordDropped, serveExchange } from './serve.js'
 import type { EntryState } from './serve.js'
@@ -126,7 +127,10 @@
       registration: { name, address: relayAddress, zone, processors },
       store: platform.store,
       getConfigVersion: () => this.configuration.version,
-      findCallId: head => platform.headers.findCallId(head),
+      reader: {
+        findCallId: head => platform.headers.findCallId(head),
+        findTimeoutMs: head => findCallTimeoutMs(head, platform.headers, this.routes)
+      },
       isReady: () => this.isReady,
       serve: (exchange, origin) => this.serve(exchange, origin),
       front: frontOptions
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -9,7 +9,7 @@
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
 import { ConnectionRelay, EntryDirectory, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
-import type { FindCallId, LoadReport, Registration, RelayOrigin } from '#process/relay'
+import type { LoadReport, Registration, RelayOrigin, RequestReader } from '#process/relay'
 import { RevisionGossip, gossipTickMs, parseRevisionDigest, revisionDigestType } from '#process/revisions'
 import type { RevisionDigest } from '#process/revisions'
 
@@ -18,7 +18,7 @@
   readonly store: ObjectStore
   /// Version of the configuration in force here, 0 for none.
   readonly getConfigVersion: () => number
-  readonly findCallId: FindCallId
+  readonly reader: RequestReader
   /// Whether this entry takes relayed connections.
   readonly isReady: () => boolean
   /// Serves an exchange of a connection that the entry `origin` relays; must not reject.
@@ -49,11 +49,11 @@
   private isReachable = false
 
   constructor (private readonly options: EntryPeersOptions, private readonly log: EventLog, metrics: Metrics) {
-    const { registration, getConfigVersion, findCallId, serve } = options
+    const { registration, getConfigVersion, reader, serve } = options
     this.registration = registration
     this.directory = new EntryDirectory(registration, log)
     const { directory, serviceTime } = this
-    this.relay = new ConnectionRelay({ directory, serviceTime, getConfigVersion, findCallId }, log, metrics)
+    this.relay = new ConnectionRelay({ directory, serviceTime, getConfigVersion, reader }, log, metrics)
     this.datagrams = new DatagramSocket({
       [loadReportType]: (fields, sender) => this.handleReport(parseLoadReport(fields), sender),
       [revisionDigestType]: fields => this.handleDigest(parseRevisionDigest(fields))
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -111,7 +111,10 @@
     directory: this.directory,
     serviceTime: this.serviceTime,
     getConfigVersion: () => this.configVersion,
-    findCallId: head => platformHeaders.findCallId(head)
+    reader: {
+      findCallId: head => platformHeaders.findCallId(head),
+      findTimeoutMs: head => platformHeaders.findCallerTimeoutMs(head)
+    }
   }, noopLog, new Metrics())
 
   /// Set by tests, to emulate a busy event loop.
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from '#process/metrics'
 import type { EntryDirectory, OtherEntry } from './directory.js'
 import { RelayedConnection } from './relayedconnection.js'
-import type { FindCallId } from './requesttracker.js'
+import type { RequestReader } from './requesttracker.js'
 import { CallCost } from './servicetime.js'
 import type { ServiceTime } from './servicetime.js'
 
@@ -14,7 +14,7 @@
   readonly serviceTime: ServiceTime
   /// Version of the configuration in force here, 0 for none.
   readonly getConfigVersion: () => number
-  readonly findCallId: FindCallId
+  readonly reader: RequestReader
 }
 
 /// As that of Node's HTTP server.
@@ -77,7 +77,7 @@
   }
 
   private relay (caller: Socket, entry: OtherEntry, serve: ServeConnection): void {
-    const { directory, serviceTime, getConfigVersion, findCallId } = this.options
+    const { directory, serviceTime, getConfigVersion, reader } = this.options
     const { name } = entry.registration
     const address = `${caller.remoteAddress}:${caller.remotePort}`
     this.metrics.increment('relays_total')
@@ -92,7 +92,7 @@
       caller,
       entry,
       origin: { entry: directory.own.name, configVersion: getConfigVersion() },
-      findCallId,
+      reader,
       idleTimeoutMs: this.idleTimeoutMs,
       onChunk: () => serviceTime.countCall(CallCost.relayedChunk),
       onUnreachable: () => {
@@ -100,6 +100,7 @@
         serve(false)
       },
       onReturned: serve,
+      onOverdue: () => directory.recordSilence(entry),
       onUnanswered: ({ callId, ...request }) => {
         this.metrics.increment('relayed_unanswered_total')
         const fields = { callId: callId ?? undefined, entry: name, caller: address, ...request }
--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -162,6 +162,12 @@
     entry.avoidUntilMs = performance.now() + avoidAfterFailureMs
   }
 
+  /// A connection to it has gone silent, so others may have: they get no further calls.
+  recordSilence (entry: OtherEntry): void {
+    this.recordFailure(entry)
+    for (const onUnavailable of [...entry.onUnavailable]) onUnavailable()
+  }
+
   /// The processors of the entries that have lately asked for reports, together.
   get askersProcessors (): number {
     let sum = 0
--- a/process/relay/src/messagetracker.ts
+++ b/process/relay/src/messagetracker.ts
@@ -69,9 +69,9 @@
   }
 
   private addHead (bytes: Buffer, from: number): number {
-    const at = this.text === '' ? skipBlankLines(bytes, from) : from
+    if (this.text === '') return this.addFirstPart(bytes, skipBlankLines(bytes, from))
     const length = this.text.length
-    this.text = (length === 0 ? '' : this.text) + bytes.toString('latin1', at)
+    this.text += bytes.toString('latin1', from)
     const end = this.text.indexOf(headEnd, Math.max(0, length - headEnd.length))
     if (end < 0) {
       if (this.text.length > maxTextBytes) this.text = this.text.slice(-headEnd.length)
@@ -80,7 +80,17 @@
     const head = this.text.slice(0, end + 2)
     this.text = ''
     this.startBody(head)
-    return at + end + headEnd.length - length
+    return from + end + headEnd.length - length
+  }
+
+  private addFirstPart (bytes: Buffer, at: number): number {
+    const end = bytes.indexOf(headEnd, at)
+    if (end < 0) {
+      this.text = bytes.toString('latin1', Math.max(at, bytes.length - maxTextBytes))
+      return bytes.length
+    }
+    this.startBody(bytes.toString('latin1', at, end + 2))
+    return end + headEnd.length
   }
 
   private startBody (head: string): void {
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -8,8 +8,9 @@
 import { watchIdle } from './idlewatch.js'
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
+import { watchOverdue } from './overduewatch.js'
 import { RequestTracker } from './requesttracker.js'
-import type { FindCallId } from './requesttracker.js'
+import type { RequestReader } from './requesttracker.js'
 import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
 import { ResponseTracker } from './responsetracker.js'
 
@@ -30,7 +31,7 @@
   readonly caller: Socket
   readonly entry: OtherEntry
   readonly origin: RelayOrigin
-  readonly findCallId: FindCallId
+  readonly reader: RequestReader
   /// Called for each chunk that is passed on, either way.
   readonly onChunk: () => void
   /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
@@ -39,6 +40,8 @@
   /// answered all that it was sent. What the caller has sent since can be read from the connection. `wasUsed`: that may
   /// have arrived long after the connection was opened.
   readonly onReturned: (wasUsed: boolean) => void
+  /// Called if the other entry is silent beyond the deadline of a request.
+  readonly onOverdue: () => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
   /// How long at least a connection is kept that no request comes on.
@@ -53,6 +56,9 @@
 /// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
 /// more.
 const maxStalledMs = 30_000
+/// A caller that leaves so long before the deadline of its request, or later, has waited for its response in vain.
+const deadlineToleranceMs = 50
+const overdueReason = 'the entry was silent at the deadline of the request'
 const lastResponseReason = 'the response before closes the connection'
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
@@ -73,14 +79,15 @@
   /// It isn't connected to the other entry any more, and waits for a request.
   private isParked = false
   private idleTimer: NodeJS.Timeout | undefined
+  private endWatch = (): void => {}
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
   private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
 
   constructor (private readonly options: RelayedConnectionOptions) {
-    const { caller, entry, findCallId } = options
-    this.requests = new RequestTracker(findCallId)
+    const { caller, entry, reader } = options
+    this.requests = new RequestTracker(reader)
     const [host, port] = splitAddress(entry.registration.address)
     this.peer = connect({ host, port, noDelay: true, onread: { buffer: readBuffer, callback: this.onPeerData } })
     this.connectTimer = setTimeout(() => this.peer.destroy(new Error('the connection timed out')), connectTimeoutMs)
@@ -126,9 +133,14 @@
     return this.requests.isBetweenMessages && this.requests.count > this.responses.count
   }
 
+  /// Whether the head of a request has been passed on, and the response to it is not complete.
+  private get isUnderWay (): boolean {
+    return this.requests.hasMoreThan(this.responses)
+  }
+
   /// Whether the head of a request has been passed on, and nothing of the response to it has.
   private get isUnanswered (): boolean {
-    return this.requests.hasMoreThan(this.responses) && this.responses.isBetweenMessages && !this.responses.isLast
+    return this.isUnderWay && this.responses.isBetweenMessages && !this.responses.isLast
   }
 
   /// Whether the caller has got all that it gets on the connection.
@@ -164,6 +176,8 @@
     this.idleTimer = watchIdle(caller, idleTimeoutMs, () => {
       if (this.isIdle && caller.writableLength === 0) this.endAfterReading()
     })
+    const { requests } = this
+    this.endWatch = watchOverdue({ caller, peer, requests, isUnderWay: () => this.isUnderWay }, this.onOverdue)
   }
 
   private readonly onPeerEnd = (): void => {
@@ -219,6 +233,7 @@
     const { caller } = this.options
     const readsOn = caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
     if (!readsOn) destroyIfStalled(caller, maxStalledMs)
+    if (!this.isUnderWay) this.requests.forgetHead()
     if (this.held !== null || this.isDraining) {
       this.passOn()
       this.updateReading()
@@ -247,6 +262,7 @@
     if (this.isParked) return
     const { entry, idleTimeoutMs } = this.options
     this.isParked = true
+    this.endWatch()
     this.forgetEntry(entry)
     this.peer.destroy()
     this.updateReading()
@@ -274,9 +290,8 @@
   }
 
   private reportUnanswered (reason: string): void {
-    const { requests, responses } = this
+    const { requests, isUnderWay } = this
     const heldBytes = this.held?.length ?? 0
-    const isUnderWay = requests.hasMoreThan(responses)
     if (!isUnderWay && heldBytes === 0) return
     const callId = isUnderWay ? requests.callId : null
     this.options.onUnanswered({ callId, isWhole: requests.isBetweenMessages, heldBytes, reason })
@@ -289,12 +304,20 @@
     if (this.isEnded) return
     if (caller.destroyed && caller.errored === null && !caller.readableEnded) {
       this.reportUnanswered('the caller stopped reading')
+    } else if (this.isUnanswered && performance.now() >= this.requests.deadlineMs - deadlineToleranceMs) {
+      this.reportUnanswered(overdueReason)
     }
     this.finish(null)
     this.peer.resetAndDestroy()
     caller.destroy()
   }
 
+  private readonly onOverdue = (): void => {
+    if (this.isEnded) return
+    this.handleLoss(overdueReason)
+    this.options.onOverdue()
+  }
+
   private readonly onLoss = (): void => this.handleLoss('the entry has fallen silent')
 
   /// The response to the request under way says that the other entry is lost, unless a part of one has been passed on.
@@ -331,6 +354,7 @@
     this.isEnded = true
     clearTimeout(this.connectTimer)
     clearTimeout(this.idleTimer)
+    this.endWatch()
     this.forgetEntry(entry)
     caller.off('data', this.onCallerData)
     caller.off('drain', this.onCallerDrain)
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -57,6 +57,15 @@
   expect(choose()).toBe(expected)
 })
 
+// Guards against requests without an answer on further connections to an entry, once one has gone silent.
+test('a connection to an entry is silent: those that are left are drained, and none is relayed to it for a while', () => {
+  addEntry('e')
+  const drain = vi.fn()
+  directory.entries[0]!.onUnavailable.add(drain)
+  directory.recordSilence(directory.entries[0]!)
+  expect([drain.mock.calls.length, choose()]).toEqual([1, null])
+})
+
 test('an object of another writer is no entry', () => {
   const valid = { address: '127.0.0.1:1', zone: 'a', processors: 1 }
   for (const spec of [null, {}, { ...valid, address: 5 }, { ...valid, address: '127.0.0.1' }, { ...valid, processors: 0 }]) {
