A relayed connection is used once the other entry has said that it takes it

Cause: requests were passed on as soon as the system had opened the connection, and a reset doesn't tell whether a request was read. Change: the first line asks for a word, one byte, before anything of the caller is read; an entry that isn't ready takes no connection. Lines of older entries are still taken, without a word, and they close a connection whose line they don't know, which is then served here. Tests: relayedconnection.test.ts, three cases failed before (the request was passed on); origin.test.ts. The tests' stand-ins of another entry send the word.

--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -69,7 +69,7 @@
       offerConnection: (socket, serveHere) => readOrigin(socket, origin => {
         this.origins.set(socket, origin)
         serveHere(false)
-      }),
+      }, options.isReady),
       allowsHalfOpen: true,
       leavesIdleOpen: true
     })
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server } from 'node:net'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { sleep } from '#process/clock'
+import { RelayWord } from '#process/relay'
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
 import { listObjects } from '#standin/store'
 import { EntryHarness } from './harness.js'
@@ -307,6 +308,7 @@
     server = createServer(socket => {
       sockets.push(socket)
       socket.on('error', () => {})
+      socket.once('data', () => socket.write(Buffer.of(RelayWord.taken)))
       socket.on('data', chunk => { if (chunk.toString('latin1').includes('attempt-id')) handle(socket) })
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
--- a/process/relay/src/origin.ts
+++ b/process/relay/src/origin.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import { callAfterReading } from '#process/clock'
+import { RelayWord } from './relayword.js'
 
 /// Where a relayed connection comes from. It is sent in the connection's first line, before the caller's bytes.
 export interface RelayOrigin {
@@ -9,17 +10,20 @@
   readonly configVersion: number
 }
 
-const linePattern = /^RELAY (\d{1,15}) (\S{1,200})$/
+/// The word at the end says that the entry waits until its connection is taken. Older ones don't.
+const linePattern = /^RELAY (\d{1,15}) (\S{1,200})( await)?$/
 const maxLineBytes = 256
 const lineTimeoutMs = 1000
 
 export function formatOrigin ({ entry, configVersion }: RelayOrigin): string {
-  return `RELAY ${configVersion} ${entry}\n`
+  return `RELAY ${configVersion} ${entry} await\n`
 }
 
 /// Reads the first line of a relayed connection, and leaves the rest unread. Calls `accept` once it is read; closes a
-/// connection without a valid one.
-export function readOrigin (socket: Socket, accept: (origin: RelayOrigin) => void): void {
+/// connection without a valid one, and one that isn't taken: the entry that relays it serves it then.
+export function readOrigin (
+  socket: Socket, accept: (origin: RelayOrigin) => void, isTaking: () => boolean = () => true
+): void {
   let received: Buffer = Buffer.alloc(0)
   let isRead = false
   const timer = setTimeout(() => callAfterReading(() => { if (!isRead) socket.destroy() }), lineTimeoutMs)
@@ -36,10 +40,12 @@
     if (end < 0 && received.length < maxLineBytes) return
     stop()
     const match = linePattern.exec(received.toString('latin1', 0, Math.max(end, 0)))
-    if (match === null) {
+    const isAwaited = match?.[3] !== undefined
+    if (match === null || (isAwaited && !isTaking())) {
       socket.destroy()
       return
     }
+    if (isAwaited) socket.write(Buffer.of(RelayWord.taken))
     socket.pause()
     if (received.length > end + 1) socket.unshift(received.subarray(end + 1))
     accept({ configVersion: Number(match[1]), entry: match[2]! })
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,14 +1,12 @@
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { splitAddress } from '#connection/address'
 import { destroyIfStalled } from '#connection/front'
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
 import { watchIdle } from './idlewatch.js'
-import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
 import { watchOverdue } from './overduewatch.js'
+import { connectPeer } from './peerconnection.js'
 import { RequestTracker } from './requesttracker.js'
 import type { RequestReader } from './requesttracker.js'
 import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
@@ -34,9 +32,10 @@
   readonly reader: RequestReader
   /// Called for each chunk that is passed on, either way.
   readonly onChunk: () => void
-  /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
+  /// Called if the other entry can't be reached or doesn't take the connection; nothing of the caller's bytes has been
+  /// read then.
   readonly onUnreachable: (reason: string) => void
-  /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
+  /// Called if the connection is to be served here: it was drained, and the other entry hasn't taken it yet or has
   /// answered all that it was sent. What the caller has sent since can be read from the connection. `wasUsed`: that may
   /// have arrived long after the connection was opened.
   readonly onReturned: (wasUsed: boolean) => void
@@ -50,7 +49,6 @@
   readonly onEnd: (reason: string | null) => void
 }
 
-const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
 /// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
@@ -60,16 +58,13 @@
 const deadlineToleranceMs = 50
 const overdueReason = 'the entry was silent at the deadline of the request'
 const lastResponseReason = 'the response before closes the connection'
-/// Shared by all connections: each read is copied at once, which takes less than Node's streams.
-const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
 /// Passes the bytes of a caller's connection on to another entry and back, until one of them closes. Requests are
 /// passed on one by one, each after the response to the one before: a response that closes the connection leaves none
 /// behind it that an instance has run.
 export class RelayedConnection {
   private readonly peer: Socket
-  private readonly connectTimer: ReturnType<typeof setTimeout>
-  private isConnected = false
+  private isTaken = false
   private isEnded = false
   private isDraining = false
   /// It closes once no request is under way.
@@ -88,10 +83,10 @@
   constructor (private readonly options: RelayedConnectionOptions) {
     const { caller, entry, reader } = options
     this.requests = new RequestTracker(reader)
-    const [host, port] = splitAddress(entry.registration.address)
-    this.peer = connect({ host, port, noDelay: true, onread: { buffer: readBuffer, callback: this.onPeerData } })
-    this.connectTimer = setTimeout(() => this.peer.destroy(new Error('the connection timed out')), connectTimeoutMs)
-    this.peer.once('connect', () => this.start())
+    this.peer = connectPeer(entry.registration.address, options.origin, {
+      onTaken: () => this.start(),
+      onData: this.onPeerData
+    })
     this.peer.on('error', error => this.handlePeerError(error.message))
     this.peer.on('close', () => this.handlePeerError('the entry closed the connection'))
     caller.on('error', this.onCallerGone)
@@ -103,7 +98,7 @@
   readonly drain = (): void => {
     if (this.isDraining) return
     this.isDraining = true
-    if (!this.isConnected) this.giveBack()
+    if (!this.isTaken) this.giveBack()
     else if (this.isIdle) this.leaveIdle()
   }
 
@@ -160,13 +155,11 @@
   }
 
   private start (): void {
-    const { caller, entry, origin, idleTimeoutMs } = this.options
+    const { caller, entry, idleTimeoutMs } = this.options
     const { peer } = this
-    clearTimeout(this.connectTimer)
-    this.isConnected = true
+    this.isTaken = true
     entry.onUnavailable.add(this.drain)
     entry.onLoss.add(this.onLoss)
-    peer.write(formatOrigin(origin))
     caller.on('data', this.onCallerData)
     caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
@@ -223,9 +216,8 @@
   private readonly onCallerDrain = (): void => { this.peer.resume() }
 
   /// Returns whether to read on.
-  private readonly onPeerData = (length: number): boolean => {
+  private readonly onPeerData = (chunk: Buffer): boolean => {
     this.options.onChunk()
-    const chunk = Buffer.from(readBuffer.subarray(0, length))
     const { isLast } = this.responses
     this.responses.isToHead = this.requests.isHead
     this.responses.add(chunk)
@@ -339,7 +331,7 @@
   private handlePeerError (reason: string): void {
     if (this.isEnded || this.isParked) return
     if (this.hasLastResponse) return this.endCaller(lastResponseReason)
-    if (this.isConnected) return this.isIdle ? this.leaveIdle() : this.handleLoss(reason)
+    if (this.isTaken) return this.isIdle ? this.leaveIdle() : this.handleLoss(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
   }
@@ -352,7 +344,6 @@
   private finish (reason: string | null): void {
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
-    clearTimeout(this.connectTimer)
     clearTimeout(this.idleTimer)
     this.endWatch()
     this.forgetEntry(entry)
--- a/process/relay/test/origin.test.ts
+++ b/process/relay/test/origin.test.ts
@@ -39,6 +39,30 @@
   })
 }
 
+// Guards against requests that wait unread at an entry that stops: it takes no connection then, and says when it does.
+test.each<[string, string, boolean, string, boolean]>([
+  ['that waits for it, taken', formatOrigin(origin), true, '\x06', true],
+  ['that waits for it, not taken', formatOrigin(origin), false, '', false],
+  ['of an older entry, taken', 'RELAY 7 entry-0\n', true, '', true],
+  ['of an older entry, which passes requests on at once', 'RELAY 7 entry-0\n', false, '', true]
+])('a relayed connection %s', async (_, line, isTaking, word, isAccepted) => {
+  vi.useRealTimers()
+  const accept = vi.fn()
+  server = createServer(socket => {
+    readOrigin(socket, accept, () => isTaking)
+    socket.on('error', () => {})
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  client = connect((server.address() as AddressInfo).port, '127.0.0.1', () => client.write(line))
+  let received = ''
+  let isClosed = false
+  client.on('data', chunk => { received += chunk.toString('latin1') })
+  client.on('close', () => { isClosed = true })
+  await vi.waitFor(() => expect([accept.mock.calls.length > 0, isClosed]).toEqual([isAccepted, !isAccepted]))
+  await vi.waitFor(() => expect(received).toBe(word))
+  if (isAccepted) expect(accept).toHaveBeenCalledWith(origin)
+})
+
 // Guards against LOST: after a stall, relayed connections were closed with the requests in them unread.
 test.each([
   ['has arrived: it is read', formatOrigin(origin) + 'POST / HTTP/1.1\r\n\r\n', origin],
--- a/process/relay/test/otherentrylost.test.ts
+++ b/process/relay/test/otherentrylost.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, expect, test, vi } from 'vitest'
 import type { OtherEntry } from '../src/directory.js'
 import { RelayedConnection } from '../src/relayedconnection.js'
+import { RelayWord } from '../src/relayword.js'
 
 const servers: Server[] = []
 const sockets: Socket[] = []
@@ -68,6 +69,7 @@
   other.on('connection', socket => {
     sockets.push(socket)
     socket.on('error', () => {})
+    socket.once('data', () => socket.write(Buffer.of(RelayWord.taken)))
     socket.on('data', chunk => { if (chunk.includes('POST')) end(socket, entry) })
   })
   const client = connect({ port: getPort(front), host: '127.0.0.1' })
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { OtherEntry } from '../src/directory.js'
 import { RelayedConnection } from '../src/relayedconnection.js'
+import { RelayWord } from '../src/relayword.js'
 
 const idleTimeoutMs = 200
 
@@ -55,6 +56,7 @@
   readonly entry: End
   readonly connection: RelayedConnection
   readonly onReturned: ReturnType<typeof vi.fn>
+  readonly onUnreachable: ReturnType<typeof vi.fn>
   readonly onUnanswered: ReturnType<typeof vi.fn>
   readonly onEnd: ReturnType<typeof vi.fn>
   /// The connection's end at the entry that relays.
@@ -69,21 +71,19 @@
   return { server, port: (server.address() as AddressInfo).port }
 }
 
-/// Resolves once the other entry is reached, or before that, without its end, if it need not be.
-async function relay (isReached = true): Promise<Relayed> {
+/// Resolves once the other entry has taken the connection, or before that, if it doesn't.
+async function relay (isTaken = true): Promise<Relayed> {
   const [front, other] = await Promise.all([listen(), listen()])
   const caller = new End(connect({ port: front.port, host: '127.0.0.1', noDelay: true }))
   const [accepted] = await once(front.server, 'connection') as [Socket]
   sockets.push(accepted)
-  const onReturned = vi.fn()
-  const onUnanswered = vi.fn()
-  const onEnd = vi.fn()
+  const [onReturned, onUnreachable, onUnanswered, onEnd] = [vi.fn(), vi.fn(), vi.fn(), vi.fn()]
   const connection = new RelayedConnection({
     caller: accepted,
     entry: createOtherEntry(`127.0.0.1:${other.port}`),
     origin: { entry: 'entry-0', configVersion: 1 },
     onChunk: () => {},
-    onUnreachable: () => {},
+    onUnreachable,
     reader: { findCallId: head => /^POST \/(\w+)/.exec(head)?.[1] ?? null, findTimeoutMs: () => Infinity },
     onOverdue: () => {},
     idleTimeoutMs,
@@ -91,12 +91,14 @@
     onUnanswered,
     onEnd
   })
-  const reached = once(other.server, 'connection') as Promise<[Socket]>
-  if (!isReached) return { caller, entry: caller, connection, onReturned, onUnanswered, onEnd, accepted }
-  const [socket] = await reached
+  const [socket] = await once(other.server, 'connection') as [Socket]
   const entry = new End(socket)
-  await vi.waitFor(() => expect(entry.text).toMatch(/^RELAY 1 entry-0\n/))
-  return { caller, entry, connection, onReturned, onUnanswered, onEnd, accepted }
+  await vi.waitFor(() => expect(entry.text).toBe('RELAY 1 entry-0 await\n'))
+  const relayed = { caller, entry, connection, onReturned, onUnreachable, onUnanswered, onEnd, accepted }
+  if (!isTaken) return relayed
+  socket.write(Buffer.of(RelayWord.taken))
+  await vi.waitFor(() => expect(accepted.listenerCount('data')).toBe(1))
+  return relayed
 }
 
 function createOtherEntry (address: string): OtherEntry {
@@ -123,6 +125,22 @@
   return `HTTP/1.1 ${status} X\r\n${fields}content-length: 2\r\n\r\nok`
 }
 
+// Guards against LOST: a request waited unread at an entry that stopped, and was reset with its connection.
+test.each<[string, (entry: Socket) => void]>([
+  ['is reset', entry => { entry.resetAndDestroy() }],
+  ['is closed', entry => { entry.destroy() }],
+  ['stays silent', () => {}]
+])('the other entry has not taken the connection, and it %s: the first request is served here, unread until then', async (_, end) => {
+  const { caller, entry, onUnreachable, onUnanswered, accepted } = await relay(false)
+  caller.socket.write(formatRequest('a1'))
+  await new Promise(resolve => setTimeout(resolve, 30))
+  end(entry.socket)
+  await vi.waitFor(() => expect(onUnreachable).toHaveBeenCalled())
+  const served = new End(accepted)
+  await served.receive(1)
+  expect([entry.messages, served.messages, caller.isClosed, onUnanswered.mock.calls]).toEqual([[], ['a1'], false, []])
+})
+
 const pipelined = ['a1', 'a2', 'a3'].map(id => formatRequest(id)).join('')
 
 // Guards against LOST: requests that were pipelined behind a response that closes the connection were run, unanswered.
@@ -190,10 +208,10 @@
 
 // Guards against sound requests that were refused as too old: they counted as arrived when the connection was opened.
 test.each([
-  ['reached: the next call arrives long after the opening', true, true],
-  ['not reached: the call may have arrived with the opening', false, false]
-])('drained before the first request, the other entry %s', async (_, isReached, isLate) => {
-  const { caller, connection, onReturned } = await relay(isReached)
+  ['has taken it: the next call arrives long after the opening', true, true],
+  ['has not taken it: the call may have arrived with the opening', false, false]
+])('drained before the first request, the other entry %s', async (_, isTaken, isLate) => {
+  const { caller, connection, onReturned } = await relay(isTaken)
   connection.drain()
   caller.socket.write(formatRequest('a1'))
   await vi.waitFor(() => expect(onReturned.mock.calls).toEqual([[isLate]]))
--- a/process/relay/test/silentconnection.test.ts
+++ b/process/relay/test/silentconnection.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, expect, test, vi } from 'vitest'
 import type { OtherEntry } from '../src/directory.js'
 import { RelayedConnection } from '../src/relayedconnection.js'
+import { RelayWord } from '../src/relayword.js'
 
 const servers: Server[] = []
 const sockets: Socket[] = []
@@ -50,7 +51,7 @@
   readonly onEnd: ReturnType<typeof vi.fn>
 }
 
-/// Relays a connection to an entry that sends `response` as soon as it is connected, and then nothing for good. The
+/// Relays a connection to an entry that takes it, sends `response`, and then nothing for good. The
 /// caller has sent a request.
 async function relayToSilent (response: string | Buffer = ''): Promise<Relayed> {
   const [front, other] = [await listen(), await listen()]
@@ -78,6 +79,7 @@
     socket.on('error', () => {})
     socket.once('data', () => {
       socket.pause()
+      socket.write(Buffer.of(RelayWord.taken))
       setTimeout(() => socket.write(response), 50)
     })
   })
