An entry that stops says so on each relayed connection

Callers saw: a request that crossed the close of an idle relayed connection, 2.6 s after the other entry's SIGTERM, was lost to them if no report of the stop had reached the entry that relays it. Cause: reports of a stop are datagrams, asked for each 0.8 s; a connection that closes says nothing of requests on their way. Change: at SIGTERM the entry sends one byte on each relayed connection whose entry knows it, between two responses, and goes on answering. The entry that relays drains the connection, and closes it once idle.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -45,6 +45,8 @@
   /// Whether no further request is served.
   isEnding = false
   private isPausedHere = false
+  /// Waits to be sent.
+  private announcement: Buffer | null = null
   /// Whether more requests may be in what was read with the newest one.
   private isParsing = false
   private readonly firstByte: number
@@ -105,6 +107,12 @@
     destroyIfStalled(this.socket, maxStalledMs)
   }
 
+  /// Sends the bytes as soon as no request is under way, unless the connection ends with the next response.
+  announce (bytes: Buffer): void {
+    this.announcement = bytes
+    this.sendAnnouncement()
+  }
+
   /// Ends the connection after the responses to the requests before what can't be read, and after `response` to it. A
   /// request that was read in part gets its own response instead.
   breakOff (response: string): void {
@@ -150,9 +158,16 @@
     if (this.socket.destroyed) return this.dropWaiting()
     this.startNext()
     this.updateReading()
+    this.sendAnnouncement()
     if (!this.isServing && this.isServerClosing()) this.closeIfIdle().catch(() => {})
   }
 
+  private sendAnnouncement (): void {
+    if (this.announcement === null || this.isServing || this.isToEnd || this.isEnding || this.socket.destroyed) return
+    this.socket.write(this.announcement)
+    this.announcement = null
+  }
+
   private endIfBroken (): void {
     if (!this.isBroken) return
     if (this.finalResponse !== null) this.socket.write(this.finalResponse)
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -55,6 +55,7 @@
   private readonly openedAtMs = new WeakMap<Socket, number>()
   /// Those that are served here.
   private readonly connections = new WeakMap<Socket, CallerConnection>()
+  private readonly openSockets = new Set<Socket>()
   private isClosing = false
   private isClosingIdle = false
 
@@ -126,6 +127,8 @@
     if (this.options.leavesIdleOpen === true) socket.setKeepAlive(true, keepAliveDelayMs)
     const connection = new CallerConnection(socket, () => this.isClosing)
     this.connections.set(socket, connection)
+    this.openSockets.add(socket)
+    socket.once('close', () => this.openSockets.delete(socket))
     const destroy = socket.destroy.bind(socket)
     socket.destroy = error => {
       const isIdle = !connection.isServing && !connection.isEnding
@@ -197,6 +200,12 @@
     return problem
   }
 
+  /// Sends the bytes, which must be no response, before or between the responses of each open connection of which
+  /// `isHeard` says that its client expects them.
+  announce (bytes: Buffer, isHeard: (socket: Socket) => boolean): void {
+    for (const socket of this.openSockets) if (isHeard(socket)) this.connections.get(socket)?.announce(bytes)
+  }
+
   /// Stops accepting connections and closes idle ones. A process that was busy reads first what has arrived meanwhile.
   async close (): Promise<void> {
     await readArrived()
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -205,7 +205,7 @@
 
   private async stopOnce (): Promise<void> {
     const { drain, peers } = this
-    peers.relay.startStop()
+    peers.startStop()
     await drain.start()
     const closing = Promise.all([this.front.close(), peers.closeFront()])
     peers.relay.stop()
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -8,7 +8,7 @@
 import type { ObjectStore, WatchHandler, WatchOptions } from '#connection/store'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
-import { ConnectionRelay, EntryDirectory, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
+import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
 import type { LoadReport, Registration, RelayOrigin, RequestReader } from '#process/relay'
 import { RevisionGossip, gossipTickMs, parseRevisionDigest, revisionDigestType } from '#process/revisions'
 import type { RevisionDigest } from '#process/revisions'
@@ -39,6 +39,8 @@
   private readonly front: FrontServer
   /// By relayed connection.
   private readonly origins = new WeakMap<Socket, RelayOrigin>()
+  /// Relayed connections whose entry knows `RelayWord`.
+  private readonly hearers = new WeakSet<Socket>()
   readonly gossip: RevisionGossip
   private readonly datagrams: DatagramSocket
   private readonly stopCallbacks: (() => void)[] = []
@@ -66,8 +68,9 @@
     this.front = new FrontServer({
       ...options.front,
       serve: exchange => serve(exchange, this.origins.get(exchange.connection) ?? null),
-      offerConnection: (socket, serveHere) => readOrigin(socket, origin => {
+      offerConnection: (socket, serveHere) => readOrigin(socket, (origin, hearsWords) => {
         this.origins.set(socket, origin)
+        if (hearsWords) this.hearers.add(socket)
         serveHere(false)
       }, options.isReady),
       allowsHalfOpen: true,
@@ -124,6 +127,12 @@
     this.relay.idleTimeoutMs = limits.idleTimeoutMs
   }
 
+  /// Relays no further connections, and asks the other entries to pass no further calls on.
+  startStop (): void {
+    this.relay.startStop()
+    this.front.announce(Buffer.of(RelayWord.stopping), socket => this.hearers.has(socket))
+  }
+
   /// Accepts no further relayed connections. Resolves when all have ended.
   async closeFront (): Promise<void> {
     this.stopping.abort()
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -17,7 +17,7 @@
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
 import { RequestLimits } from '#process/requestlimit'
-import { ConnectionRelay, EntryDirectory, ServiceTime, readOrigin } from '#process/relay'
+import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, readOrigin } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import { platformHeaders, parseConfiguration, parseInstance } from '#platform'
 import { createConfiguration } from '#standin/system'
@@ -188,6 +188,16 @@
     this.relayAddress = (await this.relayFront.listen('127.0.0.1:0')).replace('http://', '')
   }
 
+  /// Asks the entries that relay connections here to pass no further calls on.
+  announceStop (): void {
+    this.relayFront.announce(Buffer.of(RelayWord.stopping), () => true)
+  }
+
+  /// Accepts no relayed connections any more.
+  async closeRelayed (): Promise<void> {
+    await this.relayFront.close()
+  }
+
   /// Sets after which time idle connections that another entry relays are closed here, if they are.
   setRelayedIdleTimeout (idleTimeoutMs: number): void {
     this.relayFront.setLimits({ headerTimeoutMs: 60_000, idleTimeoutMs })
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -252,6 +252,25 @@
     await vi.waitFor(() => expect(countResponses(client)).toBe(2))
   })
 
+  // Guards against requests that cross the close of an entry that stops, if no report of the stop has arrived.
+  test('idle as the other entry stops: a call that would cross its close is served here', async () => {
+    const client = connectClient()
+    await callOn(client)
+    const relayPort = Number(idle.relayAddress.split(':')[1])
+    const { destroy } = Socket.prototype
+    vi.spyOn(Socket.prototype, 'destroy').mockImplementation(function (this: Socket, error) {
+      if (this.localPort === relayPort && countResponses(client) === 1) client.socket.write(formatCall('/charge/1', 'a1'))
+      return destroy.call(this, error)
+    })
+    idle.announceStop()
+    await sleep(50)
+    idle.closeRelayed().catch(() => {})
+    await sleep(50)
+    if (countResponses(client) === 1) client.socket.write(formatCall('/charge/1', 'a1'))
+    await vi.waitFor(() => expect(countResponses(client)).toBe(2))
+    expect([countExecutions(), client.received().match(/HTTP\/1\.1 \d+/g)]).toEqual([[1, 1], ['HTTP/1.1 200', 'HTTP/1.1 200']])
+  })
+
   test('at a stop: a connection that is accepted meanwhile is served here', async () => {
     busy.relay.stop()
     await callOn(connectClient())
--- a/process/relay/src/origin.ts
+++ b/process/relay/src/origin.ts
@@ -20,9 +20,10 @@
 }
 
 /// Reads the first line of a relayed connection, and leaves the rest unread. Calls `accept` once it is read; closes a
-/// connection without a valid one, and one that isn't taken: the entry that relays it serves it then.
+/// connection without a valid one, and one that isn't taken: the entry that relays it serves it then. `hearsWords`:
+/// the other entry knows `RelayWord`.
 export function readOrigin (
-  socket: Socket, accept: (origin: RelayOrigin) => void, isTaking: () => boolean = () => true
+  socket: Socket, accept: (origin: RelayOrigin, hearsWords: boolean) => void, isTaking: () => boolean = () => true
 ): void {
   let received: Buffer = Buffer.alloc(0)
   let isRead = false
@@ -40,15 +41,15 @@
     if (end < 0 && received.length < maxLineBytes) return
     stop()
     const match = linePattern.exec(received.toString('latin1', 0, Math.max(end, 0)))
-    const isAwaited = match?.[3] !== undefined
-    if (match === null || (isAwaited && !isTaking())) {
+    const hearsWords = match?.[3] !== undefined
+    if (match === null || (hearsWords && !isTaking())) {
       socket.destroy()
       return
     }
-    if (isAwaited) socket.write(Buffer.of(RelayWord.taken))
+    if (hearsWords) socket.write(Buffer.of(RelayWord.taken))
     socket.pause()
     if (received.length > end + 1) socket.unshift(received.subarray(end + 1))
-    accept({ configVersion: Number(match[1]), entry: match[2]! })
+    accept({ configVersion: Number(match[1]), entry: match[2]! }, hearsWords)
     socket.resume()
   }
   socket.on('error', stop)
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -7,6 +7,7 @@
 import type { RelayOrigin } from './origin.js'
 import { watchOverdue } from './overduewatch.js'
 import { connectPeer } from './peerconnection.js'
+import { RelayWord } from './relayword.js'
 import { RequestTracker } from './requesttracker.js'
 import type { RequestReader } from './requesttracker.js'
 import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
@@ -216,21 +217,31 @@
   private readonly onCallerDrain = (): void => { this.peer.resume() }
 
   /// Returns whether to read on.
-  private readonly onPeerData = (chunk: Buffer): boolean => {
+  private readonly onPeerData = (bytes: Buffer): boolean => {
     this.options.onChunk()
+    for (let rest = bytes; rest.length > 0 && !this.isEnded && !this.isParked;) {
+      const isStopWord = rest[0] === RelayWord.stopping && this.responses.isBetweenMessages
+      if (isStopWord) this.drain()
+      rest = rest.subarray(isStopWord ? 1 : this.addResponsePart(rest))
+    }
+    return !this.options.caller.writableNeedDrain
+  }
+
+  /// Passes on what belongs to one response. Returns its length.
+  private addResponsePart (bytes: Buffer): number {
+    const { caller } = this.options
     const { isLast } = this.responses
     this.responses.isToHead = this.requests.isHead
-    this.responses.add(chunk)
+    const length = this.responses.addMessage(bytes)
+    const part = bytes.subarray(0, length)
     const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
-    const { caller } = this.options
-    const readsOn = caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
-    if (!readsOn) destroyIfStalled(caller, maxStalledMs)
+    if (!caller.write(endsWithHeld ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
     if (!this.isUnderWay) this.requests.forgetHead()
     if (this.held !== null || this.isDraining) {
       this.passOn()
       this.updateReading()
     }
-    return readsOn
+    return length
   }
 
   /// The other entry ends its connection with this response, but requests behind it have been read here: the field is
--- a/process/relay/test/origin.test.ts
+++ b/process/relay/test/origin.test.ts
@@ -60,7 +60,7 @@
   client.on('close', () => { isClosed = true })
   await vi.waitFor(() => expect([accept.mock.calls.length > 0, isClosed]).toEqual([isAccepted, !isAccepted]))
   await vi.waitFor(() => expect(received).toBe(word))
-  if (isAccepted) expect(accept).toHaveBeenCalledWith(origin)
+  if (isAccepted) expect(accept).toHaveBeenCalledWith(origin, word !== '')
 })
 
 // Guards against LOST: after a stall, relayed connections were closed with the requests in them unread.
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -235,6 +235,49 @@
   expect([entry.messages, caller.messages]).toEqual([['a1'], ['200']])
 })
 
+// Guards against requests that cross the close of an entry that stops, if no report of the stop has arrived.
+test('the other entry says that it stops while no request is under way: the next one is served here', async () => {
+  const { caller, entry, onReturned, accepted } = await relay()
+  onReturned.mockImplementation(() => new End(accepted))
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  entry.socket.write(formatResponse(200))
+  await caller.receive(1)
+  entry.socket.write(Buffer.of(RelayWord.stopping))
+  await vi.waitFor(() => expect(entry.socket.readableEnded).toBe(true))
+  caller.socket.write(formatRequest('a2'))
+  await vi.waitFor(() => expect(onReturned).toHaveBeenCalled())
+  expect([entry.messages, caller.messages, caller.text.includes('\x04')]).toEqual([['a1'], ['200'], false])
+})
+
+test('the other entry says that it stops right behind a response: the caller gets the response only', async () => {
+  const { caller, entry, onReturned } = await relay()
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  entry.socket.write(Buffer.concat([Buffer.from(formatResponse(200)), Buffer.of(RelayWord.stopping)]))
+  await vi.waitFor(() => expect(entry.socket.readableEnded).toBe(true))
+  caller.socket.write(formatRequest('a2'))
+  await vi.waitFor(() => expect(onReturned).toHaveBeenCalled())
+  expect(caller.text).toBe(formatResponse(200))
+})
+
+test.each<[string, Buffer[]]>([
+  ['in parts', [Buffer.of(RelayWord.stopping), Buffer.from(formatResponse(200))]],
+  ['at once', [Buffer.concat([Buffer.of(RelayWord.stopping), Buffer.from(formatResponse(200))])]]
+])('the other entry says that it stops and answers a request that crosses this, %s: the response arrives', async (_, parts) => {
+  const { caller, entry, onReturned, onUnanswered, accepted } = await relay()
+  let served: End | null = null
+  onReturned.mockImplementation(() => { served = new End(accepted) })
+  caller.socket.write(pipelined)
+  await entry.receive(1)
+  for (const part of parts) {
+    entry.socket.write(part)
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+  await vi.waitFor(() => expect(served?.messages).toEqual(['a2', 'a3']))
+  expect([entry.messages, caller.text, onUnanswered.mock.calls]).toEqual([['a1'], formatResponse(200), []])
+})
+
 test('drained, and no request comes: the connection is closed after the idle timeout', async () => {
   const { caller, entry, connection, onReturned, onEnd } = await relay()
   caller.socket.write(formatRequest('a1'))
