--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -8,8 +8,8 @@
 import type { ObjectStore, WatchHandler, WatchOptions } from '#connection/store'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
-import { ConnectionRelay, EntryDirectory, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
-import type { FindCallId, LoadReport, Registration, RelayOrigin } from '#process/relay'
+import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
+import type { LoadReport, Registration, RelayOrigin, RequestReader } from '#process/relay'
 import { RevisionGossip, gossipTickMs, parseRevisionDigest, revisionDigestType } from '#process/revisions'
 import type { RevisionDigest } from '#process/revisions'
 
@@ -18,7 +18,7 @@
   readonly store: ObjectStore
   /// Version of the configuration in force here, 0 for none.
   readonly getConfigVersion: () => number
-  readonly findCallId: FindCallId
+  readonly reader: RequestReader
   /// Whether this entry takes relayed connections.
   readonly isReady: () => boolean
   /// Serves an exchange of a connection that the entry `origin` relays; must not reject.
@@ -39,6 +39,8 @@
   private readonly front: FrontServer
   /// By relayed connection.
   private readonly origins = new WeakMap<Socket, RelayOrigin>()
+  /// Relayed connections whose entry knows `RelayWord`.
+  private readonly hearers = new WeakSet<Socket>()
   readonly gossip: RevisionGossip
   private readonly datagrams: DatagramSocket
   private readonly stopCallbacks: (() => void)[] = []
@@ -49,11 +51,11 @@
   private isReachable = false
 
   constructor (private readonly options: EntryPeersOptions, private readonly log: EventLog, metrics: Metrics) {
-    const { registration, getConfigVersion, findCallId, serve } = options
+    const { registration, getConfigVersion, reader, serve } = options
     this.registration = registration
     this.directory = new EntryDirectory(registration, log)
     const { directory, serviceTime } = this
-    this.relay = new ConnectionRelay({ directory, serviceTime, getConfigVersion, findCallId }, log, metrics)
+    this.relay = new ConnectionRelay({ directory, serviceTime, getConfigVersion, reader }, log, metrics)
     this.datagrams = new DatagramSocket({
       [loadReportType]: (fields, sender) => this.handleReport(parseLoadReport(fields), sender),
       [revisionDigestType]: fields => this.handleDigest(parseRevisionDigest(fields))
@@ -66,10 +68,11 @@
     this.front = new FrontServer({
       ...options.front,
       serve: exchange => serve(exchange, this.origins.get(exchange.connection) ?? null),
-      offerConnection: (socket, serveHere) => readOrigin(socket, origin => {
+      offerConnection: (socket, serveHere) => readOrigin(socket, (origin, hearsWords) => {
         this.origins.set(socket, origin)
+        if (hearsWords) this.hearers.add(socket)
         serveHere(false)
-      }),
+      }, options.isReady),
       allowsHalfOpen: true,
       leavesIdleOpen: true
     })
@@ -124,6 +127,12 @@
     this.relay.idleTimeoutMs = limits.idleTimeoutMs
   }
 
+  /// Relays no further connections, and asks the other entries to pass no further calls on.
+  startStop (): void {
+    this.relay.startStop()
+    this.front.announce(Buffer.of(RelayWord.stopping), socket => this.hearers.has(socket))
+  }
+
   /// Accepts no further relayed connections. Resolves when all have ended.
   async closeFront (): Promise<void> {
     this.stopping.abort()
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server } from 'node:net'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { sleep } from '#process/clock'
+import { RelayWord } from '#process/relay'
 import { StandinUpstream, UpstreamFault } from '#standin/upstream'
 import { listObjects } from '#standin/store'
 import { EntryHarness } from './harness.js'
@@ -251,6 +252,25 @@
     await vi.waitFor(() => expect(countResponses(client)).toBe(2))
   })
 
+  // Guards against requests that cross the close of an entry that stops, if no report of the stop has arrived.
+  test('idle as the other entry stops: a call that would cross its close is served here', async () => {
+    const client = connectClient()
+    await callOn(client)
+    const relayPort = Number(idle.relayAddress.split(':')[1])
+    const { destroy } = Socket.prototype
+    vi.spyOn(Socket.prototype, 'destroy').mockImplementation(function (this: Socket, error) {
+      if (this.localPort === relayPort && countResponses(client) === 1) client.socket.write(formatCall('/charge/1', 'a1'))
+      return destroy.call(this, error)
+    })
+    idle.announceStop()
+    await sleep(50)
+    idle.closeRelayed().catch(() => {})
+    await sleep(50)
+    if (countResponses(client) === 1) client.socket.write(formatCall('/charge/1', 'a1'))
+    await vi.waitFor(() => expect(countResponses(client)).toBe(2))
+    expect([countExecutions(), client.received().match(/HTTP\/1\.1 \d+/g)]).toEqual([[1, 1], ['HTTP/1.1 200', 'HTTP/1.1 200']])
+  })
+
   test('at a stop: a connection that is accepted meanwhile is served here', async () => {
     busy.relay.stop()
     await callOn(connectClient())
@@ -307,6 +327,7 @@
     server = createServer(socket => {
       sockets.push(socket)
       socket.on('error', () => {})
+      socket.once('data', () => socket.write(Buffer.of(RelayWord.taken)))
       socket.on('data', chunk => { if (chunk.toString('latin1').includes('attempt-id')) handle(socket) })
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,15 +1,15 @@
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { splitAddress } from '#connection/address'
 import { destroyIfStalled } from '#connection/front'
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import type { OtherEntry } from './directory.js'
 import { watchIdle } from './idlewatch.js'
-import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
+import { watchOverdue } from './overduewatch.js'
+import { connectPeer } from './peerconnection.js'
+import { RelayWord } from './relayword.js'
 import { RequestTracker } from './requesttracker.js'
-import type { FindCallId } from './requesttracker.js'
+import type { RequestReader } from './requesttracker.js'
 import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
 import { ResponseTracker } from './responsetracker.js'
 
@@ -30,15 +30,18 @@
   readonly caller: Socket
   readonly entry: OtherEntry
   readonly origin: RelayOrigin
-  readonly findCallId: FindCallId
+  readonly reader: RequestReader
   /// Called for each chunk that is passed on, either way.
   readonly onChunk: () => void
-  /// Called if the other entry can't be reached; nothing of the caller's bytes has been read then.
+  /// Called if the other entry can't be reached or doesn't take the connection; nothing of the caller's bytes has been
+  /// read then.
   readonly onUnreachable: (reason: string) => void
-  /// Called if the connection is to be served here: it was drained, and the other entry wasn't reached yet or has
+  /// Called if the connection is to be served here: it was drained, and the other entry hasn't taken it yet or has
   /// answered all that it was sent. What the caller has sent since can be read from the connection. `wasUsed`: that may
   /// have arrived long after the connection was opened.
   readonly onReturned: (wasUsed: boolean) => void
+  /// Called if the other entry is silent beyond the deadline of a request.
+  readonly onOverdue: () => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
   /// How long at least a connection is kept that no request comes on.
@@ -47,23 +50,22 @@
   readonly onEnd: (reason: string | null) => void
 }
 
-const connectTimeoutMs = 300
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
 /// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
 /// more.
 const maxStalledMs = 30_000
+/// A caller that leaves so long before the deadline of its request, or later, has waited for its response in vain.
+const deadlineToleranceMs = 50
+const overdueReason = 'the entry was silent at the deadline of the request'
 const lastResponseReason = 'the response before closes the connection'
-/// Shared by all connections: each read is copied at once, which takes less than Node's streams.
-const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
 /// Passes the bytes of a caller's connection on to another entry and back, until one of them closes. Requests are
 /// passed on one by one, each after the response to the one before: a response that closes the connection leaves none
 /// behind it that an instance has run.
 export class RelayedConnection {
   private readonly peer: Socket
-  private readonly connectTimer: ReturnType<typeof setTimeout>
-  private isConnected = false
+  private isTaken = false
   private isEnded = false
   private isDraining = false
   /// It closes once no request is under way.
@@ -73,18 +75,19 @@
   /// It isn't connected to the other entry any more, and waits for a request.
   private isParked = false
   private idleTimer: NodeJS.Timeout | undefined
+  private endWatch = (): void => {}
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
   private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
 
   constructor (private readonly options: RelayedConnectionOptions) {
-    const { caller, entry, findCallId } = options
-    this.requests = new RequestTracker(findCallId)
-    const [host, port] = splitAddress(entry.registration.address)
-    this.peer = connect({ host, port, noDelay: true, onread: { buffer: readBuffer, callback: this.onPeerData } })
-    this.connectTimer = setTimeout(() => this.peer.destroy(new Error('the connection timed out')), connectTimeoutMs)
-    this.peer.once('connect', () => this.start())
+    const { caller, entry, reader } = options
+    this.requests = new RequestTracker(reader)
+    this.peer = connectPeer(entry.registration.address, options.origin, {
+      onTaken: () => this.start(),
+      onData: this.onPeerData
+    })
     this.peer.on('error', error => this.handlePeerError(error.message))
     this.peer.on('close', () => this.handlePeerError('the entry closed the connection'))
     caller.on('error', this.onCallerGone)
@@ -96,7 +99,7 @@
   readonly drain = (): void => {
     if (this.isDraining) return
     this.isDraining = true
-    if (!this.isConnected) this.giveBack()
+    if (!this.isTaken) this.giveBack()
     else if (this.isIdle) this.leaveIdle()
   }
 
@@ -126,9 +129,14 @@
     return this.requests.isBetweenMessages && this.requests.count > this.responses.count
   }
 
+  /// Whether the head of a request has been passed on, and the response to it is not complete.
+  private get isUnderWay (): boolean {
+    return this.requests.hasMoreThan(this.responses)
+  }
+
   /// Whether the head of a request has been passed on, and nothing of the response to it has.
   private get isUnanswered (): boolean {
-    return this.requests.hasMoreThan(this.responses) && this.responses.isBetweenMessages && !this.responses.isLast
+    return this.isUnderWay && this.responses.isBetweenMessages && !this.responses.isLast
   }
 
   /// Whether the caller has got all that it gets on the connection.
@@ -148,13 +156,11 @@
   }
 
   private start (): void {
-    const { caller, entry, origin, idleTimeoutMs } = this.options
+    const { caller, entry, idleTimeoutMs } = this.options
     const { peer } = this
-    clearTimeout(this.connectTimer)
-    this.isConnected = true
+    this.isTaken = true
     entry.onUnavailable.add(this.drain)
     entry.onLoss.add(this.onLoss)
-    peer.write(formatOrigin(origin))
     caller.on('data', this.onCallerData)
     caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
@@ -164,6 +170,8 @@
     this.idleTimer = watchIdle(caller, idleTimeoutMs, () => {
       if (this.isIdle && caller.writableLength === 0) this.endAfterReading()
     })
+    const { requests } = this
+    this.endWatch = watchOverdue({ caller, peer, requests, isUnderWay: () => this.isUnderWay }, this.onOverdue)
   }
 
   private readonly onPeerEnd = (): void => {
@@ -209,21 +217,31 @@
   private readonly onCallerDrain = (): void => { this.peer.resume() }
 
   /// Returns whether to read on.
-  private readonly onPeerData = (length: number): boolean => {
+  private readonly onPeerData = (bytes: Buffer): boolean => {
     this.options.onChunk()
-    const chunk = Buffer.from(readBuffer.subarray(0, length))
+    for (let rest = bytes; rest.length > 0 && !this.isEnded && !this.isParked;) {
+      const isStopWord = rest[0] === RelayWord.stopping && this.responses.isBetweenMessages
+      if (isStopWord) this.drain()
+      rest = rest.subarray(isStopWord ? 1 : this.addResponsePart(rest))
+    }
+    return !this.options.caller.writableNeedDrain
+  }
+
+  /// Passes on what belongs to one response. Returns its length.
+  private addResponsePart (bytes: Buffer): number {
+    const { caller } = this.options
     const { isLast } = this.responses
     this.responses.isToHead = this.requests.isHead
-    this.responses.add(chunk)
+    const length = this.responses.addMessage(bytes)
+    const part = bytes.subarray(0, length)
     const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
-    const { caller } = this.options
-    const readsOn = caller.write(endsWithHeld ? this.takeOver(chunk) : chunk)
-    if (!readsOn) destroyIfStalled(caller, maxStalledMs)
+    if (!caller.write(endsWithHeld ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
+    if (!this.isUnderWay) this.requests.forgetHead()
     if (this.held !== null || this.isDraining) {
       this.passOn()
       this.updateReading()
     }
-    return readsOn
+    return length
   }
 
   /// The other entry ends its connection with this response, but requests behind it have been read here: the field is
@@ -247,6 +265,7 @@
     if (this.isParked) return
     const { entry, idleTimeoutMs } = this.options
     this.isParked = true
+    this.endWatch()
     this.forgetEntry(entry)
     this.peer.destroy()
     this.updateReading()
@@ -274,9 +293,8 @@
   }
 
   private reportUnanswered (reason: string): void {
-    const { requests, responses } = this
+    const { requests, isUnderWay } = this
     const heldBytes = this.held?.length ?? 0
-    const isUnderWay = requests.hasMoreThan(responses)
     if (!isUnderWay && heldBytes === 0) return
     const callId = isUnderWay ? requests.callId : null
     this.options.onUnanswered({ callId, isWhole: requests.isBetweenMessages, heldBytes, reason })
@@ -289,12 +307,20 @@
     if (this.isEnded) return
     if (caller.destroyed && caller.errored === null && !caller.readableEnded) {
       this.reportUnanswered('the caller stopped reading')
+    } else if (this.isUnanswered && performance.now() >= this.requests.deadlineMs - deadlineToleranceMs) {
+      this.reportUnanswered(overdueReason)
     }
     this.finish(null)
     this.peer.resetAndDestroy()
     caller.destroy()
   }
 
+  private readonly onOverdue = (): void => {
+    if (this.isEnded) return
+    this.handleLoss(overdueReason)
+    this.options.onOverdue()
+  }
+
   private readonly onLoss = (): void => this.handleLoss('the entry has fallen silent')
 
   /// The response to the request under way says that the other entry is lost, unless a part of one has been passed on.
@@ -316,7 +342,7 @@
   private handlePeerError (reason: string): void {
     if (this.isEnded || this.isParked) return
     if (this.hasLastResponse) return this.endCaller(lastResponseReason)
-    if (this.isConnected) return this.isIdle ? this.leaveIdle() : this.handleLoss(reason)
+    if (this.isTaken) return this.isIdle ? this.leaveIdle() : this.handleLoss(reason)
     this.finish(reason)
     this.options.onUnreachable(reason)
   }
@@ -329,8 +355,8 @@
   private finish (reason: string | null): void {
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
-    clearTimeout(this.connectTimer)
     clearTimeout(this.idleTimer)
+    this.endWatch()
     this.forgetEntry(entry)
     caller.off('data', this.onCallerData)
     caller.off('drain', this.onCallerDrain)
