A turn that goes on isn't refused for an entry that may not be better

Cause: a turn waited for longer than its latency target only if no other entry counted as better, by reports up to 3.2 s old and without the cost of the retry; the entry to which a connection was relayed refused it for the same reason. Why it works: a turn is refused for another entry's sake only if that one's report of the last two ticks promises an end sooner than the wait here, the retry's delay and connection included, and never on a relayed connection. Test: with the old condition two of the five cases of admission.test.ts fail (about as late with its retry; passed on): the turn was refused. directory.test.ts guards the age of the report and the room.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -6,6 +6,18 @@
 import { RecentPrograms } from './recentprograms.js'
 import { Shedding } from './shedding.js'
 
+/// A call that asks for its start.
+export interface AdmissionRequest {
+  readonly call: Call
+  readonly route: Route
+  /// On the monotonic clock of `performance.now()`.
+  readonly deadlineMs: number
+  /// The call gives up its place when it is aborted.
+  readonly signal: AbortSignal
+  /// Whether another entry relays the connection, since it expects the call to end sooner here.
+  readonly isRelayed: boolean
+}
+
 interface CallClass {
   /// 0 is the most urgent.
   readonly rank: number
@@ -40,6 +52,8 @@
 const initialStartIntervalMs = 1
 /// Retries reach other entries, so callers needn't wait until this one is less busy.
 const busyRetryAfterMs = 120
+/// What a retry needs besides: a connection, which may be relayed, and the request once more.
+const reconnectMs = 80
 /// Other entries that are as busy don't serve the program either.
 const shedRetryAfterMs = 800
 /// Callers that were refused at the same time come back spread over this share of the delay, either way.
@@ -64,8 +78,9 @@
   private lastStartAtMs = 0
   private startIntervalMs = initialStartIntervalMs
 
-  /// `hasBetterEntry`: whether another entry is expected to serve a call sooner.
-  constructor (private readonly backlog: LoopBacklog, private readonly hasBetterEntry: () => boolean = () => true) {}
+  /// `getBetterMs` returns how long a call takes at other entries that are known to serve it sooner; `Infinity` if
+  /// there are none.
+  constructor (private readonly backlog: LoopBacklog, private readonly getBetterMs: () => number = () => Infinity) {}
 
   /// Share of the programs that are refused at their start.
   get shedShare (): number {
@@ -83,8 +98,9 @@
   }
 
   /// Resolves when the call may start. Rejects with `RefusedError`, with the verdict that the call did not run, if it
-  /// would wait too long, or when `signal` is aborted. `deadlineMs` is on the monotonic clock of `performance.now()`.
-  admit (call: Call, route: Route, deadlineMs: number, signal: AbortSignal): Promise<void> {
+  /// would wait too long, or when its signal is aborted.
+  admit (request: AdmissionRequest): Promise<void> {
+    const { call, route, deadlineMs } = request
     const remainingMs = deadlineMs - performance.now()
     if (remainingMs <= 0) {
       return Promise.reject(createTimedOutError('the deadline had passed when the call was read'))
@@ -94,6 +110,9 @@
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
     if (expectedWaitMs > maxWaitMs) return Promise.reject(createBusyError(expectedWaitMs))
+    if (rank === turnRank && this.isServedSoonerElsewhere(request, expectedWaitMs)) {
+      return Promise.reject(createBusyError(expectedWaitMs))
+    }
     if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
       return Promise.reject(createShedError(this.shedShare))
     }
@@ -102,18 +121,24 @@
       this.recordStart(call)
       return Promise.resolve()
     }
-    return this.enqueue(call, { rank, maxWaitMs }, signal)
+    return this.enqueue(request, { rank, maxWaitMs })
   }
 
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
   /// new programs by the priority of their routes.
   private classify (call: Call, route: Route, remainingMs: number): CallClass {
-    const maxCallWaitMs = remainingMs * maxWaitShare
-    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs: maxCallWaitMs }
-    const maxWaitMs = Math.min(maxCallWaitMs, route.targetLatencyMs)
-    if (this.isNewProgram(call)) return { rank: turnRank + 1 + Math.max(0, Math.floor(route.priority)), maxWaitMs }
-    // The caller of a refused turn sends it again, which helps if another entry has more capacity.
-    return { rank: turnRank, maxWaitMs: this.hasBetterEntry() ? maxWaitMs : maxCallWaitMs }
+    const maxWaitMs = remainingMs * maxWaitShare
+    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs }
+    if (!this.isNewProgram(call)) return { rank: turnRank, maxWaitMs }
+    const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
+    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs) }
+  }
+
+  /// Whether a call that would be late here is known to be served sooner by another entry, with its retry. One that
+  /// another entry has passed on could be refused by each in turn.
+  private isServedSoonerElsewhere ({ route, isRelayed }: AdmissionRequest, expectedWaitMs: number): boolean {
+    if (isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
+    return this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
   }
 
   /// A turn that continues no stored turn, of a program none of whose calls has started here lately. The program may
@@ -126,7 +151,7 @@
     return this.queues.slice(0, rank + 1).reduce((sum, queue) => sum + (queue?.length ?? 0), 0)
   }
 
-  private enqueue (call: Call, { rank, maxWaitMs }: CallClass, signal: AbortSignal): Promise<void> {
+  private enqueue ({ call, signal }: AdmissionRequest, { rank, maxWaitMs }: CallClass): Promise<void> {
     return new Promise((resolve, reject) => {
       while (this.queues.length <= rank) this.queues.push([])
       const queuedAtMs = performance.now()
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -13,6 +13,7 @@
   readonly priority?: number
   readonly targetLatencyMs?: number
   readonly remainingMs?: number
+  readonly isRelayed?: boolean
 }
 
 let admission: Admission
@@ -23,7 +24,7 @@
 
 beforeEach(() => {
   backlog = { currentDelayMs: 0, meanDelayMs: 0 }
-  admission = new Admission(backlog)
+  admission = new Admission(backlog, () => 0)
   started = []
   refused = []
   controller = new AbortController()
@@ -32,7 +33,7 @@
 /// Asks for the start of a call and records the outcome under `id`.
 function admit (id: string, options: Options = {}): void {
   const { kind = RouteKind.streaming, programId, previousTurnId = null } = options
-  const { priority = 0, targetLatencyMs = 200, remainingMs = 2000 } = options
+  const { priority = 0, targetLatencyMs = 200, remainingMs = 2000, isRelayed = false } = options
   const program = programId === undefined
     ? null
     : { id: programId, sessionId: programId, remainingMs: 5000, tokenBudget: null }
@@ -40,7 +41,8 @@
   const route = { kind, priority, targetLatencyMs } as Route
   // Calls that a test leaves in the queue must not be recorded in the next one.
   const [ownStarted, ownRefused] = [started, refused]
-  admission.admit(call, route, performance.now() + remainingMs, controller.signal)
+  const deadlineMs = performance.now() + remainingMs
+  admission.admit({ call, route, deadlineMs, signal: controller.signal, isRelayed })
     .then(() => ownStarted.push(id), (error: RefusedError) => ownRefused.push(error))
 }
 
@@ -161,15 +163,17 @@
 
 // Guards against a turn that is refused as busy by one entry after the other while programs start.
 test.each([
-  ['another entry would serve it sooner', 60, true, ['new', 'turn']],
-  ['no other entry would', 60, false, ['new']],
-  ['no other entry would, and it would end too late', 400, false, ['new', 'turn', 'tool']]
-])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, hasBetterEntry, expected) => {
-  admission = new Admission(backlog, () => hasBetterEntry)
+  ['another entry is known to serve it much sooner', 60, 20, false, ['new', 'turn']],
+  ['another entry would serve it about as late, with its retry', 60, 200, false, ['new']],
+  ['another entry has passed it on', 60, 20, true, ['new']],
+  ['no other entry would serve it sooner', 60, Infinity, false, ['new']],
+  ['no other entry would, and it would end too late', 400, Infinity, false, ['new', 'turn', 'tool']]
+])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, betterMs, isRelayed, expected) => {
+  admission = new Admission(backlog, () => betterMs)
   backlog.meanDelayMs = meanDelayMs
-  admit('new', { programId: 'p1' })
-  admit('turn', { programId: 'p2', previousTurnId: 't' })
-  admit('tool', { programId: 'p3', kind: RouteKind.idempotent })
+  admit('new', { programId: 'p1', isRelayed })
+  admit('turn', { programId: 'p2', previousTurnId: 't', isRelayed })
+  admit('tool', { programId: 'p3', kind: RouteKind.idempotent, isRelayed })
   await iterate(8)
   expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
 })
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -44,6 +44,13 @@
     return directory.hasBetter(getConfigVersion(), serviceTime.expectedMs)
   }
 
+  /// How long a call is expected to take at the entries to which most new connections would be relayed, by what they
+  /// say now; `Infinity` if there are none.
+  get betterMs (): number {
+    const { directory, serviceTime, getConfigVersion } = this.options
+    return directory.getBetterMs(getConfigVersion(), serviceTime.expectedMs)
+  }
+
   /// Relays the connection, or calls `serve` if it should be served here.
   offer (caller: Socket, serve: ServeConnection): void {
     if (this.isStopping) return serve(false)
--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -43,6 +43,8 @@
 const maxUnansweredQueriesOfCalls = 10
 /// Connections are relayed by reports up to this age.
 const maxAgeTicks = 8
+/// A report of at most this age says how busy an entry is now.
+const maxCurrentTicks = 2
 /// Age from which a report is asked for again, for entries that are better than this one and for the others.
 const refreshTicks = 3
 const slowRefreshTicks = 8
@@ -199,6 +201,14 @@
     return this.sumRoom(this.findBetter(configVersion, ownMs)) >= minReconnectRoom
   }
 
+  /// How long a call is expected to take at the slowest of the better entries, by what they say now; `Infinity` if they
+  /// have no room for most connections.
+  getBetterMs (configVersion: number, ownMs: number): number {
+    const better = this.findBetter(configVersion, ownMs).filter(({ ageTicks }) => ageTicks <= maxCurrentTicks)
+    if (this.sumRoom(better) < minReconnectRoom) return Infinity
+    return Math.max(...better.map(entry => this.getExpectedMs(entry)))
+  }
+
   private findBetter (configVersion: number, ownMs: number): OtherEntry[] {
     const keepMs = getKeepMs(ownMs)
     if (keepMs <= minExpectedMs) return []
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -212,6 +212,18 @@
   expect(Math.abs(far! - 100)).toBeLessThan(25)
 })
 
+// Guards against a turn refused for the sake of an entry that was idle a while ago.
+test.each<[string, () => void, number]>([
+  ['as the slowest of the better ones says', () => { addEntry('e', { expectedMs: 20 }); addEntry('ee', { expectedMs: 50 }) }, 51],
+  ['in no finite time if none is better', () => addEntry('e', { expectedMs: 90 }), Infinity],
+  ['in no finite time if the better one has too little room', () => addEntry('e', { askersProcessors: 4 }), Infinity],
+  ['as a report of two ticks ago says', () => { addEntry('e', { expectedMs: 20 }); tick(2) }, 21],
+  ['in no finite time if the report is older', () => { addEntry('e', { expectedMs: 20 }); tick(3) }, Infinity]
+])('other entries would serve a call %s', (_, prepare, expectedMs) => {
+  prepare()
+  expect(directory.getBetterMs(1, ownMs)).toBe(expectedMs)
+})
+
 test('an entry reports the processors of those that have lately asked it', () => {
   for (const name of ['e', 'ee', 'eee']) addEntry(name)
   directory.recordReport({ name: 'e', expectedMs: 90, configVersion: 1, isReady: true, isQuery: true, askersProcessors: 0 })
