A turn that comes back after a refusal keeps its place

What callers saw: a turn refused as busy came back behind all turns that had come meanwhile, and could be refused for another entry's sake at each entry and each try. Cause: a retry has an id of its own; admission took it for a new turn. All that have waited too long are refused, not only the first of their rank, since those are ordered by their first try now. Test: without the two look-ups the two new cases of admission.test.ts fail (started last; refused twice).

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -4,6 +4,7 @@
 import type { Route } from '#version/configuration'
 import type { LoopBacklog } from '#process/clock'
 import { RecentPrograms } from './recentprograms.js'
+import { RefusedTurns } from './refusedturns.js'
 import { Shedding } from './shedding.js'
 
 /// A call that asks for its start.
@@ -23,10 +24,13 @@
   readonly rank: number
   /// The call is refused if it is expected to wait longer.
   readonly maxWaitMs: number
+  /// Since when its caller has tried.
+  readonly sinceMs: number
 }
 
 interface WaitingCall {
   readonly call: Call
+  readonly sinceMs: number
   readonly queuedAtMs: number
   readonly maxWaitMs: number
   readonly start: () => void
@@ -62,14 +66,16 @@
 /// Bounds the work in one iteration of the event loop, so that no event waits for long: at most one call starts in an
 /// iteration. The others wait here, calls of running programs before new programs, and not in the sockets, where
 /// neither their number nor their age is known. A call that would wait too long is refused at once, new programs first:
-/// they have lost no work, and can be started later or by another entry.
+/// they have lost no work, and can be started later or by another entry. A turn that comes back after a refusal has the
+/// place of its first try.
 ///
 /// libuv accepts one connection in an iteration. While each iteration accepts one, more may be waiting, and calls start
 /// in few iterations, so that these are short.
 export class Admission {
   private readonly programs = new RecentPrograms()
   private readonly shedding = new Shedding()
-  /// By rank, the most urgent first.
+  private readonly refusedTurns = new RefusedTurns()
+  /// By rank, the most urgent first; each by when callers have first tried.
   private readonly queues: WaitingCall[][] = []
   private isIterationCounted = false
   private hasStarted = false
@@ -105,12 +111,13 @@
     if (remainingMs <= 0) {
       return Promise.reject(createTimedOutError('the deadline had passed when the call was read'))
     }
-    const { rank, maxWaitMs } = this.classify(call, route, remainingMs)
-    const expectedWaitMs = this.countAhead(rank) * this.startIntervalMs +
+    const callClass = this.classify(call, route, remainingMs)
+    const { rank, maxWaitMs } = callClass
+    const expectedWaitMs = this.countAhead(callClass) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
-    if (expectedWaitMs > maxWaitMs) return Promise.reject(createBusyError(expectedWaitMs))
-    if (rank === turnRank && this.isServedSoonerElsewhere(request, expectedWaitMs)) {
+    if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
+      this.refusedTurns.add(call, callClass.sinceMs)
       return Promise.reject(createBusyError(expectedWaitMs))
     }
     if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
@@ -121,24 +128,29 @@
       this.recordStart(call)
       return Promise.resolve()
     }
-    return this.enqueue(request, { rank, maxWaitMs })
+    return this.enqueue(request, callClass)
   }
 
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
   /// new programs by the priority of their routes.
   private classify (call: Call, route: Route, remainingMs: number): CallClass {
     const maxWaitMs = remainingMs * maxWaitShare
-    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs }
-    if (!this.isNewProgram(call)) return { rank: turnRank, maxWaitMs }
+    const nowMs = performance.now()
+    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs, sinceMs: nowMs }
+    if (!this.isNewProgram(call)) {
+      return { rank: turnRank, maxWaitMs, sinceMs: this.refusedTurns.findSinceMs(call) ?? nowMs }
+    }
     const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
-    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs) }
+    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs }
   }
 
-  /// Whether a call that would be late here is known to be served sooner by another entry, with its retry. One that
-  /// another entry has passed on could be refused by each in turn.
-  private isServedSoonerElsewhere ({ route, isRelayed }: AdmissionRequest, expectedWaitMs: number): boolean {
-    if (isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
-    return this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
+  /// Whether a turn that would be late here is known to be served sooner by another entry, with its retry. One that
+  /// another entry has passed on, or that comes back, could be refused by each in turn.
+  private isForOtherEntry (request: AdmissionRequest, { rank }: CallClass, expectedWaitMs: number): boolean {
+    const { call, route, isRelayed } = request
+    if (rank !== turnRank || isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
+    return this.refusedTurns.findSinceMs(call) === null &&
+      this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
   }
 
   /// A turn that continues no stored turn, of a program none of whose calls has started here lately. The program may
@@ -147,16 +159,26 @@
     return call.previousTurnId === null && call.program !== null && !this.programs.has(call.program.id)
   }
 
-  private countAhead (rank: number): number {
-    return this.queues.slice(0, rank + 1).reduce((sum, queue) => sum + (queue?.length ?? 0), 0)
+  private countAhead (callClass: CallClass): number {
+    return this.queues.slice(0, callClass.rank).reduce((sum, queue) => sum + queue.length, this.findPlace(callClass))
+  }
+
+  /// How many calls of the same rank have tried for longer.
+  private findPlace ({ rank, sinceMs }: CallClass): number {
+    const queue = this.queues[rank] ?? []
+    let place = queue.length
+    while (place > 0 && queue[place - 1]!.sinceMs > sinceMs) place--
+    return place
   }
 
-  private enqueue ({ call, signal }: AdmissionRequest, { rank, maxWaitMs }: CallClass): Promise<void> {
+  private enqueue ({ call, signal }: AdmissionRequest, callClass: CallClass): Promise<void> {
+    const { rank, maxWaitMs, sinceMs } = callClass
     return new Promise((resolve, reject) => {
       while (this.queues.length <= rank) this.queues.push([])
       const queuedAtMs = performance.now()
       const isAborted = (): boolean => signal.aborted
-      this.queues[rank]!.push({ call, queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted })
+      const waiting = { call, sinceMs, queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted }
+      this.queues[rank]!.splice(this.findPlace(callClass), 0, waiting)
       signal.addEventListener('abort', () => {
         reject(createTimedOutError('caller disconnected or deadline passed before the call started'))
       }, { once: true })
@@ -168,8 +190,9 @@
     return !this.hasAccepted || this.iterationsSinceStart >= iterationsPerStartWhileAccepting
   }
 
-  private recordStart ({ program }: Call): void {
-    if (program !== null) this.programs.add(program.id)
+  private recordStart (call: Call): void {
+    if (call.program !== null) this.programs.add(call.program.id)
+    this.refusedTurns.delete(call)
     this.hasStarted = true
     this.iterationsSinceStart = 0
     this.lastStartAtMs = performance.now()
@@ -185,7 +208,7 @@
   /// Starts the next call, if none has started in this iteration.
   private endIteration (): void {
     this.iterationsSinceStart++
-    this.refuseExpired(performance.now())
+    this.refuseExpired()
     if (this.mayStart) this.startNext()
     this.isIterationCounted = this.hasStarted = this.hasAccepted = false
     // An iteration that does not block, in which the next call starts.
@@ -202,10 +225,15 @@
   }
 
   /// Refuses calls that have waited for too long, since more urgent ones came meanwhile.
-  private refuseExpired (nowMs: number): void {
-    for (const queue of this.queues) {
-      while (queue.length > 0 && nowMs - queue[0]!.queuedAtMs > queue[0]!.maxWaitMs) {
-        const { queuedAtMs, refuse } = queue.shift()!
+  private refuseExpired (): void {
+    const nowMs = performance.now()
+    const isExpired = ({ queuedAtMs, maxWaitMs }: WaitingCall): boolean => nowMs - queuedAtMs > maxWaitMs
+    for (let rank = 0; rank < this.queues.length; rank++) {
+      const queue = this.queues[rank]!
+      if (!queue.some(isExpired)) continue
+      this.queues[rank] = queue.filter(waiting => !isExpired(waiting))
+      for (const { call, sinceMs, queuedAtMs, refuse } of queue.filter(isExpired)) {
+        this.refusedTurns.add(call, sinceMs)
         refuse(createBusyError(nowMs - queuedAtMs))
       }
     }
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -178,6 +178,28 @@
   expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
 })
 
+// Guards against a turn that is refused, and finds newer ones before it at each retry.
+test('a turn that comes back after a refusal starts before those that came meanwhile', async () => {
+  backlog.meanDelayMs = 60
+  admit('refused', { programId: 'p1', previousTurnId: 't1' })
+  backlog.meanDelayMs = 0
+  await iterate(1)
+  expect(refused.map(error => error.refusal)).toEqual([Refusal.busy])
+  admit('first')
+  for (const id of ['a', 'b']) admit(id, { programId: `program ${id}`, previousTurnId: 't' })
+  admit('comes back', { programId: 'p1', previousTurnId: 't1' })
+  await iterate(6)
+  expect(started).toEqual(['first', 'comes back', 'a', 'b'])
+})
+
+// Guards against a turn that is sent from one entry to the other.
+test('a turn that comes back is not refused again for the sake of another entry', async () => {
+  backlog.meanDelayMs = 60
+  for (let i = 0; i < 2; i++) admit(`try ${i}`, { programId: 'p1', previousTurnId: 't1' })
+  await iterate(2)
+  expect([started, refused.length]).toEqual([['try 1'], 1])
+})
+
 test('while turns wait for too long, new programs are refused by a hash of their ids, the others go on', async () => {
   vi.spyOn(performance, 'now').mockImplementation(() => nowMs)
   let nowMs = 0
