A running program's call that waited for long isn't refused when it could start

What callers saw: a turn that had waited for half of its time was refused in the moment in which it was next. Cause: at the end of an iteration the expired calls were refused before the next one was started. Why it works: the next call starts first; only new programs, which complete too late to be of value, are refused before that. Test: with the old order the new case of admission.test.ts fails (both turns refused).

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -205,11 +205,13 @@
     setImmediate(() => this.endIteration())
   }
 
-  /// Starts the next call, if none has started in this iteration.
+  /// Starts the next call, if none has started in this iteration. A running program's call that has waited for too long
+  /// is refused only if it can't start now.
   private endIteration (): void {
     this.iterationsSinceStart++
-    this.refuseExpired()
+    this.refuseExpired(turnRank + 1)
     if (this.mayStart) this.startNext()
+    this.refuseExpired(0)
     this.isIterationCounted = this.hasStarted = this.hasAccepted = false
     // An iteration that does not block, in which the next call starts.
     if (this.waiting > 0) this.countIteration()
@@ -224,11 +226,11 @@
     next.start()
   }
 
-  /// Refuses calls that have waited for too long, since more urgent ones came meanwhile.
-  private refuseExpired (): void {
+  /// Refuses calls from a rank on that have waited for too long, since more urgent ones came meanwhile.
+  private refuseExpired (firstRank: number): void {
     const nowMs = performance.now()
     const isExpired = ({ queuedAtMs, maxWaitMs }: WaitingCall): boolean => nowMs - queuedAtMs > maxWaitMs
-    for (let rank = 0; rank < this.queues.length; rank++) {
+    for (let rank = firstRank; rank < this.queues.length; rank++) {
       const queue = this.queues[rank]!
       if (!queue.some(isExpired)) continue
       this.queues[rank] = queue.filter(waiting => !isExpired(waiting))
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -200,6 +200,18 @@
   expect([started, refused.length]).toEqual([['try 1'], 1])
 })
 
+// Guards against a turn that has waited for half of its time and is refused in the moment in which it could start.
+test('a turn that has waited for long starts if it can, and is refused if others are before it', async () => {
+  admit('first')
+  admit('next', { programId: 'p1', previousTurnId: 't', remainingMs: 20 })
+  admit('last', { programId: 'p2', previousTurnId: 't', remainingMs: 20 })
+  await iterate(1)
+  const startedAtMs = performance.now()
+  while (performance.now() - startedAtMs < 15);
+  await iterate(3)
+  expect([started, refused.length]).toEqual([['first', 'next'], 1])
+})
+
 test('while turns wait for too long, new programs are refused by a hash of their ids, the others go on', async () => {
   vi.spyOn(performance, 'now').mockImplementation(() => nowMs)
   let nowMs = 0
