A call refused as busy comes back when it could be served

What callers saw: Retry-After was 0.07 to 0.17 s for each call refused as busy, however long it would have waited, so that callers spent their few tries, and the busy entry's time, on connections that were refused again. Cause: the delay took it that the retry reaches an entry that is less busy. Why it works: the delay is how much longer than allowed the call would have waited, with a spread, at most a third of the time that the caller has left; it stays short while another entry is known to be better. Test: with the old delay three of the five new cases fail (82 and 109 ms where 400 and 660 are due).

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -54,8 +54,11 @@
 /// Weight of the latest interval in the mean interval between two starts.
 const meanWeight = 0.1
 const initialStartIntervalMs = 1
-/// Retries reach other entries, so callers needn't wait until this one is less busy.
+/// The shortest time after which a refused caller comes back. It may reach another entry.
 const busyRetryAfterMs = 120
+/// Callers wait for so much of the time that they have left, at most, before they try again.
+const maxRetryAfterShare = 1 / 3
+const maxRetryAfterMs = 1000
 /// What a retry needs besides: a connection, which may be relayed, and the request once more.
 const reconnectMs = 80
 /// Other entries that are as busy don't serve the program either.
@@ -118,7 +121,7 @@
     if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
     if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
       this.refusedTurns.add(call, callClass.sinceMs)
-      return Promise.reject(createBusyError(expectedWaitMs))
+      return Promise.reject(createBusyError(expectedWaitMs, this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)))
     }
     if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
       return Promise.reject(createShedError(this.shedShare))
@@ -153,6 +156,21 @@
       this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
   }
 
+  /// Returns after how long the call could be served here, or at once if another entry would serve it sooner.
+  private findRetryAfterMs (
+    { deadlineMs, isRelayed }: AdmissionRequest, maxWaitMs: number, expectedWaitMs: number
+  ): number {
+    if (!isRelayed && this.getBetterMs() + reconnectMs < expectedWaitMs) return addJitter(busyRetryAfterMs)
+    const remainingMs = deadlineMs - performance.now()
+    const excessMs = expectedWaitMs - maxWaitMs
+    // A wait that is bound by a share of the caller's time must shrink by more, since that time shrinks with it.
+    const isBoundByShare = maxWaitMs >= remainingMs * maxWaitShare
+    const servedAfterMs = isBoundByShare ? excessMs / (1 - maxWaitShare) : excessMs
+    const latestMs = Math.min(maxRetryAfterMs, remainingMs * maxRetryAfterShare)
+    const spreadMs = servedAfterMs * (1 + Math.random() * retryJitter)
+    return Math.max(addJitter(busyRetryAfterMs), Math.round(Math.min(spreadMs, latestMs)))
+  }
+
   /// A turn that continues no stored turn, of a program none of whose calls has started here lately. The program may
   /// have begun at another entry.
   private isNewProgram (call: Call): boolean {
@@ -256,12 +274,12 @@
   return new RefusedError(Refusal.timedOut, Verdict.notRun, message)
 }
 
-function createBusyError (waitMs: number): RefusedError {
+function createBusyError (waitMs: number, retryAfterMs = addJitter(busyRetryAfterMs)): RefusedError {
   return new RefusedError(
     Refusal.busy,
     Verdict.notRun,
     `this process is busy: the call would wait for ${Math.round(waitMs)} ms`,
-    addJitter(busyRetryAfterMs)
+    retryAfterMs
   )
 }
 
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -212,6 +212,23 @@
   expect([started, refused.length]).toEqual([['first', 'next'], 1])
 })
 
+// Guards against callers that come back before they can be served, and cost the busy entry a connection each time.
+test.each([
+  ['a turn, when half of its time is longer than its wait', { previousTurnId: 't' }, 200, Infinity, 400, 562],
+  ['a turn, no later than callers wait', { previousTurnId: 't' }, 400, Infinity, 660, 667],
+  ['a new program, when it would wait for its latency target', {}, 100, Infinity, 400, 560],
+  ['a turn that another entry would serve sooner, soon', { previousTurnId: 't' }, 200, 20, 72, 168],
+  ['a call that could be served soon, not at once', { previousTurnId: 't' }, 170, Infinity, 72, 168]
+])('a refused caller comes back: %s', async (_, options, meanDelayMs, betterMs, atLeastMs, atMostMs) => {
+  admission = new Admission(backlog, () => betterMs)
+  backlog.meanDelayMs = meanDelayMs
+  admit('call', { programId: 'p', ...options })
+  await iterate(1)
+  const [{ retryAfterMs } = { retryAfterMs: 0 }] = refused
+  expect(retryAfterMs).toBeGreaterThanOrEqual(atLeastMs)
+  expect(retryAfterMs).toBeLessThanOrEqual(atMostMs)
+})
+
 test('while turns wait for too long, new programs are refused by a hash of their ids, the others go on', async () => {
   vi.spyOn(performance, 'now').mockImplementation(() => nowMs)
   let nowMs = 0
