A turn that comes back is known by the turn before, not by its program

What callers saw: a caller that goes on from a turn for a new program, as after a final fault, lost its place with each retry if that has another program id. Cause: the entry remembered refused turns by program, session and previous turn. Why it works: the turn before is what all tries have in common. Sub-agents that go on from the same one share its place.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -120,7 +120,7 @@
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
     if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
-      this.refusedTurns.add(call, callClass.sinceMs)
+      this.refusedTurns.add(call.previousTurnId, callClass.sinceMs)
       return Promise.reject(createBusyError(expectedWaitMs, this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)))
     }
     if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
@@ -141,7 +141,7 @@
     const nowMs = performance.now()
     if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs, sinceMs: nowMs }
     if (!this.isNewProgram(call)) {
-      return { rank: turnRank, maxWaitMs, sinceMs: this.refusedTurns.findSinceMs(call) ?? nowMs }
+      return { rank: turnRank, maxWaitMs, sinceMs: this.refusedTurns.findSinceMs(call.previousTurnId) ?? nowMs }
     }
     const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
     return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs }
@@ -152,7 +152,7 @@
   private isForOtherEntry (request: AdmissionRequest, { rank }: CallClass, expectedWaitMs: number): boolean {
     const { call, route, isRelayed } = request
     if (rank !== turnRank || isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
-    return this.refusedTurns.findSinceMs(call) === null &&
+    return this.refusedTurns.findSinceMs(call.previousTurnId) === null &&
       this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
   }
 
@@ -208,9 +208,8 @@
     return !this.hasAccepted || this.iterationsSinceStart >= iterationsPerStartWhileAccepting
   }
 
-  private recordStart (call: Call): void {
-    if (call.program !== null) this.programs.add(call.program.id)
-    this.refusedTurns.delete(call)
+  private recordStart ({ program }: Call): void {
+    if (program !== null) this.programs.add(program.id)
     this.hasStarted = true
     this.iterationsSinceStart = 0
     this.lastStartAtMs = performance.now()
@@ -253,7 +252,7 @@
       if (!queue.some(isExpired)) continue
       this.queues[rank] = queue.filter(waiting => !isExpired(waiting))
       for (const { call, sinceMs, queuedAtMs, refuse } of queue.filter(isExpired)) {
-        this.refusedTurns.add(call, sinceMs)
+        this.refusedTurns.add(call.previousTurnId, sinceMs)
         refuse(createBusyError(nowMs - queuedAtMs))
       }
     }
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -187,7 +187,7 @@
   expect(refused.map(error => error.refusal)).toEqual([Refusal.busy])
   admit('first')
   for (const id of ['a', 'b']) admit(id, { programId: `program ${id}`, previousTurnId: 't' })
-  admit('comes back', { programId: 'p1', previousTurnId: 't1' })
+  admit('comes back', { programId: 'p2', previousTurnId: 't1' })
   await iterate(6)
   expect(started).toEqual(['first', 'comes back', 'a', 'b'])
 })
