--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -81,9 +81,6 @@
 /// As without a limit.
 const plan = planMemory(null)
 
-/// An event loop that is never behind.
-const idleLoop = { currentDelayMs: 0, meanDelayMs: 0 }
-
 /// The response as the caller received it.
 export interface CallResult {
   readonly status: number
@@ -116,6 +113,9 @@
 
   /// Set by tests, to emulate a busy event loop.
   delayMs = 0
+  readonly loop = { currentDelayMs: 0, meanDelayMs: 0 }
+  /// How long a call takes at other entries that are known to be better.
+  betterMs = Infinity
   /// Called with each exchange before it is served.
   onExchange: (exchange: Exchange) => void = () => {}
   address = ''
@@ -141,7 +141,7 @@
     this.placement = new Placement(this.registry, 'z', noopLog)
     const context = {
       codec: platformHeaders,
-      admission: new Admission(idleLoop),
+      admission: new Admission(this.loop, () => this.betterMs),
       placement: this.placement,
       limits: new RequestLimits(this.directory, noopLog),
       serviceTime: this.serviceTime,
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -386,3 +386,17 @@
   await new Promise(resolve => socket.on('close', resolve))
   expect(onData).not.toHaveBeenCalled()
 })
+
+// Guards against a turn that one entry passes on and the other refuses, as each takes the other to be better.
+test.each([
+  ['has come over another entry is served', 200, () => busy],
+  ['has not is refused', 503, () => idle]
+])('both entries take another one to be better: a turn that goes on and %s', async (_, status, getEntry) => {
+  const previousTurn = 'previous'
+  await idle.call('/chat/1', { 'attempt-id': previousTurn })
+  listEntry(idle.relayAddress)
+  idle.loop.meanDelayMs = 60
+  idle.betterMs = 5
+  expect((await getEntry().call('/chat/1', { 'previous-turn': previousTurn })).status).toBe(status)
+  expect(busy.relay.count).toBe(status === 200 ? 1 : 0)
+})
