--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -178,7 +178,9 @@
   }
 
   private countAhead (callClass: CallClass): number {
-    return this.queues.slice(0, callClass.rank).reduce((sum, queue) => sum + queue.length, this.findPlace(callClass))
+    let count = this.findPlace(callClass)
+    for (let rank = 0; rank < callClass.rank; rank++) count += this.queues[rank]?.length ?? 0
+    return count
   }
 
   /// How many calls of the same rank have tried for longer.
@@ -226,9 +228,11 @@
   /// is refused only if it can't start now.
   private endIteration (): void {
     this.iterationsSinceStart++
-    this.refuseExpired(turnRank + 1)
-    if (this.mayStart) this.startNext()
-    this.refuseExpired(0)
+    if (this.waiting > 0) {
+      this.refuseExpired(turnRank + 1)
+      if (this.mayStart) this.startNext()
+      this.refuseExpired(0)
+    }
     this.isIterationCounted = this.hasStarted = this.hasAccepted = false
     // An iteration that does not block, in which the next call starts.
     if (this.waiting > 0) this.countIteration()
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -64,7 +64,8 @@
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
-    await context.admission.admit({ ...routing, isRelayed: origin !== null })
+    const { route, deadlineMs } = routing
+    await context.admission.admit({ call, route, deadlineMs, signal: controller.signal, isRelayed: origin !== null })
     context.serviceTime.countCall(CallCost.served)
     const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
