--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -78,6 +78,8 @@
   private currentView: View = emptyView
   private currentQuorums: Quorums = computeQuorums(emptyView, 0)
   private peers: PeerState[] = []
+  /// The members in the order of preference, `null` if that may have changed.
+  private ordered: readonly PeerState[] | null = null
   private probeTimer: ReturnType<typeof setInterval> | null = null
   /// Called for each new view.
   readonly onView = new Set<() => void>()
@@ -106,6 +108,7 @@
       peer.open()
       return { member, peer, isDown: false, isAsked: false, spread: Math.random() }
     })
+    this.ordered = null
     for (const old of previousPeers) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
     this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
     if (!this.isAvailable) this.startProbing()
@@ -125,7 +128,12 @@
 
   /// Members in the order in which requests go to them: those that are up first, among these the ones whose replies
   /// count in all quorums, then the ones in this process's zone. The rest is random, to spread the load.
-  getByPreference (): PeerState[] {
+  getByPreference (): readonly PeerState[] {
+    this.ordered ??= this.sortByPreference()
+    return this.ordered
+  }
+
+  private sortByPreference (): PeerState[] {
     const { appendVoters, readVoters } = this.quorums
     const rank = ({ isDown, member: { diskId, zone }, spread }: PeerState): number => {
       const counts = appendVoters.has(diskId) && readVoters.has(diskId)
@@ -174,6 +182,7 @@
   private handleStanding (state: PeerState, standing: Standing): void {
     if (state.isDown) {
       state.isDown = false
+      this.ordered = null
       this.log.event(Events.memberRegained, { member: state.member.name })
     }
     if (standing.newerView !== undefined) this.adoptView(standing.newerView, state.member.name)
@@ -204,6 +213,7 @@
   private recordDown (state: PeerState, error: unknown): void {
     if (!state.isDown) this.log.event(Events.memberLost, { member: state.member.name, error: formatError(error) })
     state.isDown = true
+    this.ordered = null
     this.options.onStaleView()
     this.startProbing()
   }
