--- a/process/relay/src/messagetracker.ts
+++ b/process/relay/src/messagetracker.ts
@@ -9,6 +9,8 @@
 
 type Part = typeof Part[keyof typeof Part]
 
+type AddBytes = (tracker: MessageTracker, bytes: Buffer, at: number) => number
+
 /// Follows the messages in the bytes of one direction of a connection (RFC 9112). They are checked where they are
 /// served.
 export abstract class MessageTracker {
@@ -56,16 +58,16 @@
   }
 
   private addPart (bytes: Buffer, at: number): number {
-    return this.addByPart[this.part](bytes, at)
+    return MessageTracker.addByPart[this.part](this, bytes, at)
   }
 
   /// Each adds bytes from `at` on and returns where the next part begins.
-  private readonly addByPart: Readonly<Record<Part, (bytes: Buffer, at: number) => number>> = {
-    [Part.head]: (bytes, at) => this.addHead(bytes, at),
-    [Part.body]: (bytes, at) => this.skip(bytes, at, Part.head),
-    [Part.chunkSize]: (bytes, at) => this.addLine(bytes, at, line => this.startChunk(line)),
-    [Part.chunk]: (bytes, at) => this.skip(bytes, at, Part.chunkSize),
-    [Part.trailer]: (bytes, at) => this.addLine(bytes, at, line => { if (line.trim() === '') this.part = Part.head })
+  private static readonly addByPart: Readonly<Record<Part, AddBytes>> = {
+    [Part.head]: (tracker, bytes, at) => tracker.addHead(bytes, at),
+    [Part.body]: (tracker, bytes, at) => tracker.skip(bytes, at, Part.head),
+    [Part.chunkSize]: (tracker, bytes, at) => tracker.addChunkSize(bytes, at),
+    [Part.chunk]: (tracker, bytes, at) => tracker.skip(bytes, at, Part.chunkSize),
+    [Part.trailer]: (tracker, bytes, at) => tracker.addTrailer(bytes, at)
   }
 
   private addHead (bytes: Buffer, from: number): number {
@@ -92,11 +94,23 @@
     else if (this.remainingBytes > 0) this.part = Part.body
   }
 
-  private startChunk (line: string): void {
-    const size = Number.parseInt(line, 16)
+  private addChunkSize (bytes: Buffer, at: number): number {
+    const end = bytes.indexOf(lineFeed, at)
+    if (!this.addLine(bytes, at, end)) return bytes.length
+    const size = Number.parseInt(this.text, 16)
+    this.text = ''
     this.part = size > 0 ? Part.chunk : Part.trailer
     // With the line break at its end.
     this.remainingBytes = size + 2
+    return end + 1
+  }
+
+  private addTrailer (bytes: Buffer, at: number): number {
+    const end = bytes.indexOf(lineFeed, at)
+    if (!this.addLine(bytes, at, end)) return bytes.length
+    if (this.text.trim() === '') this.part = Part.head
+    this.text = ''
+    return end + 1
   }
 
   private skip (bytes: Buffer, at: number, next: Part): number {
@@ -106,17 +120,11 @@
     return at + count
   }
 
-  private addLine (bytes: Buffer, at: number, handle: (line: string) => void): number {
-    const end = bytes.indexOf(lineFeed, at)
-    this.text += bytes.toString('latin1', at, end < 0 ? bytes.length : end)
-    if (end < 0) {
-      this.text = this.text.slice(0, maxTextBytes)
-      return bytes.length
-    }
-    const line = this.text
-    this.text = ''
-    handle(line)
-    return end + 1
+  /// Adds a part of a line that ends at `end`, beyond these bytes if that is negative. Returns whether it is complete.
+  private addLine (bytes: Buffer, from: number, end: number): boolean {
+    this.text += bytes.toString('latin1', from, end < 0 ? bytes.length : end)
+    if (end < 0) this.text = this.text.slice(0, maxTextBytes)
+    return end >= 0
   }
 }
 
