--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -4,17 +4,33 @@
 import type { Route } from '#version/configuration'
 import type { LoopBacklog } from '#process/clock'
 import { RecentPrograms } from './recentprograms.js'
+import { RefusedTurns } from './refusedturns.js'
 import { Shedding } from './shedding.js'
 
+/// A call that asks for its start.
+export interface AdmissionRequest {
+  readonly call: Call
+  readonly route: Route
+  /// On the monotonic clock of `performance.now()`.
+  readonly deadlineMs: number
+  /// The call gives up its place when it is aborted.
+  readonly signal: AbortSignal
+  /// Whether another entry relays the connection, since it expects the call to end sooner here.
+  readonly isRelayed: boolean
+}
+
 interface CallClass {
   /// 0 is the most urgent.
   readonly rank: number
   /// The call is refused if it is expected to wait longer.
   readonly maxWaitMs: number
+  /// Since when its caller has tried.
+  readonly sinceMs: number
 }
 
 interface WaitingCall {
   readonly call: Call
+  readonly sinceMs: number
   readonly queuedAtMs: number
   readonly maxWaitMs: number
   readonly start: () => void
@@ -38,8 +54,13 @@
 /// Weight of the latest interval in the mean interval between two starts.
 const meanWeight = 0.1
 const initialStartIntervalMs = 1
-/// Retries reach other entries, so callers needn't wait until this one is less busy.
+/// The shortest time after which a refused caller comes back. It may reach another entry.
 const busyRetryAfterMs = 120
+/// Callers wait for so much of the time that they have left, at most, before they try again.
+const maxRetryAfterShare = 1 / 3
+const maxRetryAfterMs = 1000
+/// What a retry needs besides: a connection, which may be relayed, and the request once more.
+const reconnectMs = 80
 /// Other entries that are as busy don't serve the program either.
 const shedRetryAfterMs = 800
 /// Callers that were refused at the same time come back spread over this share of the delay, either way.
@@ -48,14 +69,16 @@
 /// Bounds the work in one iteration of the event loop, so that no event waits for long: at most one call starts in an
 /// iteration. The others wait here, calls of running programs before new programs, and not in the sockets, where
 /// neither their number nor their age is known. A call that would wait too long is refused at once, new programs first:
-/// they have lost no work, and can be started later or by another entry.
+/// they have lost no work, and can be started later or by another entry. A turn that comes back after a refusal has the
+/// place of its first try.
 ///
 /// libuv accepts one connection in an iteration. While each iteration accepts one, more may be waiting, and calls start
 /// in few iterations, so that these are short.
 export class Admission {
   private readonly programs = new RecentPrograms()
   private readonly shedding = new Shedding()
-  /// By rank, the most urgent first.
+  private readonly refusedTurns = new RefusedTurns()
+  /// By rank, the most urgent first; each by when callers have first tried.
   private readonly queues: WaitingCall[][] = []
   private isIterationCounted = false
   private hasStarted = false
@@ -64,8 +87,9 @@
   private lastStartAtMs = 0
   private startIntervalMs = initialStartIntervalMs
 
-  /// `hasBetterEntry`: whether another entry is expected to serve a call sooner.
-  constructor (private readonly backlog: LoopBacklog, private readonly hasBetterEntry: () => boolean = () => true) {}
+  /// `getBetterMs` returns how long a call takes at other entries that are known to serve it sooner; `Infinity` if
+  /// there are none.
+  constructor (private readonly backlog: LoopBacklog, private readonly getBetterMs: () => number = () => Infinity) {}
 
   /// Share of the programs that are refused at their start.
   get shedShare (): number {
@@ -83,17 +107,22 @@
   }
 
   /// Resolves when the call may start. Rejects with `RefusedError`, with the verdict that the call did not run, if it
-  /// would wait too long, or when `signal` is aborted. `deadlineMs` is on the monotonic clock of `performance.now()`.
-  admit (call: Call, route: Route, deadlineMs: number, signal: AbortSignal): Promise<void> {
+  /// would wait too long, or when its signal is aborted.
+  admit (request: AdmissionRequest): Promise<void> {
+    const { call, route, deadlineMs } = request
     const remainingMs = deadlineMs - performance.now()
     if (remainingMs <= 0) {
       return Promise.reject(createTimedOutError('the deadline had passed when the call was read'))
     }
-    const { rank, maxWaitMs } = this.classify(call, route, remainingMs)
-    const expectedWaitMs = this.countAhead(rank) * this.startIntervalMs +
+    const callClass = this.classify(call, route, remainingMs)
+    const { rank, maxWaitMs } = callClass
+    const expectedWaitMs = this.countAhead(callClass) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
-    if (expectedWaitMs > maxWaitMs) return Promise.reject(createBusyError(expectedWaitMs))
+    if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
+      this.refusedTurns.add(call.previousTurnId, callClass.sinceMs)
+      return Promise.reject(createBusyError(expectedWaitMs, this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)))
+    }
     if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
       return Promise.reject(createShedError(this.shedShare))
     }
@@ -102,18 +131,44 @@
       this.recordStart(call)
       return Promise.resolve()
     }
-    return this.enqueue(call, { rank, maxWaitMs }, signal)
+    return this.enqueue(request, callClass)
   }
 
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
   /// new programs by the priority of their routes.
   private classify (call: Call, route: Route, remainingMs: number): CallClass {
-    const maxCallWaitMs = remainingMs * maxWaitShare
-    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs: maxCallWaitMs }
-    const maxWaitMs = Math.min(maxCallWaitMs, route.targetLatencyMs)
-    if (this.isNewProgram(call)) return { rank: turnRank + 1 + Math.max(0, Math.floor(route.priority)), maxWaitMs }
-    // The caller of a refused turn sends it again, which helps if another entry has more capacity.
-    return { rank: turnRank, maxWaitMs: this.hasBetterEntry() ? maxWaitMs : maxCallWaitMs }
+    const maxWaitMs = remainingMs * maxWaitShare
+    const nowMs = performance.now()
+    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs, sinceMs: nowMs }
+    if (!this.isNewProgram(call)) {
+      return { rank: turnRank, maxWaitMs, sinceMs: this.refusedTurns.findSinceMs(call.previousTurnId) ?? nowMs }
+    }
+    const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
+    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs }
+  }
+
+  /// Whether a turn that would be late here is known to be served sooner by another entry, with its retry. One that
+  /// another entry has passed on, or that comes back, could be refused by each in turn.
+  private isForOtherEntry (request: AdmissionRequest, { rank }: CallClass, expectedWaitMs: number): boolean {
+    const { call, route, isRelayed } = request
+    if (rank !== turnRank || isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
+    return this.refusedTurns.findSinceMs(call.previousTurnId) === null &&
+      this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
+  }
+
+  /// Returns after how long the call could be served here, or at once if another entry would serve it sooner.
+  private findRetryAfterMs (
+    { deadlineMs, isRelayed }: AdmissionRequest, maxWaitMs: number, expectedWaitMs: number
+  ): number {
+    if (!isRelayed && this.getBetterMs() + reconnectMs < expectedWaitMs) return addJitter(busyRetryAfterMs)
+    const remainingMs = deadlineMs - performance.now()
+    const excessMs = expectedWaitMs - maxWaitMs
+    // A wait that is bound by a share of the caller's time must shrink by more, since that time shrinks with it.
+    const isBoundByShare = maxWaitMs >= remainingMs * maxWaitShare
+    const servedAfterMs = isBoundByShare ? excessMs / (1 - maxWaitShare) : excessMs
+    const latestMs = Math.min(maxRetryAfterMs, remainingMs * maxRetryAfterShare)
+    const spreadMs = servedAfterMs * (1 + Math.random() * retryJitter)
+    return Math.max(addJitter(busyRetryAfterMs), Math.round(Math.min(spreadMs, latestMs)))
   }
 
   /// A turn that continues no stored turn, of a program none of whose calls has started here lately. The program may
@@ -122,16 +177,28 @@
     return call.previousTurnId === null && call.program !== null && !this.programs.has(call.program.id)
   }
 
-  private countAhead (rank: number): number {
-    return this.queues.slice(0, rank + 1).reduce((sum, queue) => sum + (queue?.length ?? 0), 0)
+  private countAhead (callClass: CallClass): number {
+    let count = this.findPlace(callClass)
+    for (let rank = 0; rank < callClass.rank; rank++) count += this.queues[rank]?.length ?? 0
+    return count
   }
 
-  private enqueue (call: Call, { rank, maxWaitMs }: CallClass, signal: AbortSignal): Promise<void> {
+  /// How many calls of the same rank have tried for longer.
+  private findPlace ({ rank, sinceMs }: CallClass): number {
+    const queue = this.queues[rank] ?? []
+    let place = queue.length
+    while (place > 0 && queue[place - 1]!.sinceMs > sinceMs) place--
+    return place
+  }
+
+  private enqueue ({ call, signal }: AdmissionRequest, callClass: CallClass): Promise<void> {
+    const { rank, maxWaitMs, sinceMs } = callClass
     return new Promise((resolve, reject) => {
       while (this.queues.length <= rank) this.queues.push([])
       const queuedAtMs = performance.now()
       const isAborted = (): boolean => signal.aborted
-      this.queues[rank]!.push({ call, queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted })
+      const waiting = { call, sinceMs, queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted }
+      this.queues[rank]!.splice(this.findPlace(callClass), 0, waiting)
       signal.addEventListener('abort', () => {
         reject(createTimedOutError('caller disconnected or deadline passed before the call started'))
       }, { once: true })
@@ -157,11 +224,15 @@
     setImmediate(() => this.endIteration())
   }
 
-  /// Starts the next call, if none has started in this iteration.
+  /// Starts the next call, if none has started in this iteration. A running program's call that has waited for too long
+  /// is refused only if it can't start now.
   private endIteration (): void {
     this.iterationsSinceStart++
-    this.refuseExpired(performance.now())
-    if (this.mayStart) this.startNext()
+    if (this.waiting > 0) {
+      this.refuseExpired(turnRank + 1)
+      if (this.mayStart) this.startNext()
+      this.refuseExpired(0)
+    }
     this.isIterationCounted = this.hasStarted = this.hasAccepted = false
     // An iteration that does not block, in which the next call starts.
     if (this.waiting > 0) this.countIteration()
@@ -176,11 +247,16 @@
     next.start()
   }
 
-  /// Refuses calls that have waited for too long, since more urgent ones came meanwhile.
-  private refuseExpired (nowMs: number): void {
-    for (const queue of this.queues) {
-      while (queue.length > 0 && nowMs - queue[0]!.queuedAtMs > queue[0]!.maxWaitMs) {
-        const { queuedAtMs, refuse } = queue.shift()!
+  /// Refuses calls from a rank on that have waited for too long, since more urgent ones came meanwhile.
+  private refuseExpired (firstRank: number): void {
+    const nowMs = performance.now()
+    const isExpired = ({ queuedAtMs, maxWaitMs }: WaitingCall): boolean => nowMs - queuedAtMs > maxWaitMs
+    for (let rank = firstRank; rank < this.queues.length; rank++) {
+      const queue = this.queues[rank]!
+      if (!queue.some(isExpired)) continue
+      this.queues[rank] = queue.filter(waiting => !isExpired(waiting))
+      for (const { call, sinceMs, queuedAtMs, refuse } of queue.filter(isExpired)) {
+        this.refusedTurns.add(call.previousTurnId, sinceMs)
         refuse(createBusyError(nowMs - queuedAtMs))
       }
     }
@@ -201,12 +277,12 @@
   return new RefusedError(Refusal.timedOut, Verdict.notRun, message)
 }
 
-function createBusyError (waitMs: number): RefusedError {
+function createBusyError (waitMs: number, retryAfterMs = addJitter(busyRetryAfterMs)): RefusedError {
   return new RefusedError(
     Refusal.busy,
     Verdict.notRun,
     `this process is busy: the call would wait for ${Math.round(waitMs)} ms`,
-    addJitter(busyRetryAfterMs)
+    retryAfterMs
   )
 }
 
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -13,6 +13,7 @@
   readonly priority?: number
   readonly targetLatencyMs?: number
   readonly remainingMs?: number
+  readonly isRelayed?: boolean
 }
 
 let admission: Admission
@@ -23,7 +24,7 @@
 
 beforeEach(() => {
   backlog = { currentDelayMs: 0, meanDelayMs: 0 }
-  admission = new Admission(backlog)
+  admission = new Admission(backlog, () => 0)
   started = []
   refused = []
   controller = new AbortController()
@@ -32,7 +33,7 @@
 /// Asks for the start of a call and records the outcome under `id`.
 function admit (id: string, options: Options = {}): void {
   const { kind = RouteKind.streaming, programId, previousTurnId = null } = options
-  const { priority = 0, targetLatencyMs = 200, remainingMs = 2000 } = options
+  const { priority = 0, targetLatencyMs = 200, remainingMs = 2000, isRelayed = false } = options
   const program = programId === undefined
     ? null
     : { id: programId, sessionId: programId, remainingMs: 5000, tokenBudget: null }
@@ -40,7 +41,8 @@
   const route = { kind, priority, targetLatencyMs } as Route
   // Calls that a test leaves in the queue must not be recorded in the next one.
   const [ownStarted, ownRefused] = [started, refused]
-  admission.admit(call, route, performance.now() + remainingMs, controller.signal)
+  const deadlineMs = performance.now() + remainingMs
+  admission.admit({ call, route, deadlineMs, signal: controller.signal, isRelayed })
     .then(() => ownStarted.push(id), (error: RefusedError) => ownRefused.push(error))
 }
 
@@ -161,19 +163,72 @@
 
 // Guards against a turn that is refused as busy by one entry after the other while programs start.
 test.each([
-  ['another entry would serve it sooner', 60, true, ['new', 'turn']],
-  ['no other entry would', 60, false, ['new']],
-  ['no other entry would, and it would end too late', 400, false, ['new', 'turn', 'tool']]
-])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, hasBetterEntry, expected) => {
-  admission = new Admission(backlog, () => hasBetterEntry)
+  ['another entry is known to serve it much sooner', 60, 20, false, ['new', 'turn']],
+  ['another entry would serve it about as late, with its retry', 60, 200, false, ['new']],
+  ['another entry has passed it on', 60, 20, true, ['new']],
+  ['no other entry would serve it sooner', 60, Infinity, false, ['new']],
+  ['no other entry would, and it would end too late', 400, Infinity, false, ['new', 'turn', 'tool']]
+])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, betterMs, isRelayed, expected) => {
+  admission = new Admission(backlog, () => betterMs)
   backlog.meanDelayMs = meanDelayMs
-  admit('new', { programId: 'p1' })
-  admit('turn', { programId: 'p2', previousTurnId: 't' })
-  admit('tool', { programId: 'p3', kind: RouteKind.idempotent })
+  admit('new', { programId: 'p1', isRelayed })
+  admit('turn', { programId: 'p2', previousTurnId: 't', isRelayed })
+  admit('tool', { programId: 'p3', kind: RouteKind.idempotent, isRelayed })
   await iterate(8)
   expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
 })
 
+// Guards against a turn that is refused, and finds newer ones before it at each retry.
+test('a turn that comes back after a refusal starts before those that came meanwhile', async () => {
+  backlog.meanDelayMs = 60
+  admit('refused', { programId: 'p1', previousTurnId: 't1' })
+  backlog.meanDelayMs = 0
+  await iterate(1)
+  expect(refused.map(error => error.refusal)).toEqual([Refusal.busy])
+  admit('first')
+  for (const id of ['a', 'b']) admit(id, { programId: `program ${id}`, previousTurnId: 't' })
+  admit('comes back', { programId: 'p2', previousTurnId: 't1' })
+  await iterate(6)
+  expect(started).toEqual(['first', 'comes back', 'a', 'b'])
+})
+
+// Guards against a turn that is sent from one entry to the other.
+test('a turn that comes back is not refused again for the sake of another entry', async () => {
+  backlog.meanDelayMs = 60
+  for (let i = 0; i < 2; i++) admit(`try ${i}`, { programId: 'p1', previousTurnId: 't1' })
+  await iterate(2)
+  expect([started, refused.length]).toEqual([['try 1'], 1])
+})
+
+// Guards against a turn that has waited for half of its time and is refused in the moment in which it could start.
+test('a turn that has waited for long starts if it can, and is refused if others are before it', async () => {
+  admit('first')
+  admit('next', { programId: 'p1', previousTurnId: 't', remainingMs: 20 })
+  admit('last', { programId: 'p2', previousTurnId: 't', remainingMs: 20 })
+  await iterate(1)
+  const startedAtMs = performance.now()
+  while (performance.now() - startedAtMs < 15);
+  await iterate(3)
+  expect([started, refused.length]).toEqual([['first', 'next'], 1])
+})
+
+// Guards against callers that come back before they can be served, and cost the busy entry a connection each time.
+test.each([
+  ['a turn, when half of its time is longer than its wait', { previousTurnId: 't' }, 200, Infinity, 400, 562],
+  ['a turn, no later than callers wait', { previousTurnId: 't' }, 400, Infinity, 660, 667],
+  ['a new program, when it would wait for its latency target', {}, 100, Infinity, 400, 560],
+  ['a turn that another entry would serve sooner, soon', { previousTurnId: 't' }, 200, 20, 72, 168],
+  ['a call that could be served soon, not at once', { previousTurnId: 't' }, 170, Infinity, 72, 168]
+])('a refused caller comes back: %s', async (_, options, meanDelayMs, betterMs, atLeastMs, atMostMs) => {
+  admission = new Admission(backlog, () => betterMs)
+  backlog.meanDelayMs = meanDelayMs
+  admit('call', { programId: 'p', ...options })
+  await iterate(1)
+  const [{ retryAfterMs } = { retryAfterMs: 0 }] = refused
+  expect(retryAfterMs).toBeGreaterThanOrEqual(atLeastMs)
+  expect(retryAfterMs).toBeLessThanOrEqual(atMostMs)
+})
+
 test('while turns wait for too long, new programs are refused by a hash of their ids, the others go on', async () => {
   vi.spyOn(performance, 'now').mockImplementation(() => nowMs)
   let nowMs = 0
