--- /dev/null
+++ b/standin/power/src/index.ts
@@ -0,0 +1,1 @@
+export { losePower } from './loss.js'
