Storage: a pass fails if another disk replies than the one that has listed its records

Callers, if it strikes: 404 for a turn that was answered whole. By reading; not seen.

If a peer loses its disk and starts again between the list of its records and their fetch (this instance was frozen, or copies in many batches), the new disk has none of them. All were taken for expired, and the pass counted as one over the old disk: this member then counted as synced without them, and a machine that leaves could be removed.

A fetch must be answered by the disk that the list came from. The new case of copier.test.ts failed before: the pass was complete.

--- a/process/storage/src/copier.ts
+++ b/process/storage/src/copier.ts
@@ -1,3 +1,4 @@
+import { PeerError } from '#connection/rpc'
 import type { LedgerPeer } from '#connection/rpc'
 import type { Ledger } from '#process/ledger'
 import type { CompletedPass } from '#process/membership'
@@ -27,7 +28,7 @@
       const digest = await this.peer.digest(request, requestTimeoutMs)
       const { diskId, viewVersion: peerViewVersion } = digest.standing!
       if (startViewVersion < 0) startViewVersion = peerViewVersion
-      copied += await this.copyMissing(digest.keys)
+      copied += await this.copyMissing(digest.keys, diskId)
       // A restarted peer has another epoch and replies from its first record, whatever the cursor.
       this.epoch = digest.epoch
       this.cursor = digest.nextCursor
@@ -38,12 +39,14 @@
     }
   }
 
-  private async copyMissing (keys: readonly string[]): Promise<number> {
+  private async copyMissing (keys: readonly string[], diskId: string): Promise<number> {
     let missing = keys.filter(key => this.ledger.records.get(key) === undefined)
     let copied = 0
     while (missing.length > 0) {
       const batch = missing.slice(0, fetchBatchSize)
-      const { records } = await this.peer.fetch({ keys: batch }, requestTimeoutMs)
+      const { records, standing } = await this.peer.fetch({ keys: batch }, requestTimeoutMs)
+      // A new disk lacks what the one before has listed.
+      if (standing!.diskId !== diskId) throw new PeerError(`another disk replied: ${standing!.diskId}`)
       await this.ledger.persist(records)
       copied += records.length
       const isPartial = records.length < batch.length
--- a/process/storage/test/copier.test.ts
+++ b/process/storage/test/copier.test.ts
@@ -90,3 +90,18 @@
   for (const { disk } of disks) disk.close()
   for (const folder of folders) rmSync(folder, { recursive: true })
 })
+
+// Guards against a member that counts as synced without a record, as its peer had lost the disk that listed the record.
+test('a pass fails if another disk replies than the one that has listed its records', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'copier-'))
+  const { disk, contents } = Disk.open(folder, noopLog)
+  const keys = [recordKey(createTurn('t'))]
+  const peer = {
+    digest: async () => ({ standing, keys, nextCursor: 1, atEnd: true, epoch: 'e' }),
+    fetch: async () => ({ standing: { ...standing, diskId: 'new' }, records: [] })
+  } as unknown as LedgerPeer
+  const copier = new PeerCopier(peer, new Ledger(disk, contents))
+  await expect(copier.runPass(1)).rejects.toThrow('another disk replied: new')
+  disk.close()
+  rmSync(folder, { recursive: true })
+})
