What is sent around the head of a relayed last response is served

Callers saw: requests behind the last response of another entry were dropped if its head came in two pieces or behind a 100 (Continue), and one that crossed the head of a stream that says `close` was dropped at the stream's end, without a line. What was read behind a rejected request was served as a request, though the other entry may have seen the end of the malformed one elsewhere. Cause: the field was looked for in the first chunk of a response only, and only for requests that were held by then; all statuses were treated alike. Change: a head is passed back once it is whole. The `close` is left out also if the response isn't complete with its head, and the connection goes on here. Rejections, responses without a length, and callers that asked for a close keep it.

--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -10,7 +10,7 @@
 import { RelayWord } from './relayword.js'
 import { RequestTracker } from './requesttracker.js'
 import type { RequestReader } from './requesttracker.js'
-import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
+import { findHeadLength, formatBadGateway, isInterim, statusBadGateway, withoutClose } from './responsehead.js'
 import { ResponseTracker } from './responsetracker.js'
 
 /// A request without a complete response of the other entry, whose connection ends.
@@ -52,6 +52,8 @@
 
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
+/// The head of a response that is longer is passed back as it comes.
+const maxHeadBytes = 64 * 1024
 /// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
 /// more.
 const maxStalledMs = 30_000
@@ -78,6 +80,8 @@
   private endWatch = (): void => {}
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
+  /// What has come of the head of a response, and has not been passed back: it may have to be changed.
+  private partialHead: Buffer | null = null
   private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
 
@@ -219,7 +223,9 @@
   /// Returns whether to read on.
   private readonly onPeerData = (bytes: Buffer): boolean => {
     this.options.onChunk()
-    for (let rest = bytes; rest.length > 0 && !this.isEnded && !this.isParked;) {
+    let rest = this.partialHead === null ? bytes : Buffer.concat([this.partialHead, bytes])
+    this.partialHead = null
+    while (rest.length > 0 && !this.isEnded && !this.isParked) {
       const isStopWord = rest[0] === RelayWord.stopping && this.responses.isBetweenMessages
       if (isStopWord) this.drain()
       rest = rest.subarray(isStopWord ? 1 : this.addResponsePart(rest))
@@ -227,28 +233,44 @@
     return !this.options.caller.writableNeedDrain
   }
 
-  /// Passes on what belongs to one response. Returns its length.
+  /// Passes on what belongs to one response, or keeps a head that isn't complete. Returns its length.
   private addResponsePart (bytes: Buffer): number {
+    const { responses, requests } = this
+    responses.isToHead = requests.isHead
+    const isHead = responses.isBetweenMessages
+    const headLength = isHead ? findHeadLength(bytes) : 0
+    if (headLength === null && bytes.length < maxHeadBytes) {
+      this.partialHead = bytes
+      return bytes.length
+    }
+    const length = isHead && isInterim(bytes) ? headLength ?? bytes.length : bytes.length
+    const part = bytes.subarray(0, responses.addMessage(bytes.subarray(0, length)))
+    this.passBack(isHead && responses.isLast && this.mayTakeOver ? this.takeOver(part) : part)
+    return part.length
+  }
+
+  private passBack (part: Buffer): void {
     const { caller } = this.options
-    const { isLast } = this.responses
-    this.responses.isToHead = this.requests.isHead
-    const length = this.responses.addMessage(bytes)
-    const part = bytes.subarray(0, length)
-    const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
-    if (!caller.write(endsWithHeld ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
+    if (!caller.write(part)) destroyIfStalled(caller, maxStalledMs)
     if (!this.isUnderWay) this.requests.forgetHead()
-    if (this.held !== null || this.isDraining) {
-      this.passOn()
-      this.updateReading()
-    }
-    return length
+    if (this.held === null && !this.isDraining) return
+    this.passOn()
+    this.updateReading()
+  }
+
+  /// Whether the connection should go on here after the last response of the other entry: a request is held, or may
+  /// come before the response ends.
+  private get mayTakeOver (): boolean {
+    const { requests, responses, isClosing, held } = this
+    if (!requests.isBetweenMessages || requests.endsConnection) return false
+    return held !== null || (!isClosing && !responses.isBetweenMessages)
   }
 
-  /// The other entry ends its connection with this response, but requests behind it have been read here: the field is
-  /// left out, as it concerns that connection only (RFC 9110, section 7.6.1), and they are served here.
-  private takeOver (chunk: Buffer): Buffer {
-    const kept = withoutClose(chunk)
-    if (kept === null) return chunk
+  /// The other entry ends its connection with this response, and requests behind it are served here: the field is left
+  /// out, as it concerns that connection only (RFC 9110, section 7.6.1).
+  private takeOver (part: Buffer): Buffer {
+    const kept = withoutClose(part)
+    if (kept === null) return part
     this.responses.isLast = false
     this.isDraining = true
     return kept
--- a/process/relay/src/requesttracker.ts
+++ b/process/relay/src/requesttracker.ts
@@ -33,6 +33,11 @@
     return this.knownDeadlineMs
   }
 
+  /// Whether the caller expects its connection to end with the response to the latest request.
+  get endsConnection (): boolean {
+    return /^\S+ \S+ HTTP\/1\.0|^connection:(?:[^\r\n]*,)?[ \t]*close[ \t]*(?:,|$)/im.test(this.head)
+  }
+
   /// Must be called when the latest request has its response: its text isn't kept in memory.
   forgetHead (): void {
     this.head = ''
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -396,6 +396,75 @@
   expect([onUnanswered.mock.calls, onReturned.mock.calls.length]).toEqual([[], 1])
 })
 
+const interim = 'HTTP/1.1 100 Continue\r\n\r\n'
+const last = formatResponse(503, 'connection: close\r\n')
+
+// Guards against LOST: what was read behind a last response was dropped, if its head didn't come at once and by itself.
+test.each<[string, string[]]>([
+  ['in two pieces', [last.slice(0, 30), last.slice(30)]],
+  ['cut at the end of its head', [last.slice(0, -3), last.slice(-3)]],
+  ['byte by byte', [...last]],
+  ['behind an interim response', [interim + last]],
+  ['after an interim response', [interim, last]],
+  ['in a piece with an interim response', [interim + last.slice(0, 30), last.slice(30)]]
+])('requests are held behind a last response, which comes %s: they are served here', async (_, pieces) => {
+  const { caller, entry, onReturned, onUnanswered, accepted } = await relay()
+  let served: End | null = null
+  onReturned.mockImplementation(() => { served = new End(accepted) })
+  caller.socket.write(pipelined)
+  await entry.receive(1)
+  entry.socket.setNoDelay()
+  for (const piece of pieces) {
+    entry.socket.write(piece)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+  entry.socket.end()
+  await vi.waitFor(() => expect(served?.messages).toEqual(['a2', 'a3']))
+  expect(onUnanswered).not.toHaveBeenCalled()
+  expect(caller.text).toBe((pieces[0]!.startsWith(interim) ? interim : '') + formatResponse(503))
+})
+
+const chunkedHead = 'HTTP/1.1 200 X\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n'
+
+// Guards against LOST: a request that crossed the head of the last response was dropped when the response ended.
+test('a request crosses the head of a stream that says `close`: it is served here when the stream ends', async () => {
+  const { caller, entry, onReturned, onUnanswered, accepted } = await relay()
+  let served: End | null = null
+  onReturned.mockImplementation(() => { served = new End(accepted) })
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  entry.socket.write(chunkedHead + '1\r\nx\r\n')
+  await vi.waitFor(() => expect(caller.text).toMatch(/x\r\n$/))
+  caller.socket.write(formatRequest('a2'))
+  await new Promise(resolve => setTimeout(resolve, 20))
+  entry.socket.end('0\r\n\r\n')
+  await vi.waitFor(() => expect(served?.messages).toEqual(['a2']))
+  expect([caller.isClosed, entry.messages, onUnanswered.mock.calls]).toEqual([false, ['a1'], []])
+})
+
+test.each<[string, string, string]>([
+  ['asked for by the caller', 'POST /a1 HTTP/1.1\r\nhost: h\r\nConnection: close\r\ncontent-length: 0\r\n\r\n', formatResponse(200, 'connection: close\r\n')],
+  ['of a response without a length', formatRequest('a1'), 'HTTP/1.1 200 X\r\nconnection: close\r\n\r\nok'],
+  ['of a rejection', formatRequest('a1'), formatResponse(400, 'connection: close\r\n')]
+])('the close %s is passed on, and the connection ends', async (_, request, response) => {
+  const { caller, entry, onUnanswered } = await relay()
+  caller.socket.write(request)
+  await entry.receive(1)
+  entry.socket.end(response)
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true))
+  expect([caller.text, caller.isReset, onUnanswered.mock.calls]).toEqual([response, false, []])
+})
+
+// Guards against requests hidden in a malformed one, whose end the other entry may see elsewhere.
+test('what was read behind a rejected request is not served', async () => {
+  const { caller, entry, onReturned, onUnanswered } = await relay()
+  caller.socket.write(pipelined)
+  await entry.receive(1)
+  entry.socket.end(formatResponse(400, 'connection: close\r\n'))
+  await vi.waitFor(() => expect(caller.isClosed).toBe(true))
+  expect([caller.messages, onReturned.mock.calls.length, onUnanswered.mock.calls.length]).toEqual([['400'], 0, 1])
+})
+
 // Guards against connections that are never closed, as neither entry can write on.
 test('a caller that stops reading a response does not keep its connections for good, and this is reported', async () => {
   const { caller, entry, accepted, onUnanswered, onEnd } = await relay()
