--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -7,10 +7,10 @@
 import type { RelayOrigin } from './origin.js'
 import { watchOverdue } from './overduewatch.js'
 import { connectPeer } from './peerconnection.js'
-import { RelayWord } from './relayword.js'
+import { PeerReader } from './peerreader.js'
 import { RequestTracker } from './requesttracker.js'
 import type { RequestReader } from './requesttracker.js'
-import { findHeadLength, formatBadGateway, isInterim, statusBadGateway, withoutClose } from './responsehead.js'
+import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
 import { ResponseTracker } from './responsetracker.js'
 
 /// A request without a complete response of the other entry, whose connection ends.
@@ -52,8 +52,6 @@
 
 /// A caller that has sent more than this behind a request is not read until the response is complete.
 const maxHeldBytes = 64 * 1024
-/// The head of a response that is longer is passed back as it comes.
-const maxHeadBytes = 64 * 1024
 /// How long a caller may read nothing of what waits for it. The system reports progress in steps of a megabyte or
 /// more.
 const maxStalledMs = 30_000
@@ -80,10 +78,13 @@
   private endWatch = (): void => {}
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
-  /// What has come of the head of a response, and has not been passed back: it may have to be changed.
-  private partialHead: Buffer | null = null
   private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
+  private readonly peerReader = new PeerReader(this.responses, {
+    isOver: () => this.isEnded || this.isParked,
+    onStopWord: () => this.drain(),
+    onPart: (part, hasHead) => this.onResponsePart(part, hasHead)
+  })
 
   constructor (private readonly options: RelayedConnectionOptions) {
     const { caller, entry, reader } = options
@@ -223,35 +224,15 @@
   /// Returns whether to read on.
   private readonly onPeerData = (bytes: Buffer): boolean => {
     this.options.onChunk()
-    let rest = this.partialHead === null ? bytes : Buffer.concat([this.partialHead, bytes])
-    this.partialHead = null
-    while (rest.length > 0 && !this.isEnded && !this.isParked) {
-      const isStopWord = rest[0] === RelayWord.stopping && this.responses.isBetweenMessages
-      if (isStopWord) this.drain()
-      rest = rest.subarray(isStopWord ? 1 : this.addResponsePart(rest))
-    }
+    this.responses.isToHead = this.requests.isHead
+    this.peerReader.add(bytes)
     return !this.options.caller.writableNeedDrain
   }
 
-  /// Passes on what belongs to one response, or keeps a head that isn't complete. Returns its length.
-  private addResponsePart (bytes: Buffer): number {
-    const { responses, requests } = this
-    responses.isToHead = requests.isHead
-    const isHead = responses.isBetweenMessages
-    const headLength = isHead ? findHeadLength(bytes) : 0
-    if (headLength === null && bytes.length < maxHeadBytes) {
-      this.partialHead = bytes
-      return bytes.length
-    }
-    const length = isHead && isInterim(bytes) ? headLength ?? bytes.length : bytes.length
-    const part = bytes.subarray(0, responses.addMessage(bytes.subarray(0, length)))
-    this.passBack(isHead && responses.isLast && this.mayTakeOver ? this.takeOver(part) : part)
-    return part.length
-  }
-
-  private passBack (part: Buffer): void {
+  private onResponsePart (part: Buffer, hasHead: boolean): void {
     const { caller } = this.options
-    if (!caller.write(part)) destroyIfStalled(caller, maxStalledMs)
+    const isTakenOver = hasHead && this.responses.isLast && this.mayTakeOver
+    if (!caller.write(isTakenOver ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
     if (!this.isUnderWay) this.requests.forgetHead()
     if (this.held === null && !this.isDraining) return
     this.passOn()
