A busy entry's relayed connections aren't drained for one late response

Cause: an entry whose event loop is late answers a deadline late, which isn't told from a silent connection; draining all its connections would move their calls to an entry that is busier. Change: they are drained only if the entry last said that a call takes up to 100 ms there. New connections avoid it for a second in any case. Tests: directory.test.ts; not tried under load.

--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -58,6 +58,8 @@
 const sameZoneMs = 1
 const otherZoneMs = 4
 const avoidAfterFailureMs = 1000
+/// An entry at which a call takes longer may answer late.
+const maxPromptMs = 100
 /// Callers are asked to reconnect if at least this share of their connections would be relayed.
 const minReconnectRoom = 0.5
 /// An entry that has asked for a report within so many ticks may relay connections here.
@@ -162,9 +164,11 @@
     entry.avoidUntilMs = performance.now() + avoidAfterFailureMs
   }
 
-  /// A connection to it has gone silent, so others may have: they get no further calls.
+  /// A connection to it was silent at the deadline of a request, so others may be: they get no further calls, unless
+  /// the entry is so busy that it may only be late.
   recordSilence (entry: OtherEntry): void {
     this.recordFailure(entry)
+    if (entry.expectedMs > maxPromptMs) return
     for (const onUnavailable of [...entry.onUnavailable]) onUnavailable()
   }
 
