--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -7,7 +7,7 @@
 import type { RelayOrigin } from './origin.js'
 import { watchOverdue } from './overduewatch.js'
 import { connectPeer } from './peerconnection.js'
-import { RelayWord } from './relayword.js'
+import { PeerReader } from './peerreader.js'
 import { RequestTracker } from './requesttracker.js'
 import type { RequestReader } from './requesttracker.js'
 import { formatBadGateway, statusBadGateway, withoutClose } from './responsehead.js'
@@ -80,6 +80,11 @@
   private held: Buffer | null = null
   private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
+  private readonly peerReader = new PeerReader(this.responses, {
+    isOver: () => this.isEnded || this.isParked,
+    onStopWord: () => this.drain(),
+    onPart: (part, hasHead) => this.onResponsePart(part, hasHead)
+  })
 
   constructor (private readonly options: RelayedConnectionOptions) {
     const { caller, entry, reader } = options
@@ -219,36 +224,34 @@
   /// Returns whether to read on.
   private readonly onPeerData = (bytes: Buffer): boolean => {
     this.options.onChunk()
-    for (let rest = bytes; rest.length > 0 && !this.isEnded && !this.isParked;) {
-      const isStopWord = rest[0] === RelayWord.stopping && this.responses.isBetweenMessages
-      if (isStopWord) this.drain()
-      rest = rest.subarray(isStopWord ? 1 : this.addResponsePart(rest))
-    }
+    this.responses.isToHead = this.requests.isHead
+    this.peerReader.add(bytes)
     return !this.options.caller.writableNeedDrain
   }
 
-  /// Passes on what belongs to one response. Returns its length.
-  private addResponsePart (bytes: Buffer): number {
+  private onResponsePart (part: Buffer, hasHead: boolean): void {
     const { caller } = this.options
-    const { isLast } = this.responses
-    this.responses.isToHead = this.requests.isHead
-    const length = this.responses.addMessage(bytes)
-    const part = bytes.subarray(0, length)
-    const endsWithHeld = !isLast && this.responses.isLast && this.held !== null
-    if (!caller.write(endsWithHeld ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
+    const isTakenOver = hasHead && this.responses.isLast && this.mayTakeOver
+    if (!caller.write(isTakenOver ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
     if (!this.isUnderWay) this.requests.forgetHead()
-    if (this.held !== null || this.isDraining) {
-      this.passOn()
-      this.updateReading()
-    }
-    return length
+    if (this.held === null && !this.isDraining) return
+    this.passOn()
+    this.updateReading()
+  }
+
+  /// Whether the connection should go on here after the last response of the other entry: a request is held, or may
+  /// come before the response ends.
+  private get mayTakeOver (): boolean {
+    const { requests, responses, isClosing, held } = this
+    if (!requests.isBetweenMessages || requests.endsConnection) return false
+    return held !== null || (!isClosing && !responses.isBetweenMessages)
   }
 
-  /// The other entry ends its connection with this response, but requests behind it have been read here: the field is
-  /// left out, as it concerns that connection only (RFC 9110, section 7.6.1), and they are served here.
-  private takeOver (chunk: Buffer): Buffer {
-    const kept = withoutClose(chunk)
-    if (kept === null) return chunk
+  /// The other entry ends its connection with this response, and requests behind it are served here: the field is left
+  /// out, as it concerns that connection only (RFC 9110, section 7.6.1).
+  private takeOver (part: Buffer): Buffer {
+    const kept = withoutClose(part)
+    if (kept === null) return part
     this.responses.isLast = false
     this.isDraining = true
     return kept
