Soak: losses of power (POWER=1), on a machine of the stand-in that keeps what was synced

A SIGKILL keeps the page cache, so no run of ours had lost what wasn't synced. standin/machine replaces functions of node:fs in the daemon's process and keeps the synced state of its data folder; after the process has ended the folder is put into the state that a loss of power may leave.

--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -1,6 +1,8 @@
-import { mkdir, writeFile } from 'node:fs/promises'
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { runSoak } from '#standin/soak'
+import { buildMachine } from '#standin/system'
 import { exitAtSignals } from './signals.js'
 
 // Runs the soak of planned work with one seed after the other: npm run soak:planned -- [FIRST_SEED [SEEDS [SECONDS]]]
@@ -9,17 +11,20 @@
 // CALLERS, ENTRIES and ENGINES say how many of them a run has. With CHANGES=1 storage machines are added, replaced and
 // retired; with FAULTY=1 instances break off, lose answers or refuse; with END=1 all processes are killed at the end,
 // and turns are gone on from after that. SHARE=0.5 gives each entry half a processor. With ALONE=1 callers send one
-// request after the other.
+// request after the other. With POWER=1 machines lose power: what they haven't synced is lost.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const graceMs = 8000
+const bundle = 'target/chicorynotchd.cjs'
 
 exitAtSignals()
+const machineFolder = await mkdtemp(join(tmpdir(), 'chicorynotch-machine-'))
+const command = await buildMachine(machineFolder, bundle)
 
 let findingCount = 0
 for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
   const { attempts, statuses, disturbances, findings, breaches, reached, endsAtBoot, lines, logs } = await runSoak({
-    command: [process.execPath, 'target/chicorynotchd.cjs'],
+    command,
     seed,
     durationMs: durationS * 1000,
     callers: Number(process.env.CALLERS ?? 60),
@@ -31,6 +36,7 @@
     hasFaultyInstances: process.env.FAULTY === '1',
     changesStorage: process.env.CHANGES === '1',
     hasFinalFault: process.env.END === '1',
+    losesPower: process.env.POWER === '1',
     ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) }
   })
   findingCount += findings.length
@@ -43,4 +49,5 @@
   await writeFile(join(process.env.LOGS, `${seed}-disturbances.log`), `${disturbances.join('\n')}\n`)
   for (const [name, log] of Object.entries(logs)) await writeFile(join(process.env.LOGS, `${seed}-${name}.log`), `${log.join('\n')}\n`)
 }
+await rm(machineFolder, { recursive: true, force: true })
 process.exit(findingCount === 0 ? 0 : 1)
--- /dev/null
+++ b/standin/machine/src/index.ts
@@ -0,0 +1,3 @@
+export { losePower, PowerLoss } from './powerloss.js'
+export { trackFiles } from './trackedfiles.js'
+export type { DiskBehaviour } from './trackedfiles.js'
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -4,6 +4,7 @@
 import { Faults } from './faults.js'
 import type { Observations } from './observations.js'
 import { PlannedWork } from './plannedwork.js'
+import { PowerFaults } from './powerfaults.js'
 import type { Random } from './random.js'
 import { StorageChanges } from './storagechanges.js'
 import { StorageTurns } from './storageturns.js'
@@ -16,6 +17,8 @@
   readonly changesStorage: boolean
   /// Whether instances break off, lose answers or refuse at times.
   readonly hasFaultyInstances: boolean
+  /// Whether machines lose power.
+  readonly losesPower?: boolean
 }
 
 const minIntervalMs = 150
@@ -32,6 +35,7 @@
   private readonly storageChanges: StorageChanges
   private readonly plannedWork: PlannedWork
   private readonly faults: Faults
+  private readonly powerFaults: PowerFaults
 
   constructor (
     system: StandinSystem,
@@ -47,6 +51,7 @@
       system, supervisor, observations, log, storageTurns, random, graceMs: options.graceMs
     })
     this.faults = new Faults({ system, supervisor, log, storageTurns, random })
+    this.powerFaults = new PowerFaults({ system, supervisor, log, storageTurns, random })
     this.storageChanges = new StorageChanges(system, supervisor, random.fork(), {
       add: text => { log.add('signal', null, 0, text) },
       addLoss: text => {
@@ -70,12 +75,13 @@
   ]
 
   async run (isOver: () => boolean): Promise<void> {
-    const { hasTrouble, changesStorage, hasFaultyInstances } = this.options
+    const { hasTrouble, changesStorage, hasFaultyInstances, losesPower = false } = this.options
     const actions = [
       ...this.plannedWork.actions,
       ...hasTrouble ? this.faults.actions : [],
       ...changesStorage ? this.changes : [],
-      ...hasFaultyInstances ? [() => this.faults.failInstance()] : []
+      ...hasFaultyInstances ? [() => this.faults.failInstance()] : [],
+      ...losesPower ? this.powerFaults.actions : []
     ]
     while (!isOver()) {
       this.start(this.random.pick(actions))
--- a/standin/soak/src/finalfault.ts
+++ b/standin/soak/src/finalfault.ts
@@ -17,6 +17,8 @@
   readonly random: Random
   /// Whether a disk may be lost, as no other one is missing.
   readonly mayLoseDisk: () => boolean
+  /// Whether all machines may lose power.
+  readonly losesPower: boolean
 }
 
 const downMs = 1000
@@ -27,9 +29,12 @@
 const lanes = 20
 const retryIntervalMs = 700
 const lineId = 'end'
+const powerLossShare = 0.8
+/// Of the losses of power, so many lose a disk besides.
+const diskBesidePowerShare = 0.7
 
 /// The end of a day: right after a turn was answered whole all processes are killed at one moment, one storage instance
-/// loses its disk, and all come back. Then the turns of the last seconds are gone on from.
+/// loses its disk, all others may lose power, and all come back. Then the turns of the last seconds are gone on from.
 export class FinalFault {
   private count = 0
 
@@ -50,17 +55,20 @@
 
   /// Resolves when all are killed.
   private killAfterTurn (): Promise<void> {
-    const { system, supervisor, observations, random, mayLoseDisk } = this.options
+    const { system, supervisor, observations, random, mayLoseDisk, losesPower } = this.options
     const diskLoser = random.pick(system.storages)
+    const powerRandom = losesPower && random.next() < powerLossShare ? random.fork() : null
+    const maySpareDisk = powerRandom !== null && random.next() > diskBesidePowerShare
     return new Promise(resolve => {
       observations.onAttempt = attempt => {
         if (!isWholeTurn(attempt)) return
         observations.onAttempt = () => {}
-        const isLost = mayLoseDisk() && system.storages.includes(diskLoser)
+        const isLost = mayLoseDisk() && !maySpareDisk && system.storages.includes(diskLoser)
         const startMs = performance.now()
-        supervisor.killAll(isLost ? diskLoser : null, downMs)
+        supervisor.killAll(system.nodes, isLost ? diskLoser : null, downMs, powerRandom)
         observations.finalFault = { startMs, backAtMs: startMs + downMs }
-        const text = `all are killed ${isLost ? `and ${diskLoser.name} loses its disk ` : ''}at ${Math.round(startMs)} ms`
+        const way = powerRandom === null ? 'are killed' : 'lose power'
+        const text = `all ${way} ${isLost ? `and ${diskLoser.name} loses its disk ` : ''}at ${Math.round(startMs)} ms`
         observations.disturbances.push({ kind: 'unplanned', entry: null, startMs, endMs: startMs + downMs, text })
         resolve()
       }
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -34,6 +34,8 @@
   readonly hasFaultyInstances?: boolean
   /// Whether all processes are killed at the end, one storage instance loses its disk, and turns are gone on from then.
   readonly hasFinalFault?: boolean
+  /// Whether machines lose power, in the middle and at the end. `command` must run them on a machine of the stand-in.
+  readonly losesPower?: boolean
   /// The share of a processor that each entry gets; without it there is no limit.
   readonly entryShare?: number
   readonly entries?: number
@@ -81,7 +83,7 @@
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
   const { command, seed, durationMs, graceMs, hasTrouble, entries = defaultEntries, engines = defaultEngines } = options
   const { sendsBatches = true, changesStorage = false, hasFaultyInstances = false } = options
-  const { hasFinalFault = false, entryShare } = options
+  const { hasFinalFault = false, losesPower = false, entryShare } = options
   const random = new Random(seed)
   const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs })
   const observations = new Observations()
@@ -104,7 +106,7 @@
     const callers = Array.from({ length: options.callers }, (_, i) => {
       return new Caller(`s${seed}c${i}`, balancer, observations, random.fork(), sendsBatches).run(() => isTrafficOver)
     })
-    const disturbances = { graceMs, hasTrouble, changesStorage, hasFaultyInstances }
+    const disturbances = { graceMs, hasTrouble, changesStorage, hasFaultyInstances, losesPower }
     const disturber = new Disturber(system, supervisor, observations, random.fork(), disturbances)
     await sleep(settleMs)
     await disturber.run(isOver)
@@ -114,7 +116,9 @@
     }
     if (hasFinalFault) {
       const mayLoseDisk = (): boolean => !disturber.isDiskMissing
-      await new FinalFault({ system, supervisor, balancer, observations, random: random.fork(), mayLoseDisk }).play()
+      await new FinalFault({
+        system, supervisor, balancer, observations, random: random.fork(), mayLoseDisk, losesPower
+      }).play()
     }
     isTrafficOver = true
     await disturber.settle()
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -1,8 +1,10 @@
 import { connect } from 'node:net'
 import { sleep } from '#process/clock'
+import { losePower, PowerLoss } from '#standin/machine'
 import { throttle } from '#standin/system'
 import type { StandinSystem, SystemNode } from '#standin/system'
 import type { Observations, ProcessLife } from './observations.js'
+import type { Random } from './random.js'
 
 export type Signal = 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'
 
@@ -27,6 +29,8 @@
 export class Supervisor {
   private readonly lives = new Map<SystemNode, ProcessLife>()
   private readonly diskLosers = new Set<SystemNode>()
+  /// Machines that have lost power, and what that leaves on their disks.
+  private readonly powerLosers = new Map<SystemNode, { readonly loss: PowerLoss, readonly random: Random }>()
   private readonly removed = new Set<SystemNode>()
   private readonly shares = new Map<SystemNode, number>()
   private readonly throttles = new Map<SystemNode, () => void>()
@@ -64,10 +68,24 @@
     this.signal(node, 'SIGKILL')
   }
 
-  /// Kills all processes at one moment, whatever they do. They are started again after `delayMs`.
-  killAll (diskLoser: SystemNode | null, delayMs: number): void {
+  /// Kills the process, whose machine loses power: what it hasn't synced is lost, or some of it. Returns what is.
+  cutPower (node: SystemNode, random: Random): PowerLoss {
+    const loss = random.pick(Object.values(PowerLoss))
+    this.powerLosers.set(node, { loss, random: random.fork() })
+    this.kill(node, false)
+    return loss
+  }
+
+  /// Kills all processes of `nodes` at one moment, whatever they do. They are started again after `delayMs`. All but
+  /// `diskLoser` lose power if `powerRandom` isn't null.
+  killAll (
+    nodes: readonly SystemNode[], diskLoser: SystemNode | null, delayMs: number, powerRandom: Random | null = null
+  ): void {
     this.delayMs = delayMs
-    for (const node of this.system.nodes) this.kill(node, node === diskLoser)
+    for (const node of nodes) {
+      if (powerRandom === null || node === diskLoser) this.kill(node, node === diskLoser)
+      else this.cutPower(node, powerRandom)
+    }
     setTimeout(() => { this.delayMs = restartDelayMs }, delayMs)
   }
 
@@ -161,6 +179,9 @@
   private async startAgain (node: SystemNode): Promise<void> {
     await sleep(this.delayMs)
     if (this.isOver || this.removed.has(node)) return
+    const { loss, random } = this.powerLosers.get(node) ?? {}
+    this.powerLosers.delete(node)
+    if (loss !== undefined) losePower(node.dataDir, loss, () => random!.next())
     await this.system.startAgain(node, this.diskLosers.delete(node))
     this.throttleProcess(node)
     this.watch(node)
--- a/standin/system/src/build.ts
+++ b/standin/system/src/build.ts
@@ -18,3 +18,11 @@
   await promisify(execFile)(process.execPath, [launcher, '--make-code-cache'])
   return [process.execPath, launcher]
 }
+
+/// Builds the program that runs a daemon's bundle on a machine whose disk can lose power. Returns the program and
+/// arguments that start it.
+export async function buildMachine (folder: string, bundle: string): Promise<readonly string[]> {
+  const outfile = join(folder, 'machine.cjs')
+  await build({ ...common, entryPoints: ['standin/machine/src/main.ts'], outfile })
+  return [process.execPath, outfile, bundle]
+}
--- a/standin/system/src/index.ts
+++ b/standin/system/src/index.ts
@@ -1,4 +1,4 @@
-export { buildDaemon } from './build.js'
+export { buildDaemon, buildMachine } from './build.js'
 export { findFreePorts } from './ports.js'
 export { StandinSystem, createConfiguration, instanceSlots, tokensPerEvent } from './system.js'
 export type { SystemNode, SystemOptions } from './system.js'
