Soak: cuts, slow and silent links, store that turns single machines away (CUTS=1), slow and full disks, clock steps (DISKS=1); LOST's sentences on turns checked more strictly

Turns after a final fault that are given up early count now, tries are counted by line after it, too, and tries during trouble no longer hide others in calm.

--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -11,7 +11,8 @@
 // CALLERS, ENTRIES and ENGINES say how many of them a run has. With CHANGES=1 storage machines are added, replaced and
 // retired; with FAULTY=1 instances break off, lose answers or refuse; with END=1 all processes are killed at the end,
 // and turns are gone on from after that. SHARE=0.5 gives each entry half a processor. With ALONE=1 callers send one
-// request after the other. With POWER=1 machines lose power: what they haven't synced is lost.
+// request after the other. With POWER=1 machines lose power: what they haven't synced is lost. With CUTS=1 links are
+// cut, slow or silent; with DISKS=1 disks are slow or full and clocks step.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const graceMs = 8000
@@ -36,7 +37,10 @@
     hasFaultyInstances: process.env.FAULTY === '1',
     changesStorage: process.env.CHANGES === '1',
     hasFinalFault: process.env.END === '1',
+    hasMachines: true,
     losesPower: process.env.POWER === '1',
+    cutsLinks: process.env.CUTS === '1',
+    disturbsDisks: process.env.DISKS === '1',
     ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) }
   })
   findingCount += findings.length
--- a/standin/soak/src/breaches.ts
+++ b/standin/soak/src/breaches.ts
@@ -24,6 +24,7 @@
   'previous turn denied': findings => findings.length > 0,
   'previous turn reaches no instance': findings => findings.length > 0,
   'previous turn not reached by the end of recovery': findings => findings.length > 0,
+  'previous turn given up before the end of recovery': findings => findings.length > 0,
   'previous turn reaches no instance at the end': findings => findings.length > 0
 }
 
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -2,6 +2,9 @@
 import type { StandinSystem } from '#standin/system'
 import { DisturbanceLog } from './disturbancelog.js'
 import { Faults } from './faults.js'
+import { MachineFaults } from './machinefaults.js'
+import { Machines } from './machines.js'
+import { NetworkFaults } from './networkfaults.js'
 import type { Observations } from './observations.js'
 import { PlannedWork } from './plannedwork.js'
 import { PowerFaults } from './powerfaults.js'
@@ -19,6 +22,10 @@
   readonly hasFaultyInstances: boolean
   /// Whether machines lose power.
   readonly losesPower?: boolean
+  /// Whether links between machines, and of single machines to the store, are cut, slow or go silent.
+  readonly cutsLinks?: boolean
+  /// Whether disks are slow or full, and clocks step.
+  readonly disturbsDisks?: boolean
 }
 
 const minIntervalMs = 150
@@ -36,6 +43,8 @@
   private readonly plannedWork: PlannedWork
   private readonly faults: Faults
   private readonly powerFaults: PowerFaults
+  private readonly networkFaults: NetworkFaults
+  private readonly machineFaults: MachineFaults
 
   constructor (
     system: StandinSystem,
@@ -52,6 +61,10 @@
     })
     this.faults = new Faults({ system, supervisor, log, storageTurns, random })
     this.powerFaults = new PowerFaults({ system, supervisor, log, storageTurns, random })
+    const machines = new Machines()
+    supervisor.onLaunch = node => machines.restore(node)
+    this.networkFaults = new NetworkFaults({ system, machines, log, random })
+    this.machineFaults = new MachineFaults({ system, machines, log, random })
     this.storageChanges = new StorageChanges(system, supervisor, random.fork(), {
       add: text => { log.add('signal', null, 0, text) },
       addLoss: text => {
@@ -75,13 +88,16 @@
   ]
 
   async run (isOver: () => boolean): Promise<void> {
-    const { hasTrouble, changesStorage, hasFaultyInstances, losesPower = false } = this.options
+    const { hasTrouble, changesStorage, hasFaultyInstances } = this.options
+    const { losesPower = false, cutsLinks = false, disturbsDisks = false } = this.options
     const actions = [
       ...this.plannedWork.actions,
       ...hasTrouble ? this.faults.actions : [],
       ...changesStorage ? this.changes : [],
       ...hasFaultyInstances ? [() => this.faults.failInstance()] : [],
-      ...losesPower ? this.powerFaults.actions : []
+      ...losesPower ? this.powerFaults.actions : [],
+      ...cutsLinks ? this.networkFaults.actions : [],
+      ...disturbsDisks ? this.machineFaults.actions : []
     ]
     while (!isOver()) {
       this.start(this.random.pick(actions))
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -4,7 +4,9 @@
 import { charge, kinds, turn } from './kinds.js'
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import { noStatus } from './response.js'
-import { findDeniedTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn } from './turnrules.js'
+import {
+  findDeniedTurn, findGivenUpTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn
+} from './turnrules.js'
 
 // The sentences of the users' rule LOST, and those near it, as the callers and instances saw them.
 
@@ -32,6 +34,7 @@
   'previous turn denied': findDeniedTurn,
   'previous turn reaches no instance': findUnreachableTurn,
   'previous turn not reached by the end of recovery': findUnrecoveredTurn,
+  'previous turn given up before the end of recovery': findGivenUpTurn,
   'previous turn reaches no instance at the end': findUnreachableAtEnd,
   'run and cut': findCutRun,
   'sound request denied': ({ status, isComplete, previousTurnId }) => {
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -34,8 +34,14 @@
   readonly hasFaultyInstances?: boolean
   /// Whether all processes are killed at the end, one storage instance loses its disk, and turns are gone on from then.
   readonly hasFinalFault?: boolean
-  /// Whether machines lose power, in the middle and at the end. `command` must run them on a machine of the stand-in.
+  /// Whether `command` runs processes on machines of the stand-in. The next three need that.
+  readonly hasMachines?: boolean
+  /// Whether machines lose power, in the middle and at the end.
   readonly losesPower?: boolean
+  /// Whether links between machines, and of single machines to the store, are cut, slow or go silent.
+  readonly cutsLinks?: boolean
+  /// Whether disks are slow or full, and clocks step.
+  readonly disturbsDisks?: boolean
   /// The share of a processor that each entry gets; without it there is no limit.
   readonly entryShare?: number
   readonly entries?: number
@@ -83,9 +89,9 @@
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
   const { command, seed, durationMs, graceMs, hasTrouble, entries = defaultEntries, engines = defaultEngines } = options
   const { sendsBatches = true, changesStorage = false, hasFaultyInstances = false } = options
-  const { hasFinalFault = false, losesPower = false, entryShare } = options
+  const { hasFinalFault = false, losesPower = false, hasMachines = false, entryShare } = options
   const random = new Random(seed)
-  const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs })
+  const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs, hasMachines })
   const observations = new Observations()
   await system.start()
   const balancer = new Balancer(system.entries)
@@ -106,7 +112,10 @@
     const callers = Array.from({ length: options.callers }, (_, i) => {
       return new Caller(`s${seed}c${i}`, balancer, observations, random.fork(), sendsBatches).run(() => isTrafficOver)
     })
-    const disturbances = { graceMs, hasTrouble, changesStorage, hasFaultyInstances, losesPower }
+    const { cutsLinks = false, disturbsDisks = false } = options
+    const disturbances = {
+      graceMs, hasTrouble, changesStorage, hasFaultyInstances, losesPower, cutsLinks, disturbsDisks
+    }
     const disturber = new Disturber(system, supervisor, observations, random.fork(), disturbances)
     await sleep(settleMs)
     await disturber.run(isOver)
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -36,6 +36,8 @@
   private readonly throttles = new Map<SystemNode, () => void>()
   private delayMs = restartDelayMs
   private isOver = false
+  /// Called with each process that is started, but for the first ones.
+  onLaunch: (node: SystemNode) => void = () => {}
   /// Called right after the start of a process that has ended.
   onStart: (node: SystemNode) => void = () => {}
 
@@ -98,6 +100,7 @@
   /// Adds an empty storage instance.
   async addStorage (): Promise<SystemNode> {
     const node = await this.system.addStorage()
+    this.onLaunch(node)
     this.watch(node)
     return node
   }
@@ -183,6 +186,7 @@
     this.powerLosers.delete(node)
     if (loss !== undefined) losePower(node.dataDir, loss, () => random!.next())
     await this.system.startAgain(node, this.diskLosers.delete(node))
+    this.onLaunch(node)
     this.throttleProcess(node)
     this.watch(node)
     this.onStart(node)
--- a/standin/soak/src/turnrules.ts
+++ b/standin/soak/src/turnrules.ts
@@ -33,8 +33,9 @@
 export const findUnreachableTurn: TurnCheck = (attempt, observations) => {
   if (attempt.previousTurnId === null || observations.runs.has(attempt.id)) return null
   if (findAgeMs(attempt, observations) === null) return null
-  const all = triesUntil(attempt, observations)
-  const ofLine = all.filter(({ lineId }) => lineId === attempt.lineId)
+  if (hasUnplanned(attempt, observations)) return null
+  const all = triesUntil(attempt, observations).filter(other => !hasUnplanned(other, observations))
+  const ofLine = all.filter(other => isOfLine(other, attempt))
   const tries = [all, ofLine].map(some => some.slice(-maxTriesInVain)).find(some => areInVain(some, observations))
   if (tries === undefined) return null
   const firstTurns = findFirstTurnsBeside(tries, observations)
@@ -42,28 +43,35 @@
     `beside ${firstTurns.length} first turns`
 }
 
-/// Whether enough tries reached no instance without trouble, while first turns did.
+/// Whether enough tries reached no instance, while first turns did.
 function areInVain (tries: readonly Attempt[], observations: Observations): boolean {
-  return tries.length >= maxTriesInVain &&
-    tries.every(other => !observations.runs.has(other.id) && !hasUnplanned(other, observations)) &&
+  return tries.length >= maxTriesInVain && tries.every(({ id }) => !observations.runs.has(id)) &&
     areReached(findFirstTurnsBeside(tries, observations), observations)
 }
 
 /// After the final fault a turn reaches no instance by the end of the recovery time, though others are served.
 export const findUnrecoveredTurn: TurnCheck = (attempt, observations) => {
-  const { finalFault, runs, attempts } = observations
+  const { finalFault, runs } = observations
   if (finalFault === null || attempt.startedAtMs < finalFault.backAtMs) return null
   const recoveredAtMs = finalFault.backAtMs + recoveryMs
   const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= finalFault.startMs)
   if (!isLastByRecovery(attempt, tries, recoveredAtMs, observations)) return null
   if (findAgeMs(attempt, observations) === null || tries.some(({ id }) => runs.has(id))) return null
-  const others = attempts.filter(other => {
-    return isTurn(other) && other.previousTurnId !== attempt.previousTurnId && other.startedAtMs >= recoveredAtMs
-  })
-  const servedCount = others.filter(isWholeTurn).length
-  if (others.length === 0 || servedCount < others.length * minServedShare) return null
+  const others = findOtherTurns(attempt, recoveredAtMs, observations)
+  if (!areServed(others)) return null
   return `${tries.length} tries to go on from ${attempt.previousTurnId} in ${Math.round(attempt.endedAtMs - finalFault.backAtMs)} ms ` +
-    `after all are back${formatStatuses(tries)}; ${servedCount} of ${others.length} others were served`
+    `after all are back${formatStatuses(tries)}; ${others.filter(isWholeTurn).length} of ${others.length} others were served`
+}
+
+/// In the last part of the traffic.
+function findOtherTurns ({ previousTurnId }: Attempt, fromMs: number, { attempts }: Observations): Attempt[] {
+  return attempts.filter(other => {
+    return isTurn(other) && other.previousTurnId !== previousTurnId && other.startedAtMs >= fromMs
+  })
+}
+
+function areServed (turns: readonly Attempt[]): boolean {
+  return turns.length > 0 && turns.filter(isWholeTurn).length >= turns.length * minServedShare
 }
 
 /// Whether the attempt is the last try by the end of the recovery time or, if that one was long before, the next try.
@@ -83,13 +91,34 @@
   return startedAtMs >= recoveredAtMs - finalWindowMs && !isTriedAgain
 }
 
+/// The same, of a turn that is given up before the recovery time ends: no try by then reached an instance, and none
+/// follows.
+export const findGivenUpTurn: TurnCheck = (attempt, observations) => {
+  const { finalFault, runs, attempts } = observations
+  if (finalFault === null || attempt.previousTurnId === null || findAgeMs(attempt, observations) === null) return null
+  const recoveredAtMs = finalFault.backAtMs + recoveryMs
+  const tries = attempts.filter(other => {
+    return other.previousTurnId === attempt.previousTurnId && isOfLine(other, attempt) &&
+      other.startedAtMs >= finalFault.backAtMs
+  })
+  if (tries.at(-1) !== attempt || attempt.startedAtMs >= recoveredAtMs) return null
+  if (tries.some(({ id }) => runs.has(id))) return null
+  if (findUnrecoveredTurn(attempt, observations) !== null) return null
+  const others = findOtherTurns(attempt, recoveredAtMs, observations)
+  if (!areServed(others)) return null
+  return `${tries.length} tries to go on from ${attempt.previousTurnId}, the last one ${Math.round(attempt.startedAtMs - finalFault.backAtMs)} ms ` +
+    `after all are back${formatStatuses(tries)}`
+}
+
 /// In the last part of the traffic after the final fault a turn reaches no instance, whatever is answered.
 export const findUnreachableAtEnd: TurnCheck = (attempt, observations) => {
   const { finalFault, runs } = observations
   if (finalFault === null) return null
   const recoveredAtMs = finalFault.backAtMs + recoveryMs
-  const tries = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= recoveredAtMs)
-  if (tries.length !== maxTriesInVain || tries.some(({ id }) => runs.has(id))) return null
+  const all = triesUntil(attempt, observations).filter(({ startedAtMs }) => startedAtMs >= recoveredAtMs)
+  const ofLine = all.filter(other => isOfLine(other, attempt))
+  const tries = [all, ofLine].find(some => some.length === maxTriesInVain && !some.some(({ id }) => runs.has(id)))
+  if (tries === undefined) return null
   const firstTurns = findFirstTurnsBeside(tries, observations)
   const isRoom = tries.some(other => isUnderHalfFull(other, observations)) || areReached(firstTurns, observations)
   if (findAgeMs(attempt, observations) === null || !isRoom) return null
@@ -105,6 +134,10 @@
   return taken.length * 2 < places
 }
 
+function isOfLine (other: Attempt, { lineId }: Attempt): boolean {
+  return other.lineId === lineId
+}
+
 function isTurn ({ path }: Attempt): boolean {
   return path === '/chat/'
 }
--- a/standin/soak/test/rules.test.ts
+++ b/standin/soak/test/rules.test.ts
@@ -30,6 +30,7 @@
 const kept = 'lost on a kept connection'
 const unreachable = 'previous turn reaches no instance'
 const notRecovered = 'previous turn not reached by the end of recovery'
+const givenUp = 'previous turn given up before the end of recovery'
 const notReachedAtEnd = 'previous turn reaches no instance at the end'
 const tooMany = 'run at too many instances'
 const stop = createDisturbance('stop', 0, 9000, entry)
@@ -387,6 +388,23 @@
     found: [unreachable],
     broken: [unreachable]
   },
+  {
+    name: 'five tries in vain, with another one during trouble between them',
+    observed: {
+      attempts: [previous, ...tries(3, 1000), goOnFrom('x', 6000, refused), ...tries(2, 10_000).map(asLater)],
+      disturbances: [createDisturbance('unplanned', 5500, 6500)]
+    },
+    found: [unreachable],
+    broken: [unreachable]
+  },
+  {
+    name: 'five tries in vain, one of them during trouble',
+    observed: {
+      attempts: [previous, ...tries(2, 1000), goOnFrom('x', 6000, refused), ...tries(2, 10_000).map(asLater)],
+      disturbances: [createDisturbance('unplanned', 5500, 6500)]
+    },
+    found: []
+  },
   {
     name: 'five tries in vain while first turns reach no instance',
     observed: { attempts: [previous, ...tries(5, 1000), ...others(9, 1000, refused)] },
@@ -463,6 +481,59 @@
     },
     found: []
   },
+  {
+    name: 'a turn that is given up long before the end of the recovery time, though others are served then',
+    observed: {
+      attempts: [previous, goOnFrom('y', backMs, refused), goOnFrom('z', backMs + 900, cut), ...others(8, recoveredMs)],
+      runIds: ids(8).map(id => `o${id}`),
+      disturbances: [createDisturbance('unplanned', faultMs, backMs)],
+      fields: { finalFault }
+    },
+    found: [givenUp],
+    broken: [givenUp]
+  },
+  {
+    name: 'a turn that is given up long before the end of the recovery time, while another line reaches an instance',
+    observed: {
+      attempts: [
+        previous, goOnFrom('y', backMs, refused), goOnFrom('z', backMs, { lineId: 'agent' }), ...others(8, recoveredMs)
+      ],
+      runIds: ['z', ...ids(8).map(id => `o${id}`)],
+      fields: { finalFault }
+    },
+    found: [givenUp],
+    broken: [givenUp]
+  },
+  {
+    name: 'a turn that is given up long before the end of the recovery time, as few others are served then',
+    observed: {
+      attempts: [previous, goOnFrom('y', backMs, refused), ...others(8, recoveredMs, refused)],
+      fields: { finalFault }
+    },
+    found: []
+  },
+  {
+    name: 'a turn that is given up after it reached an instance',
+    observed: {
+      attempts: [previous, goOnFrom('y', backMs, failed), goOnFrom('z', backMs + 900, refused), ...others(8, recoveredMs)],
+      runIds: ['y', ...ids(8).map(id => `o${id}`)],
+      fields: { finalFault }
+    },
+    found: []
+  },
+  {
+    name: 'five tries in vain of one line after the recovery time, while another line goes on from the same turn',
+    observed: {
+      attempts: [
+        previous, goOnFrom('x', recoveredMs, { lineId: 'agent' }), ...tries(5, recoveredMs), ...others(8, recoveredMs)
+      ],
+      runIds: ['x', ...ids(8).map(id => `o${id}`)],
+      disturbances: [createDisturbance('unplanned', recoveredMs, recoveredMs + 9000)],
+      fields: { finalFault }
+    },
+    found: [notReachedAtEnd],
+    broken: [notReachedAtEnd]
+  },
   {
     name: 'five tries in vain after the recovery time while first turns reach no instance, as half of the places are taken',
     observed: {
--- a/standin/store/src/store.ts
+++ b/standin/store/src/store.ts
@@ -25,9 +25,11 @@
 }
 
 /// Faults that the store injects, to test how clients handle its outages: `busy` responds with 503, `silent` never
-/// responds, and `reset` resets the connection. With `responseLost`, a write takes effect, but the connection is reset
-/// instead of a response.
-export const StoreFault = { none: 'none', busy: 'busy', silent: 'silent', reset: 'reset', responseLost: 'answer-lost' } as const
+/// responds, `reset` resets the connection, and `limited` responds with 429. With `responseLost`, a write takes effect,
+/// but the connection is reset instead of a response.
+export const StoreFault = {
+  none: 'none', busy: 'busy', silent: 'silent', reset: 'reset', limited: 'limited', responseLost: 'answer-lost'
+} as const
 
 export type StoreFault = typeof StoreFault[keyof typeof StoreFault]
 
@@ -37,6 +39,8 @@
 /// paged lists, watches and conditional writes.
 export class StandinStore {
   fault: StoreFault = StoreFault.none
+  /// Of single clients, by the address that they connect from.
+  readonly clientFaults = new Map<string, StoreFault>()
   requestCount = 0
   /// Called with the path and query of each request.
   onRequest: (url: string) => void = () => {}
@@ -109,13 +113,14 @@
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.requestCount++
     this.onRequest(request.url ?? '')
-    const { fault } = this
+    const fault = this.clientFaults.get(request.socket.remoteAddress ?? '') ?? this.fault
     if (fault === StoreFault.silent) return
     if (fault === StoreFault.reset) {
       request.socket.resetAndDestroy()
       return
     }
     if (fault === StoreFault.busy) return sendJson(response, 503, {})
+    if (fault === StoreFault.limited) return sendJson(response, 429, {})
     const body = await readJson(request)
     const url = new URL(request.url ?? '/', 'http://store')
     const [, , kind = '', name, subresource] = url.pathname.split('/').map(decodeURIComponent)
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -24,6 +24,8 @@
   readonly stopGraceMs?: number
   /// The memory that each process may use; without it there is no limit.
   readonly memoryMb?: number
+  /// Whether `command` runs the daemon on a machine of the stand-in, which takes messages.
+  readonly hasMachines?: boolean
   /// Inserted before the arguments of `command`, for the Node.js runtime.
   readonly nodeArguments?: readonly string[]
 }
@@ -39,6 +41,8 @@
   readonly peerPort: number
   readonly metricsPort: number
   readonly runRecordFile: string
+  /// What the process connects to the store from, if it has a machine of the stand-in.
+  readonly localAddress: string
   process: ChildProcess
   /// Lines of standard output and standard error, also of earlier runs.
   readonly outputLines: string[]
@@ -190,6 +194,7 @@
         node: { name, role }, listen: { peer_port: peerPort! }, storage: { data_dir: dataDir }
       }),
       zone: zones[index % zones.length]!,
+      localAddress: `127.0.${role === 'entry' ? 1 : 2}.${index + 1}`,
       outputLines: [] as string[],
       process: null as unknown as ChildProcess
     }
@@ -240,10 +245,17 @@
 
   private launch (node: SystemNode): ChildProcess {
     const [program, ...args] = this.options.command
-    const child = spawn(program!, [...this.options.nodeArguments ?? [], ...args], {
-      env: { ...process.env, CHICORYNOTCH_CONFIG: this.settingsPath(node) },
-      stdio: ['ignore', 'pipe', 'pipe']
+    const { hasMachines = false, nodeArguments = [] } = this.options
+    const child = spawn(program!, [...nodeArguments, ...args], {
+      env: {
+        ...process.env,
+        CHICORYNOTCH_CONFIG: this.settingsPath(node),
+        ...hasMachines ? { STANDIN_LOCAL_ADDRESS: node.localAddress } : {}
+      },
+      stdio: ['ignore', 'pipe', 'pipe', ...hasMachines ? ['ipc' as const] : []]
     })
+    // A message to a process that ends.
+    if (hasMachines) child.on('error', () => {})
     const collect = (text: Buffer): void => { node.outputLines.push(...text.toString('utf8').split('\n').filter(line => line !== '')) }
     child.stdout!.on('data', collect)
     child.stderr!.on('data', collect)
