--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -6,15 +6,19 @@
 import { exitAtSignals } from './signals.js'
 
 // Runs the soak of planned work with one seed after the other: npm run soak:planned -- [FIRST_SEED [SEEDS [SECONDS]]]
-// With TROUBLE=1 processes and the store fail too. Prints what broke a rule; with LINES=1 the log lines about
-// it, too. With LOGS=FOLDER everything that the processes of a run with findings have written is kept there.
-// CALLERS, ENTRIES and ENGINES say how many of them a run has. With CHANGES=1 storage machines are added, replaced and
-// retired; with FAULTY=1 instances break off, lose answers or refuse; with END=1 all processes are killed at the end,
-// and turns are gone on from after that. SHARE=0.5 gives each entry half a processor. With ALONE=1 callers send one
-// request after the other. With POWER=1 machines lose power: what they haven't synced is lost. With CUTS=1 links are
-// cut, slow or silent; with DISKS=1 disks are slow or full and clocks step.
+// Prints what broke a rule; with LINES=1 the log lines about it, too. With LOGS=FOLDER everything that the processes
+// of a run with findings have written is kept there.
+// CALLERS, ENTRIES and ENGINES say how many of them a run has. SHARE=0.5 gives each entry half a processor, and
+// STORAGE_SHARE each storage instance. MEMORY=350,390 says how many MB an entry and a storage instance may use. With
+// ALONE=1 callers send one request after the other.
+// What disturbs a run, each with =1: TROUBLE, processes and the store fail; CHANGES, storage machines are added,
+// replaced and retired; FAULTY, instances break off, lose answers or refuse; WORKERS, instances come and go, answer
+// early or send too much; POWER, machines lose power, and with it what they haven't synced; CUTS, links are cut, slow
+// or silent; DISKS, disks are slow or full and clocks step; END, all processes are killed at the end, and turns are gone
+// on from after that.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
+const [entryMb, storageMb] = process.env.MEMORY?.split(',').map(Number) ?? []
 const graceMs = 8000
 const bundle = 'target/chicorynotchd.cjs'
 
@@ -41,7 +45,10 @@
     losesPower: process.env.POWER === '1',
     cutsLinks: process.env.CUTS === '1',
     disturbsDisks: process.env.DISKS === '1',
-    ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) }
+    changesWorkers: process.env.WORKERS === '1',
+    ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) },
+    ...process.env.STORAGE_SHARE === undefined ? {} : { storageShare: Number(process.env.STORAGE_SHARE) },
+    ...entryMb === undefined || storageMb === undefined ? {} : { memoryMb: { entry: entryMb, storage: storageMb } }
   })
   findingCount += findings.length
   process.stdout.write(`seed ${seed}: ${attempts} attempts, by status ${JSON.stringify(statuses)}, first turns reached ${reached.first}, further ${reached.further}, ${disturbances.length} disturbances, ended at boot ${JSON.stringify(endsAtBoot)}, ${findings.length} findings\n`)
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -1,5 +1,6 @@
 import { sleep } from '#process/clock'
 import type { StandinSystem } from '#standin/system'
+import type { StandinUpstream } from '#standin/upstream'
 import { DisturbanceLog } from './disturbancelog.js'
 import { Faults } from './faults.js'
 import { MachineFaults } from './machinefaults.js'
@@ -12,6 +13,7 @@
 import { StorageChanges } from './storagechanges.js'
 import { StorageTurns } from './storageturns.js'
 import type { Supervisor } from './supervisor.js'
+import { WorkerChanges } from './workerchanges.js'
 
 export interface DisturberOptions {
   readonly graceMs: number
@@ -26,6 +28,10 @@
   readonly cutsLinks?: boolean
   /// Whether disks are slow or full, and clocks step.
   readonly disturbsDisks?: boolean
+  /// Whether instances come and go, answer early or send more than their answers.
+  readonly changesWorkers?: boolean
+  /// Called with each instance that is added.
+  readonly onAddInstance?: (instance: StandinUpstream) => void
 }
 
 const minIntervalMs = 150
@@ -45,6 +51,7 @@
   private readonly powerFaults: PowerFaults
   private readonly networkFaults: NetworkFaults
   private readonly machineFaults: MachineFaults
+  private readonly workerChanges: WorkerChanges
 
   constructor (
     system: StandinSystem,
@@ -65,6 +72,8 @@
     supervisor.onLaunch = node => machines.restore(node)
     this.networkFaults = new NetworkFaults({ system, machines, log, random })
     this.machineFaults = new MachineFaults({ system, machines, log, random })
+    const { onAddInstance = () => {} } = options
+    this.workerChanges = new WorkerChanges({ system, log, random, onAdd: onAddInstance })
     this.storageChanges = new StorageChanges(system, supervisor, random.fork(), {
       add: text => { log.add('signal', null, 0, text) },
       addLoss: text => {
@@ -89,7 +98,7 @@
 
   async run (isOver: () => boolean): Promise<void> {
     const { hasTrouble, changesStorage, hasFaultyInstances } = this.options
-    const { losesPower = false, cutsLinks = false, disturbsDisks = false } = this.options
+    const { losesPower = false, cutsLinks = false, disturbsDisks = false, changesWorkers = false } = this.options
     const actions = [
       ...this.plannedWork.actions,
       ...hasTrouble ? this.faults.actions : [],
@@ -97,7 +106,8 @@
       ...hasFaultyInstances ? [() => this.faults.failInstance()] : [],
       ...losesPower ? this.powerFaults.actions : [],
       ...cutsLinks ? this.networkFaults.actions : [],
-      ...disturbsDisks ? this.machineFaults.actions : []
+      ...disturbsDisks ? this.machineFaults.actions : [],
+      ...changesWorkers ? this.workerChanges.actions : []
     ]
     while (!isOver()) {
       this.start(this.random.pick(actions))
--- a/standin/soak/src/liferules.ts
+++ b/standin/soak/src/liferules.ts
@@ -26,6 +26,9 @@
     const isHindered = [node, null].some(at => isTroubled(at, startedAtMs, startedAtMs + maxStartMs, disturbances))
     return triedMs < maxStartMs || isHindered ? null : `not ready ${Math.round(triedMs)} ms after its start`
   },
+  'beyond its memory': life => {
+    return life.beyondMemoryMb === undefined ? null : `used ${life.beyondMemoryMb} MB, ${describeEnd(life)}`
+  },
   'outlived its grace time': (life, { disturbances }) => {
     const stoppedAtMs = life.signals.find(isStop)?.atMs ?? life.startedAtMs
     const isHindered = isTroubled(life.node, stoppedAtMs, life.endedAtMs, disturbances)
@@ -55,6 +58,7 @@
 }
 
 function isAskedFor (life: ProcessLife): boolean {
+  if (life.beyondMemoryMb !== undefined) return true
   if (life.endSignal === 'SIGKILL') return life.outlivedGrace === true || life.signals.some(({ signal }) => signal === 'SIGKILL')
   return life.exitCode === 0 && hasStopSignal(life)
 }
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -49,6 +49,8 @@
   endSignal: string | null
   /// It was killed as it was still there at the end of its grace time.
   outlivedGrace?: boolean
+  /// What it used when it was killed for using more memory than it may.
+  beyondMemoryMb?: number
   readonly signals: { readonly signal: string, readonly atMs: number }[]
   /// What it has written, once it has ended.
   lines: readonly string[]
--- a/standin/soak/src/soak.ts
+++ b/standin/soak/src/soak.ts
@@ -10,6 +10,8 @@
 import { turn } from './kinds.js'
 import { findLifeViolations, isEndedAtBoot } from './liferules.js'
 import type { LifeFinding } from './liferules.js'
+import { MemoryWatch } from './memorywatch.js'
+import type { MemoryLimits } from './memorywatch.js'
 import { Observations } from './observations.js'
 import type { Attempt } from './observations.js'
 import { Random } from './random.js'
@@ -42,8 +44,13 @@
   readonly cutsLinks?: boolean
   /// Whether disks are slow or full, and clocks step.
   readonly disturbsDisks?: boolean
+  /// Whether instances come and go, answer early or send more than their answers.
+  readonly changesWorkers?: boolean
   /// The share of a processor that each entry gets; without it there is no limit.
   readonly entryShare?: number
+  readonly storageShare?: number
+  /// A process that uses more memory is killed.
+  readonly memoryMb?: MemoryLimits
   readonly entries?: number
   readonly engines?: number
 }
@@ -89,32 +96,55 @@
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
   const { command, seed, durationMs, graceMs, hasTrouble, entries = defaultEntries, engines = defaultEngines } = options
   const { sendsBatches = true, changesStorage = false, hasFaultyInstances = false } = options
-  const { hasFinalFault = false, losesPower = false, hasMachines = false, entryShare } = options
+  const { hasFinalFault = false, losesPower = false, hasMachines = false, memoryMb } = options
+  const { entryShare, storageShare } = options
   const random = new Random(seed)
-  const system = new StandinSystem({ command, entries, storages, engines, services, stopGraceMs: graceMs, hasMachines })
+  const system = new StandinSystem({
+    command,
+    entries,
+    storages,
+    engines,
+    services,
+    stopGraceMs: graceMs,
+    hasMachines,
+    ...memoryMb === undefined ? {} : { memoryMb }
+  })
   const observations = new Observations()
   await system.start()
   const balancer = new Balancer(system.entries)
   const supervisor = new Supervisor(system, observations, graceMs)
+  const memoryWatch = memoryMb === undefined ? null : new MemoryWatch(system.nodes, memoryMb, supervisor)
   const monitor = new LoopMonitor({
     onDelay: delayMs => observations.delays.push({ atMs: performance.now(), delayMs }),
     onStall: () => {},
     onLoad: () => {}
   })
   try {
-    for (const upstream of [...system.engines, ...system.services]) observeRuns(upstream, observations)
-    for (const engine of system.engines) setPauses(engine)
-    observations.places = system.engines.length * instanceSlots
+    const onAddInstance = (upstream: StandinUpstream): void => {
+      observeRuns(upstream, observations)
+      if (system.engines.includes(upstream)) setPauses(upstream)
+      observations.places = system.engines.length * instanceSlots
+    }
+    for (const upstream of [...system.engines, ...system.services]) onAddInstance(upstream)
     const startMs = performance.now()
     let isTrafficOver = false
     const isOver = (): boolean => performance.now() - startMs > durationMs
-    if (entryShare !== undefined) for (const entry of system.entries) supervisor.throttle(entry, entryShare)
+    if (entryShare !== undefined) supervisor.throttleRole('entry', entryShare)
+    if (storageShare !== undefined) supervisor.throttleRole('storage', storageShare)
     const callers = Array.from({ length: options.callers }, (_, i) => {
       return new Caller(`s${seed}c${i}`, balancer, observations, random.fork(), sendsBatches).run(() => isTrafficOver)
     })
-    const { cutsLinks = false, disturbsDisks = false } = options
+    const { cutsLinks = false, disturbsDisks = false, changesWorkers = false } = options
     const disturbances = {
-      graceMs, hasTrouble, changesStorage, hasFaultyInstances, losesPower, cutsLinks, disturbsDisks
+      graceMs,
+      hasTrouble,
+      changesStorage,
+      hasFaultyInstances,
+      losesPower,
+      cutsLinks,
+      disturbsDisks,
+      changesWorkers,
+      onAddInstance
     }
     const disturber = new Disturber(system, supervisor, observations, random.fork(), disturbances)
     await sleep(settleMs)
@@ -138,6 +168,7 @@
   } finally {
     balancer.stop()
     supervisor.stop()
+    memoryWatch?.stop()
     monitor.stop()
     await system.stop()
   }
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -32,6 +32,7 @@
   /// Machines that have lost power, and what that leaves on their disks.
   private readonly powerLosers = new Map<SystemNode, { readonly loss: PowerLoss, readonly random: Random }>()
   private readonly removed = new Set<SystemNode>()
+  private readonly roleShares = new Map<SystemNode['role'], number>()
   private readonly shares = new Map<SystemNode, number>()
   private readonly throttles = new Map<SystemNode, () => void>()
   private delayMs = restartDelayMs
@@ -78,6 +79,14 @@
     return loss
   }
 
+  /// Kills a process that uses more memory than its machine has.
+  killBeyondMemory (node: SystemNode, residentMb: number): void {
+    const life = this.life(node)
+    if (life.endedAtMs !== Infinity || life.beyondMemoryMb !== undefined) return
+    life.beyondMemoryMb = Math.round(residentMb)
+    node.process.kill('SIGKILL')
+  }
+
   /// Kills all processes of `nodes` at one moment, whatever they do. They are started again after `delayMs`. All but
   /// `diskLoser` lose power if `powerRandom` isn't null.
   killAll (
@@ -91,15 +100,17 @@
     setTimeout(() => { this.delayMs = restartDelayMs }, delayMs)
   }
 
-  /// Gives the processes of a node only this share of a processor.
-  throttle (node: SystemNode, share: number): void {
-    this.shares.set(node, share)
-    this.throttleProcess(node)
+  /// Gives the processes of all nodes of a role only this share of a processor.
+  throttleRole (role: SystemNode['role'], share: number): void {
+    this.roleShares.set(role, share)
+    for (const node of this.system.nodes) if (node.role === role) this.throttle(node, share)
   }
 
   /// Adds an empty storage instance.
   async addStorage (): Promise<SystemNode> {
     const node = await this.system.addStorage()
+    const share = this.roleShares.get(node.role)
+    if (share !== undefined) this.throttle(node, share)
     this.onLaunch(node)
     this.watch(node)
     return node
@@ -148,6 +159,11 @@
     for (const unthrottle of this.throttles.values()) unthrottle()
   }
 
+  private throttle (node: SystemNode, share: number): void {
+    this.shares.set(node, share)
+    this.throttleProcess(node)
+  }
+
   private throttleProcess (node: SystemNode): void {
     const share = this.shares.get(node)
     if (share === undefined) return
--- a/standin/soak/test/liferules.test.ts
+++ b/standin/soak/test/liferules.test.ts
@@ -71,6 +71,11 @@
     disturbances: [createDisturbance('unplanned', stoppedAtMs + 1000, stoppedAtMs + 2000)],
     found: ['outlived its grace time']
   },
+  {
+    name: 'a process that is killed as it uses too much memory',
+    fields: { endedAtMs: stoppedAtMs, endSignal: 'SIGKILL', beyondMemoryMb: 360 },
+    found: ['beyond its memory']
+  },
   {
     name: 'a process that outlives its grace time, with trouble long before',
     fields: outlived,
--- a/standin/system/src/index.ts
+++ b/standin/system/src/index.ts
@@ -1,5 +1,5 @@
 export { buildDaemon, buildMachine } from './build.js'
 export { findFreePorts } from './ports.js'
 export { StandinSystem, createConfiguration, instanceSlots, tokensPerEvent } from './system.js'
-export type { SystemNode, SystemOptions } from './system.js'
+export type { ServiceName, SystemNode, SystemOptions } from './system.js'
 export { throttle } from './throttle.js'
--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -22,8 +22,8 @@
   readonly idleRoutes?: number
   /// Time between SIGTERM and SIGKILL.
   readonly stopGraceMs?: number
-  /// The memory that each process may use; without it there is no limit.
-  readonly memoryMb?: number
+  /// The memory that each process may use, or those of each role; without it there is no limit.
+  readonly memoryMb?: number | Readonly<Record<SystemNode['role'], number>>
   /// Whether `command` runs the daemon on a machine of the stand-in, which takes messages.
   readonly hasMachines?: boolean
   /// Inserted before the arguments of `command`, for the Node.js runtime.
@@ -57,13 +57,30 @@
 export const instanceSlots = 32
 const defaultTurnTimeoutMs = 4000
 
+const eventsPerTurn = 12
 export const tokensPerEvent = 10
 
+/// The services of the stand-in instances.
+export type ServiceName = 'models' | 'tools'
+
+/// An instance as the store names it.
+interface UpstreamSpec {
+  readonly service: ServiceName
+  readonly address: string
+  readonly zone: string
+  readonly version: string
+  readonly slots: number
+  readonly state: 'ready' | 'draining'
+  readonly cold_remaining_ms: number
+  readonly seq: number
+}
+
 /// The whole system as real processes on loopback, with stand-ins for the store and the upstream instances.
 export class StandinSystem {
   readonly store = new StandinStore()
   readonly engines: StandinUpstream[] = []
   readonly services: StandinUpstream[] = []
+  private readonly upstreamSpecs = new Map<StandinUpstream, UpstreamSpec>()
   readonly nodes: SystemNode[] = []
   /// Nodes that are gone for good.
   readonly removedNodes: SystemNode[] = []
@@ -84,8 +101,8 @@
     this.folder = await mkdtemp(join(tmpdir(), 'chicorynotch-'))
     this.storeAddress = await this.store.listen()
     this.store.put('config', 'main', createConfiguration(1, this.options.idleRoutes))
-    for (let i = 0; i < this.options.engines; i++) await this.addUpstream('models', i, 12)
-    for (let i = 0; i < this.options.services; i++) await this.addUpstream('tools', i, 0)
+    for (let i = 0; i < this.options.engines; i++) await this.addUpstream('models', i)
+    for (let i = 0; i < this.options.services; i++) await this.addUpstream('tools', i)
     for (let i = 0; i < this.options.storages; i++) await this.addNode('storage', i)
     for (let i = 0; i < this.options.entries; i++) await this.addNode('entry', i)
     await this.waitUntilReady()
@@ -168,13 +185,39 @@
     return view?.members.filter(member => member.state === 'serving').length ?? 0
   }
 
-  private async addUpstream (service: 'models' | 'tools', index: number, events: number): Promise<void> {
+  /// Adds an instance, at the port of one that is gone if that is given.
+  async addUpstream (service: ServiceName, index: number, port?: number): Promise<StandinUpstream> {
     const id = `${service}-${index}`
-    const upstream = new StandinUpstream({ id, eventCount: events, firstByteDelayMs: 8, eventIntervalMs: 4 })
-    const address = await upstream.listen();
-    (service === 'models' ? this.engines : this.services).push(upstream)
+    const eventCount = service === 'models' ? eventsPerTurn : 0
+    const upstream = new StandinUpstream({ id, eventCount, firstByteDelayMs: 8, eventIntervalMs: 4 })
+    const address = await upstream.listen(port)
     const zone = zones[index % zones.length]!
-    this.store.put('servers', id, { service, address, zone, version: 'v1', slots: instanceSlots, state: 'ready', cold_remaining_ms: 0, seq: 1 })
+    this.upstreamsOf(service).push(upstream)
+    this.upstreamSpecs.set(upstream, {
+      service, address, zone, version: 'v1', slots: instanceSlots, state: 'ready', cold_remaining_ms: 0, seq: 1
+    })
+    this.store.put('servers', id, this.upstreamSpecs.get(upstream))
+    return upstream
+  }
+
+  /// Says that an instance takes no further requests.
+  drainUpstream (upstream: StandinUpstream): void {
+    const spec = this.upstreamSpecs.get(upstream)!
+    this.store.put('servers', upstream.options.id, { ...spec, state: 'draining', seq: spec.seq + 1 })
+  }
+
+  /// Takes an instance away for good. Returns its port.
+  removeUpstream (upstream: StandinUpstream): number {
+    const { service, address } = this.upstreamSpecs.get(upstream)!
+    const all = this.upstreamsOf(service)
+    all.splice(all.indexOf(upstream), 1)
+    this.store.remove('servers', upstream.options.id)
+    upstream.close()
+    return Number(address.split(':')[1])
+  }
+
+  private upstreamsOf (service: ServiceName): StandinUpstream[] {
+    return service === 'models' ? this.engines : this.services
   }
 
   private async addNode (role: SystemNode['role'], index: number): Promise<SystemNode> {
@@ -216,13 +259,15 @@
   }
 
   private formatSettings (node: SystemNode): string {
+    const { memoryMb } = this.options
+    const ownMemoryMb = typeof memoryMb === 'object' ? memoryMb[node.role] : memoryMb
     return `[node]
 name = "${node.name}"
 role = "${node.role}"
 zone = "${node.zone}"
 ip = "127.0.0.1"
 first_start = ${this.isFirstStart}
-${this.options.memoryMb === undefined ? '' : `memory_mb = ${this.options.memoryMb}`}
+${ownMemoryMb === undefined ? '' : `memory_mb = ${ownMemoryMb}`}
 tolerated_losses = ${toleratedLosses}
 [listen]
 callers = "${node.callersAddress}"
--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -26,6 +26,8 @@
   earlyKept: 'early-kept',
   /// Responds with 500 before it has read the body, and closes the connection.
   earlyClosed: 'early-closed',
+  /// Sends further bytes right after the response, on the same connection.
+  trailing: 'trailing',
   /// Responds once more a little after the response, on the same connection.
   extra: 'extra',
   /// Closes its idle connections soon after a response, which doesn't say so.
@@ -38,6 +40,7 @@
 /// Of a body, after the response to its request.
 const lateReadMs = 50
 const extraResponseMs = 5
+const trailingBytes = 'bytes that belong to no request\r\n\r\n'
 
 export interface UpstreamOptions {
   readonly id: string
@@ -83,6 +86,7 @@
   /// Delay after an event of a stream.
   getEventIntervalMs: (request: ExecutedRequest, eventId: number) => number = () => this.options.eventIntervalMs
   private readonly server: Server
+  private readonly inProgress = new Set<ExecutedRequest>()
   /// Connections with a request in progress.
   private readonly busySockets = new Set<Socket>()
 
@@ -92,11 +96,22 @@
     })
   }
 
-  async listen (): Promise<string> {
-    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+  /// Listens at a free port without one.
+  async listen (port = 0): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(port, '127.0.0.1', resolve))
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
   }
 
+  /// How many requests are in progress.
+  get busyCount (): number {
+    return this.busySockets.size
+  }
+
+  /// Notes that the requests in progress are broken off.
+  breakOffAll (): void {
+    for (const request of this.inProgress) this.onBreakOff(request)
+  }
+
   close (): void {
     this.server.close()
     this.server.closeAllConnections()
@@ -122,7 +137,9 @@
     }
     const executed = { callId, method, path, headers, body }
     this.executedRequests.push(executed)
+    this.inProgress.add(executed)
     response.on('close', () => {
+      this.inProgress.delete(executed)
       if (!response.writableFinished) this.abortedCount++
       this.onDone(executed)
     })
@@ -178,6 +195,7 @@
 
   /// Applies the faults that follow a whole response.
   private handleResponded (socket: Socket, callId: string): void {
+    if (this.fault === UpstreamFault.trailing) socket.write(trailingBytes)
     if (this.fault === UpstreamFault.extra) setTimeout(() => socket.write(formatExtraResponse(callId)), extraResponseMs)
     if (this.fault !== UpstreamFault.idleClosed) return
     setTimeout(() => { if (!this.busySockets.has(socket)) socket.end() }, this.idleCloseMs)
--- a/standin/upstream/test/faults.test.ts
+++ b/standin/upstream/test/faults.test.ts
@@ -47,6 +47,12 @@
   expect(received).toMatch(/^HTTP\/1\.1 500 [^]*connection: close\r\n[^]*failed early$/i)
 })
 
+test('trailing: bytes that are no response follow the whole one', async () => {
+  upstream.fault = UpstreamFault.trailing
+  client.write(`${formatHead('a1', 2)}ok`)
+  await waitFor(/done \/charge okbytes that belong to no request\r\n\r\n$/)
+})
+
 test('extra: another response with the same id follows the whole one', async () => {
   upstream.fault = UpstreamFault.extra
   client.write(`${formatHead('a1', 2)}ok`)
