--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -14,8 +14,8 @@
 // What disturbs a run, each with =1: TROUBLE, processes and the store fail; CHANGES, storage machines are added,
 // replaced and retired; FAULTY, instances break off, lose answers or refuse; WORKERS, instances come and go, answer
 // early or send too much; POWER, machines lose power, and with it what they haven't synced; CUTS, links are cut, slow
-// or silent; DISKS, disks are slow or full and clocks step; END, all processes are killed at the end, and turns are gone
-// on from after that.
+// or silent; DISKS, disks are slow or full and clocks step; END, all processes are killed at the end, and turns are
+// gone on from after that.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
 const [entryMb, storageMb] = process.env.MEMORY?.split(',').map(Number) ?? []
--- a/standin/soak/src/machines.ts
+++ b/standin/soak/src/machines.ts
@@ -1,33 +1,27 @@
-import { usualBehaviour } from '#standin/machine'
+import { usualBehaviour, usualLink } from '#standin/machine'
 import type { LinkState, MachineBehaviour, MachineMessage } from '#standin/machine'
 import type { SystemNode } from '#standin/system'
 
-/// The machines that processes run on, and how each behaves now, also after a restart of its process.
+type Change = Partial<MachineBehaviour>
+
+/// The machines that processes run on, and what disturbs each now, also after a restart of its process.
 export class Machines {
-  private readonly behaviours = new Map<SystemNode, MachineBehaviour>()
+  private readonly changes = new Map<SystemNode, Set<Change>>()
 
   /// Disturbs a machine until the function that this returns is called.
-  disturb (node: SystemNode, changes: Partial<Omit<MachineBehaviour, 'links'>>): () => void {
-    const before = this.behaviour(node)
-    this.set(node, { ...before, ...changes })
+  disturb (node: SystemNode, change: Change): () => void {
+    const own = this.changes.get(node) ?? new Set()
+    this.changes.set(node, own.add(change))
+    this.restore(node)
     return () => {
-      const keys = Object.keys(changes) as (keyof typeof changes)[]
-      const usual = Object.fromEntries(keys.map(key => [key, usualBehaviour[key]]))
-      this.set(node, { ...this.behaviour(node), ...usual })
+      own.delete(change)
+      this.restore(node)
     }
   }
 
   /// Disturbs the link from one node to another until the function that this returns is called.
   disturbLink (from: SystemNode, to: SystemNode, state: LinkState): () => void {
-    const addresses = listAddresses(to)
-    const disturbed = Object.fromEntries(addresses.map(address => [address, state]))
-    const before = this.behaviour(from)
-    this.set(from, { ...before, links: { ...before.links, ...disturbed } })
-    return () => {
-      const { links, ...others } = this.behaviour(from)
-      const kept = Object.entries(links).filter(([address]) => !addresses.includes(address))
-      this.set(from, { ...others, links: Object.fromEntries(kept) })
-    }
+    return this.disturb(from, { links: Object.fromEntries(listAddresses(to).map(address => [address, state])) })
   }
 
   /// The open connections from one node to others go silent for good.
@@ -35,18 +29,29 @@
     send(from, { kind: 'silence', addresses: to.flatMap(listAddresses) })
   }
 
-  /// Tells a process that has just been started how its machine behaves.
+  /// Tells a process how its machine behaves now.
   restore (node: SystemNode): void {
-    if (this.behaviours.has(node)) this.set(node, this.behaviour(node))
+    const own = this.changes.get(node)
+    if (own !== undefined) send(node, { kind: 'behaviour', behaviour: combine([...own]) })
   }
+}
 
-  private behaviour (node: SystemNode): MachineBehaviour {
-    return this.behaviours.get(node) ?? usualBehaviour
+/// What disturbs a machine in several ways at once.
+export function combine (changes: readonly Change[]): MachineBehaviour {
+  const links: Record<string, LinkState> = {}
+  for (const change of changes) {
+    for (const [address, state] of Object.entries(change.links ?? {})) {
+      links[address] = combineLinks(links[address] ?? usualLink, state)
+    }
   }
+  return Object.assign({}, usualBehaviour, ...changes, { links })
+}
 
-  private set (node: SystemNode, behaviour: MachineBehaviour): void {
-    this.behaviours.set(node, behaviour)
-    send(node, { kind: 'behaviour', behaviour })
+function combineLinks (a: LinkState, b: LinkState): LinkState {
+  return {
+    isSendingCut: a.isSendingCut || b.isSendingCut,
+    isReceivingCut: a.isReceivingCut || b.isReceivingCut,
+    delayMs: Math.max(a.delayMs, b.delayMs)
   }
 }
 
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,7 @@
 /// Tests that measure what real processes do under load. They run one after the other, when all others have ended.
 const loadTests = [
   'process/daemon/test/*.test.ts',
-  'standin/{soak/test/soak,system/test/orphans}.test.ts',
+  'standin/{machine/test/system,soak/test/soak,system/test/orphans}.test.ts',
   'process/entry/test/{endlessresponse,latestop,memorylimit,overload,relayedstop,requestlimit,unequalentries}.test.ts'
 ]
 
