--- a/standin/soak/test/soak.test.ts
+++ b/standin/soak/test/soak.test.ts
@@ -1,9 +1,15 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { expect, test } from 'vitest'
 import { runSoak } from '#standin/soak'
+import { buildDaemon, buildMachine } from '#standin/system'
 
 /// As on tunda-ops; longer than any call.
 const graceMs = 8000
 const durationMs = 14_000
+/// A final fault takes 17 s more.
+const shortDurationMs = 6000
 
 // A short run of the soak with real processes, checked by what callers and instances see. Long runs with other seeds:
 // npm run soak:planned.
@@ -22,3 +28,21 @@
   expect(report.findings.map(({ rule, text }) => `${rule}: ${text}`)).toEqual([])
   expect(report.statuses[200]).toBeGreaterThan(report.attempts / 2)
 }, 90_000)
+
+test('with losses of power and a final fault: no turn that was answered whole is lost (seed 20261207)', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'chicorynotch-soak-'))
+  const [, bundle] = await buildDaemon(folder)
+  const report = await runSoak({
+    command: await buildMachine(folder, bundle!),
+    seed: 20261207,
+    durationMs: shortDurationMs,
+    callers: 24,
+    graceMs,
+    hasTrouble: false,
+    hasMachines: true,
+    losesPower: true,
+    hasFinalFault: true
+  })
+  await rm(folder, { recursive: true, force: true })
+  expect(report.findings.map(({ rule, text }) => `${rule}: ${text}`)).toEqual([])
+}, 90_000)
