--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -1,13 +1,19 @@
 import { sleep } from '#process/clock'
 import type { StandinSystem } from '#standin/system'
+import type { StandinUpstream } from '#standin/upstream'
 import { DisturbanceLog } from './disturbancelog.js'
 import { Faults } from './faults.js'
+import { MachineFaults } from './machinefaults.js'
+import { Machines } from './machines.js'
+import { NetworkFaults } from './networkfaults.js'
 import type { Observations } from './observations.js'
 import { PlannedWork } from './plannedwork.js'
+import { PowerFaults } from './powerfaults.js'
 import type { Random } from './random.js'
 import { StorageChanges } from './storagechanges.js'
 import { StorageTurns } from './storageturns.js'
 import type { Supervisor } from './supervisor.js'
+import { WorkerChanges } from './workerchanges.js'
 
 export interface DisturberOptions {
   readonly graceMs: number
@@ -16,6 +22,16 @@
   readonly changesStorage: boolean
   /// Whether instances break off, lose answers or refuse at times.
   readonly hasFaultyInstances: boolean
+  /// Whether machines lose power.
+  readonly losesPower?: boolean
+  /// Whether links between machines, and of single machines to the store, are cut, slow or go silent.
+  readonly cutsLinks?: boolean
+  /// Whether disks are slow or full, and clocks step.
+  readonly disturbsDisks?: boolean
+  /// Whether instances come and go, answer early or send more than their answers.
+  readonly changesWorkers?: boolean
+  /// Called with each instance that is added.
+  readonly onAddInstance?: (instance: StandinUpstream) => void
 }
 
 const minIntervalMs = 150
@@ -32,6 +48,10 @@
   private readonly storageChanges: StorageChanges
   private readonly plannedWork: PlannedWork
   private readonly faults: Faults
+  private readonly powerFaults: PowerFaults
+  private readonly networkFaults: NetworkFaults
+  private readonly machineFaults: MachineFaults
+  private readonly workerChanges: WorkerChanges
 
   constructor (
     system: StandinSystem,
@@ -47,6 +67,13 @@
       system, supervisor, observations, log, storageTurns, random, graceMs: options.graceMs
     })
     this.faults = new Faults({ system, supervisor, log, storageTurns, random })
+    this.powerFaults = new PowerFaults({ system, supervisor, log, storageTurns, random })
+    const machines = new Machines()
+    supervisor.onLaunch = node => machines.restore(node)
+    this.networkFaults = new NetworkFaults({ system, machines, log, random })
+    this.machineFaults = new MachineFaults({ system, machines, log, random })
+    const { onAddInstance = () => {} } = options
+    this.workerChanges = new WorkerChanges({ system, log, random, onAdd: onAddInstance })
     this.storageChanges = new StorageChanges(system, supervisor, random.fork(), {
       add: text => { log.add('signal', null, 0, text) },
       addLoss: text => {
@@ -71,11 +98,16 @@
 
   async run (isOver: () => boolean): Promise<void> {
     const { hasTrouble, changesStorage, hasFaultyInstances } = this.options
+    const { losesPower = false, cutsLinks = false, disturbsDisks = false, changesWorkers = false } = this.options
     const actions = [
       ...this.plannedWork.actions,
       ...hasTrouble ? this.faults.actions : [],
       ...changesStorage ? this.changes : [],
-      ...hasFaultyInstances ? [() => this.faults.failInstance()] : []
+      ...hasFaultyInstances ? [() => this.faults.failInstance()] : [],
+      ...losesPower ? this.powerFaults.actions : [],
+      ...cutsLinks ? this.networkFaults.actions : [],
+      ...disturbsDisks ? this.machineFaults.actions : [],
+      ...changesWorkers ? this.workerChanges.actions : []
     ]
     while (!isOver()) {
       this.start(this.random.pick(actions))
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -1,8 +1,10 @@
 import { connect } from 'node:net'
 import { sleep } from '#process/clock'
+import { losePower, PowerLoss } from '#standin/machine'
 import { throttle } from '#standin/system'
 import type { StandinSystem, SystemNode } from '#standin/system'
 import type { Observations, ProcessLife } from './observations.js'
+import type { Random } from './random.js'
 
 export type Signal = 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'
 
@@ -27,11 +29,16 @@
 export class Supervisor {
   private readonly lives = new Map<SystemNode, ProcessLife>()
   private readonly diskLosers = new Set<SystemNode>()
+  /// Machines that have lost power, and what that leaves on their disks.
+  private readonly powerLosers = new Map<SystemNode, { readonly loss: PowerLoss, readonly random: Random }>()
   private readonly removed = new Set<SystemNode>()
+  private readonly roleShares = new Map<SystemNode['role'], number>()
   private readonly shares = new Map<SystemNode, number>()
   private readonly throttles = new Map<SystemNode, () => void>()
   private delayMs = restartDelayMs
   private isOver = false
+  /// Called with each process that is started, but for the first ones.
+  onLaunch: (node: SystemNode) => void = () => {}
   /// Called right after the start of a process that has ended.
   onStart: (node: SystemNode) => void = () => {}
 
@@ -64,22 +71,47 @@
     this.signal(node, 'SIGKILL')
   }
 
-  /// Kills all processes at one moment, whatever they do. They are started again after `delayMs`.
-  killAll (diskLoser: SystemNode | null, delayMs: number): void {
+  /// Kills the process, whose machine loses power: what it hasn't synced is lost, or some of it. Returns what is.
+  cutPower (node: SystemNode, random: Random): PowerLoss {
+    const loss = random.pick(Object.values(PowerLoss))
+    this.powerLosers.set(node, { loss, random: random.fork() })
+    this.kill(node, false)
+    return loss
+  }
+
+  /// Kills a process that uses more memory than its machine has.
+  killBeyondMemory (node: SystemNode, residentMb: number): void {
+    const life = this.life(node)
+    if (life.endedAtMs !== Infinity || life.beyondMemoryMb !== undefined) return
+    life.beyondMemoryMb = Math.round(residentMb)
+    node.process.kill('SIGKILL')
+  }
+
+  /// Kills all processes of `nodes` at one moment, whatever they do. They are started again after `delayMs`. All but
+  /// `diskLoser` lose power if `powerRandom` isn't null.
+  killAll (
+    nodes: readonly SystemNode[], diskLoser: SystemNode | null, delayMs: number, powerRandom: Random | null = null
+  ): void {
     this.delayMs = delayMs
-    for (const node of this.system.nodes) this.kill(node, node === diskLoser)
+    for (const node of nodes) {
+      if (powerRandom === null || node === diskLoser) this.kill(node, node === diskLoser)
+      else this.cutPower(node, powerRandom)
+    }
     setTimeout(() => { this.delayMs = restartDelayMs }, delayMs)
   }
 
-  /// Gives the processes of a node only this share of a processor.
-  throttle (node: SystemNode, share: number): void {
-    this.shares.set(node, share)
-    this.throttleProcess(node)
+  /// Gives the processes of all nodes of a role only this share of a processor.
+  throttleRole (role: SystemNode['role'], share: number): void {
+    this.roleShares.set(role, share)
+    for (const node of this.system.nodes) if (node.role === role) this.throttle(node, share)
   }
 
   /// Adds an empty storage instance.
   async addStorage (): Promise<SystemNode> {
     const node = await this.system.addStorage()
+    const share = this.roleShares.get(node.role)
+    if (share !== undefined) this.throttle(node, share)
+    this.onLaunch(node)
     this.watch(node)
     return node
   }
@@ -127,6 +159,11 @@
     for (const unthrottle of this.throttles.values()) unthrottle()
   }
 
+  private throttle (node: SystemNode, share: number): void {
+    this.shares.set(node, share)
+    this.throttleProcess(node)
+  }
+
   private throttleProcess (node: SystemNode): void {
     const share = this.shares.get(node)
     if (share === undefined) return
@@ -161,7 +198,11 @@
   private async startAgain (node: SystemNode): Promise<void> {
     await sleep(this.delayMs)
     if (this.isOver || this.removed.has(node)) return
+    const { loss, random } = this.powerLosers.get(node) ?? {}
+    this.powerLosers.delete(node)
+    if (loss !== undefined) losePower(node.dataDir, loss, () => random!.next())
     await this.system.startAgain(node, this.diskLosers.delete(node))
+    this.onLaunch(node)
     this.throttleProcess(node)
     this.watch(node)
     this.onStart(node)
