The grace time of a stop counts from when its signal may have been sent

Change: the loop turns once before the role starts, and a stop that came by then ends the process; later ones count from the time by which the loop is behind. Why it works: the loop's delay is how long an event that is handled now may have waited, so the signal isn't older than that.

--- a/process/daemon/src/daemon.ts
+++ b/process/daemon/src/daemon.ts
@@ -1,6 +1,6 @@
 import { StatusServer } from '#connection/front'
 import { keepListening } from '#connection/listen'
-import { LoopMonitor, readCpuMs } from '#process/clock'
+import { LoopMonitor, callAfterReading, readCpuMs } from '#process/clock'
 import { getLaunchReport } from '#process/launcher'
 import { Events, ProcessLog, errorMessage, formatError } from '#process/log'
 import type { EventFields } from '#process/log'
@@ -69,11 +69,14 @@
   private readonly record: RunRecord
   /// Aborted with the name of the signal that asks for it.
   private readonly stopping = new AbortController()
+  private readonly monitor: LoopMonitor
+  private isRoleStarted = false
   private isReady = false
 
   constructor (private readonly file: SettingsFile, private readonly signals: ProcessSignals) {
     const { node } = file.settings
     this.log = new ProcessLog(node.name, node.role)
+    this.monitor = this.monitorLoop()
     this.record = RunRecord.open(locateRunRecord(file.settings), node.memory_mb ?? null)
   }
 
@@ -87,11 +90,12 @@
       platform: connected,
       log,
       metrics,
-      backlog: this.monitorLoop(),
+      backlog: this.monitor,
       stopping: this.stopping.signal,
       fail: error => this.exit(1, formatError(error))
     })
-    const starting = this.start(role)
+    // Signals that came while the program was loaded are handled before the role starts.
+    const starting = new Promise<void>(resolve => callAfterReading(resolve)).then(() => this.start(role))
     this.signals.listen(SignalUse.none, ({ name }) => log.event(Events.signalIgnored, { signal: name }))
     this.signals.listen(SignalUse.stop, ({ name }) => this.handleStop(name, starting, role))
     file.watch(changed => {
@@ -130,6 +134,8 @@
   /// Never rejects.
   private async start (role: DaemonRole): Promise<void> {
     const { node, listen } = this.file.settings
+    if (this.stopping.signal.aborted) return
+    this.isRoleStarted = true
     this.serveMetrics(`${node.ip}:${listen.metrics_port}`)
     try {
       await role.start()
@@ -167,17 +173,20 @@
       return
     }
     stopping.abort(signal)
-    const startedAtMs = performance.now()
+    // The grace time began when the signal was sent, which the event loop may have learned late.
+    const lateMs = this.monitor.currentDelayMs
+    const askedAtMs = performance.now() - lateMs
     log.event(Events.processStopping, {
       signal,
-      uptimeMs: Math.round(startedAtMs),
+      uptimeMs: Math.round(performance.now()),
+      lateMs: Math.round(lateMs),
       wasReady: this.isReady,
       callsInFlight: role.calls?.inFlight,
       graceMs: this.file.settings.timing.stop_grace_ms
     })
     this.record.setStopping(signal)
-    starting.then(() => role.stop()).then(() => {
-      this.exit(0, signal, { stopMs: Math.round(performance.now() - startedAtMs), callsAborted: role.calls?.aborted })
+    starting.then(() => this.isRoleStarted ? role.stop(askedAtMs) : undefined).then(() => {
+      this.exit(0, signal, { stopMs: Math.round(performance.now() - askedAtMs), callsAborted: role.calls?.aborted })
     }, (error: unknown) => {
       log.event(Events.unexpectedError, { where: 'stop', error: formatError(error) })
       this.exit(1, formatError(error))
--- a/process/daemon/src/entryrole.ts
+++ b/process/daemon/src/entryrole.ts
@@ -18,7 +18,7 @@
   }, platform, log, metrics, backlog)
   return {
     start: () => entry.start(stopping),
-    stop: () => entry.stop(),
+    stop: askedAtMs => entry.stop(askedAtMs),
     get calls () { return { inFlight: entry.drain.count, aborted: entry.drain.abortedCount } },
     reload: changed => entry.reload({ processors: countProcessors(changed), stopGraceMs: changed.timing.stop_grace_ms })
   }
--- a/process/daemon/src/role.ts
+++ b/process/daemon/src/role.ts
@@ -16,8 +16,9 @@
   start (): Promise<void>
   /// Applies changed settings.
   reload (settings: Settings): void
-  /// Resolves when what is under way has ended, or shortly before the grace time ends.
-  stop (): Promise<void>
+  /// Resolves when what is under way has ended, or shortly before the grace time ends, which began at `askedAtMs` on the
+  /// monotonic clock of `performance.now()`.
+  stop (askedAtMs: number): Promise<void>
   /// Calls of its callers; absent if it has none.
   readonly calls?: { readonly inFlight: number, readonly aborted: number }
 }
--- a/process/entry/src/calldrain.ts
+++ b/process/entry/src/calldrain.ts
@@ -51,10 +51,10 @@
     throw new RefusedError(Refusal.stopping, Verdict.notRun, 'the entry stops before the deadline of the call', retryAfterMs)
   }
 
-  /// Starts the stop. Resolves when no further connections should be accepted.
-  async start (): Promise<void> {
-    this.startedAtMs = performance.now()
-    await sleep(Math.min(acceptingMs, this.graceMs / 2))
+  /// Starts the stop, whose grace period began at `askedAtMs`. Resolves when no further connections should be accepted.
+  async start (askedAtMs = performance.now()): Promise<void> {
+    this.startedAtMs = askedAtMs
+    await sleep(Math.max(0, Math.min(acceptingMs, this.graceMs / 2 + askedAtMs - performance.now())))
     this.isAccepting = false
   }
 
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -197,16 +197,16 @@
 
   /// Accepts new connections for a while longer, then drains the calls in flight. Resolves when none is left, or
   /// shortly before the grace period ends. May be called again, and before `start` has ended.
-  stop (): Promise<void> {
+  stop (askedAtMs = performance.now()): Promise<void> {
     this.stopping.abort()
-    this.stopped ??= this.stopOnce()
+    this.stopped ??= this.stopOnce(askedAtMs)
     return this.stopped
   }
 
-  private async stopOnce (): Promise<void> {
+  private async stopOnce (askedAtMs: number): Promise<void> {
     const { drain, peers } = this
     peers.startStop()
-    await drain.start()
+    await drain.start(askedAtMs)
     const closing = Promise.all([this.front.close(), peers.closeFront()])
     peers.relay.stop()
     await drain.waitForEnd(() => peers.relay.count)
