--- a/process/daemon/src/role.ts
+++ b/process/daemon/src/role.ts
@@ -16,7 +16,7 @@
   start (): Promise<void>
   /// Applies changed settings.
   reload (settings: Settings): void
-  /// Resolves when what is under way has ended, or shortly before the grace time ends, which began at `askedAtMs` on the
+  /// Resolves when what is under way has ended, or shortly before the grace time ends. It began at `askedAtMs`, on the
   /// monotonic clock of `performance.now()`.
   stop (askedAtMs: number): Promise<void>
   /// Calls of its callers; absent if it has none.
