--- a/process/ledger/test/powerloss.test.ts
+++ b/process/ledger/test/powerloss.test.ts
@@ -7,6 +7,7 @@
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
 import { losePower } from '#standin/power'
+import { Random } from '../../../standin/soak/src/random.js'
 
 const power = vi.hoisted(() => {
   const require = process.getBuiltinModule('node:module').createRequire(import.meta.url)
@@ -65,7 +66,7 @@
   private recordCount = 0
   private viewCount = 0
 
-  constructor (private readonly random: () => number, private readonly isFirstStart: boolean) {}
+  constructor (private readonly random: Random, private readonly isFirstStart: boolean) {}
 
   /// Acts until the process is killed, with or without a loss of power, or to the end.
   async run ({ actions, cutAfter, losesPower }: Life): Promise<void> {
@@ -81,7 +82,7 @@
     this.disk?.close()
     this.disk = null
     power.cutAfter(Infinity)
-    if (losesPower) losePower(this.folder, this.random)
+    if (losesPower) losePower(this.folder, () => this.random.next())
   }
 
   /// Starts without a fault, and checks what is there.
@@ -169,17 +170,6 @@
   }
 }
 
-/// Numbers from 0 to 1 that depend on a seed only (mulberry32).
-function createRandom (state: number): () => number {
-  let a = state
-  return () => {
-    a = (a + 0x6d2b79f5) | 0
-    let t = Math.imul(a ^ (a >>> 15), 1 | a)
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t
-    return ((t ^ (t >>> 14)) >>> 0) / 4294967296
-  }
-}
-
 const life: fc.Arbitrary<Life> = fc.record({
   losesPower: fc.boolean(),
   actions: fc.array(fc.constantFrom(...actionNames), { maxLength: maxActions, size: 'max' }),
@@ -190,7 +180,7 @@
 test(`through losses of power, all that was acknowledged stays (seed ${seed})`, async () => {
   const history = fc.tuple(fc.array(life, { minLength: 1, maxLength: 5 }), fc.integer(), fc.boolean())
   await fc.assert(fc.asyncProperty(history, async ([lives, randomSeed, isFirstStart]) => {
-    const machine = new Machine(createRandom(randomSeed), isFirstStart)
+    const machine = new Machine(new Random(randomSeed), isFirstStart)
     try {
       for (const life of lives) await machine.run(life)
       machine.check()
