A server that closes accepts the connections that wait first

Before closing its listener the server waited for one poll or two, whatever had been queued; the system resets the rest. Change: it goes on until a poll accepts none, for 2 s at most.

--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -37,6 +37,8 @@
 const maxHeaderBytes = 16 * 1024
 /// After so long without a word, a client that may close its idle connection late is asked whether it still exists.
 const keepAliveDelayMs = 10_000
+/// How long a server that closes accepts connections that wait.
+const maxAcceptingMs = 2000
 /// A head has not arrived in time.
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const statusByErrorCode: Readonly<Record<string, string>> = {
@@ -56,6 +58,7 @@
   /// Those that are served here.
   private readonly connections = new WeakMap<Socket, CallerConnection>()
   private readonly openSockets = new Set<Socket>()
+  private acceptedCount = 0
   private isClosing = false
   private isClosingIdle = false
 
@@ -100,6 +103,7 @@
     server.removeAllListeners('connection')
     server.on('connection', (socket: Socket) => {
       this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
+      this.acceptedCount++
       options.onConnection()
       const serveHere: ServeConnection = wasUsed => {
         if (wasUsed) this.openedAtMs.delete(socket)
@@ -206,9 +210,21 @@
     for (const socket of this.openSockets) if (isHeard(socket)) this.connections.get(socket)?.announce(bytes)
   }
 
-  /// Stops accepting connections and closes idle ones. A process that was busy reads first what has arrived meanwhile.
-  async close (): Promise<void> {
+  /// The event loop accepts one connection each time that it reads.
+  private async acceptWaiting (): Promise<void> {
+    const endAtMs = performance.now() + maxAcceptingMs
+    let countBefore: number
+    do {
+      countBefore = this.acceptedCount
+      await readArrived()
+    } while (this.acceptedCount > countBefore && performance.now() < endAtMs)
     await readArrived()
+  }
+
+  /// Stops accepting connections and closes idle ones. A process that was busy accepts and reads first what has arrived
+  /// meanwhile.
+  async close (): Promise<void> {
+    await this.acceptWaiting()
     this.isClosing = true
     await this.app.close()
   }
