Soak: a process may end beside a full disk; a file written as a whole is tracked

Seen: the process of a storage machine whose disk was full ended, as it should, and writing a whole file threw on a machine of the stand-in.

--- a/standin/machine/test/powerloss.test.ts
+++ b/standin/machine/test/powerloss.test.ts
@@ -156,6 +156,15 @@
   expect(readdirSync(folder)).toEqual(['a'])
 })
 
+test('a file that is written as a whole, without a sync, is empty if only its name is synced', async () => {
+  const error = await new Promise(resolve => { fs.writeFile(join(folder, 'a.new'), 'one', {}, resolve) })
+  expect(error).toBeNull()
+  fs.renameSync(join(folder, 'a.new'), join(folder, 'a'))
+  syncFolder()
+  expect(readFileSync(join(folder, 'a'), 'utf8')).toBe('one')
+  expect(lose(PowerLoss.nothing)).toEqual({ a: '' })
+})
+
 test('a change that is not tracked is refused', () => {
   expect(() => fs.writeFileSync(join(folder, 'a'), 'one')).toThrow('tracked')
 })
--- a/standin/soak/src/disturbancelog.ts
+++ b/standin/soak/src/disturbancelog.ts
@@ -6,10 +6,13 @@
   constructor (private readonly observations: Observations) {}
 
   /// `entry` is the process that it concerns, null for all. One whose end isn't known yet lasts for `Infinity`.
-  add (kind: Disturbance['kind'], entry: SystemNode | null, durationMs: number, text: string): Disturbance {
+  /// `storage` is the storage machine that it is at, if it lets its process end.
+  add (
+    kind: Disturbance['kind'], entry: SystemNode | null, durationMs: number, text: string, storage?: SystemNode
+  ): Disturbance {
     const startMs = performance.now()
     const endMs = startMs + durationMs
-    const disturbance = { kind, entry, startMs, endMs, text: `${text} at ${Math.round(startMs)} ms` }
+    const disturbance = { kind, entry, startMs, endMs, text: `${text} at ${Math.round(startMs)} ms`, ...storage === undefined ? {} : { storage } }
     this.observations.disturbances.push(disturbance)
     return disturbance
   }
--- a/standin/soak/src/observations.ts
+++ b/standin/soak/src/observations.ts
@@ -61,6 +61,8 @@
 export interface Disturbance {
   readonly kind: 'stop' | 'signal' | 'settings' | 'configuration' | 'unplanned'
   readonly entry: SystemNode | null
+  /// A storage machine that it is at, if it lets its process end.
+  readonly storage?: SystemNode
   readonly startMs: number
   endMs: number
   readonly text: string
--- a/standin/soak/test/liferules.test.ts
+++ b/standin/soak/test/liferules.test.ts
@@ -22,6 +22,7 @@
   outlivedGrace: true,
   signals: [{ signal: 'SIGTERM', atMs: stoppedAtMs }]
 }
+const endedItself = { endedAtMs: stoppedAtMs, exitCode: 1 }
 const unplanned = (atMs: number, at = entry): Disturbance => createDisturbance('unplanned', atMs, atMs + 1000, at)
 
 interface Case {
@@ -71,6 +72,25 @@
     disturbances: [createDisturbance('unplanned', stoppedAtMs + 1000, stoppedAtMs + 2000)],
     found: ['outlived its grace time']
   },
+  { name: 'a process that ends by itself', fields: endedItself, found: ['ended by itself'] },
+  {
+    name: 'a process that ends by itself right after a fault of its machine',
+    fields: endedItself,
+    disturbances: [{ ...unplanned(stoppedAtMs - 1900), storage: entry }],
+    found: []
+  },
+  {
+    name: 'a process that ends by itself long after a fault of its machine',
+    fields: endedItself,
+    disturbances: [{ ...unplanned(stoppedAtMs - 2100), storage: entry }],
+    found: ['ended by itself']
+  },
+  {
+    name: 'a process that ends by itself beside a fault of another machine',
+    fields: endedItself,
+    disturbances: [{ ...unplanned(stoppedAtMs - 500), storage: otherEntry }],
+    found: ['ended by itself']
+  },
   {
     name: 'a process that is killed as it uses too much memory',
     fields: { endedAtMs: stoppedAtMs, endSignal: 'SIGKILL', beyondMemoryMb: 360 },
