--- a/standin/soak/src/caller.ts
+++ b/standin/soak/src/caller.ts
@@ -15,6 +15,8 @@
 const toolsAtOnce = 3
 const subAgents = 2
 const subAgentTurns = 2
+/// As programs try a turn before they fail.
+const maxSubAgentTries = 3
 const maxBatch = 3
 const maxLeaveMs = 400
 /// Callers wait for so much of the time that they have left, at most.
@@ -153,10 +155,22 @@
   private async runSubAgent (lane: Lane, parentId: string, lineId: string): Promise<void> {
     let previousTurnId = parentId
     for (let i = 0; i < subAgentTurns; i++) {
+      const id = await this.takeSubAgentTurn(lane, previousTurnId, lineId)
+      if (id === null) return
+      previousTurnId = id
+    }
+  }
+
+  /// Returns the id of the turn, null if it has failed.
+  private async takeSubAgentTurn (lane: Lane, previousTurnId: string, lineId: string): Promise<string | null> {
+    for (let tries = 0; tries < maxSubAgentTries; tries++) {
       const [outcome] = await this.send(lane, [this.createRequest(turn, previousTurnId, lineId)])
-      if (outcome === undefined || !isWhole(outcome.attempt)) return
-      previousTurnId = outcome.attempt.id
+      if (outcome === undefined) continue
+      if (isWhole(outcome.attempt)) return outcome.attempt.id
+      lane.close()
+      await this.waitForRetry(outcome)
     }
+    return null
   }
 
   private async leaveMidway (): Promise<void> {
--- a/standin/soak/src/turnrules.ts
+++ b/standin/soak/src/turnrules.ts
@@ -106,7 +106,7 @@
   if (findUnrecoveredTurn(attempt, observations) !== null) return null
   const others = findOtherTurns(attempt, recoveredAtMs, observations)
   if (!areServed(others)) return null
-  return `${tries.length} tries to go on from ${attempt.previousTurnId}, the last one ${Math.round(attempt.startedAtMs - finalFault.backAtMs)} ms ` +
+  return `${tries.length} tries to go on from ${attempt.previousTurnId}, the last one, ${attempt.id}, ${Math.round(attempt.startedAtMs - finalFault.backAtMs)} ms ` +
     `after all are back${formatStatuses(tries)}`
 }
 
