--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -93,11 +93,10 @@
   })
   const [socket] = await once(other.server, 'connection') as [Socket]
   const entry = new End(socket)
+  if (isTaken) socket.once('data', () => socket.write(Buffer.of(RelayWord.taken)))
   await vi.waitFor(() => expect(entry.text).toBe('RELAY 1 entry-0 await\n'))
   const relayed = { caller, entry, connection, onReturned, onUnreachable, onUnanswered, onEnd, accepted }
-  if (!isTaken) return relayed
-  socket.write(Buffer.of(RelayWord.taken))
-  await vi.waitFor(() => expect(accepted.listenerCount('data')).toBe(1))
+  if (isTaken) await vi.waitFor(() => expect(accepted.listenerCount('data')).toBe(1))
   return relayed
 }
 
