--- a/process/relay/src/peerconnection.ts
+++ b/process/relay/src/peerconnection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { splitAddress } from '#connection/address'
 import { callAfterReading } from '#process/clock'
+import type { OtherEntry } from './directory.js'
 import { formatOrigin } from './origin.js'
 import type { RelayOrigin } from './origin.js'
 import { RelayWord } from './relayword.js'
@@ -13,14 +14,15 @@
   readonly onData: (bytes: Buffer) => boolean
 }
 
-/// For the connection and the other entry's word.
+/// For the connection and the word of another entry, beyond the time that a call is expected to take there.
 const takeTimeoutMs = 300
+const maxTakeTimeoutMs = 1000
 /// Shared by all connections: each read is copied at once, which takes less than Node's streams.
 const readBuffer = Buffer.allocUnsafe(64 * 1024)
 
 /// Connects to another entry, and destroys the connection if it isn't taken in time.
 export function connectPeer (
-  address: string, origin: RelayOrigin, { onTaken, onData }: PeerConnectionHandlers
+  { registration, expectedMs }: OtherEntry, origin: RelayOrigin, { onTaken, onData }: PeerConnectionHandlers
 ): Socket {
   let isTaken = false
   const onRead = (length: number): boolean => {
@@ -34,12 +36,12 @@
     onTaken()
     return bytes.length === 1 || onData(bytes.subarray(1))
   }
-  const [host, port] = splitAddress(address)
+  const [host, port] = splitAddress(registration.address)
   const socket = connect({ host, port, noDelay: true, onread: { buffer: readBuffer, callback: onRead } })
   // The word may have arrived while this process was busy.
   const timer = setTimeout(() => callAfterReading(() => {
     if (!isTaken) socket.destroy(new Error('the connection timed out'))
-  }), takeTimeoutMs)
+  }), Math.min(takeTimeoutMs + expectedMs, maxTakeTimeoutMs))
   socket.once('connect', () => socket.write(formatOrigin(origin)))
   socket.once('close', () => clearTimeout(timer))
   return socket
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -51,7 +51,7 @@
   constructor (private readonly options: RelayedConnectionOptions) {
     const { caller, entry, reader } = options
     this.requests = new RequestTracker(reader)
-    this.peer = connectPeer(entry.registration.address, options.origin, {
+    this.peer = connectPeer(entry, options.origin, {
       onTaken: () => this.start(),
       onData: this.onPeerData
     })
