--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -1,4 +1,5 @@
-import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { rmSync } from 'node:fs'
+import { mkdir, mkdtemp, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { runSoak } from '#standin/soak'
@@ -21,10 +22,19 @@
 const [entryMb, storageMb] = process.env.MEMORY?.split(',').map(Number) ?? []
 const graceMs = 8000
 const bundle = 'target/chicorynotchd.cjs'
+const isOn = (name: string): boolean => process.env[name] === '1'
+const hasMachines = ['POWER', 'CUTS', 'DISKS'].some(isOn)
+
+/// Returns the program and arguments that start the daemon.
+async function prepareCommand (): Promise<readonly string[]> {
+  if (!hasMachines) return [process.execPath, bundle]
+  const folder = await mkdtemp(join(tmpdir(), 'chicorynotch-machine-'))
+  process.once('exit', () => rmSync(folder, { recursive: true, force: true }))
+  return await buildMachine(folder, bundle)
+}
 
 exitAtSignals()
-const machineFolder = await mkdtemp(join(tmpdir(), 'chicorynotch-machine-'))
-const command = await buildMachine(machineFolder, bundle)
+const command = await prepareCommand()
 
 let findingCount = 0
 for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
@@ -36,16 +46,16 @@
     entries: Number(process.env.ENTRIES ?? 4),
     engines: Number(process.env.ENGINES ?? 3),
     graceMs,
-    hasTrouble: process.env.TROUBLE === '1',
-    sendsBatches: process.env.ALONE !== '1',
-    hasFaultyInstances: process.env.FAULTY === '1',
-    changesStorage: process.env.CHANGES === '1',
-    hasFinalFault: process.env.END === '1',
-    hasMachines: true,
-    losesPower: process.env.POWER === '1',
-    cutsLinks: process.env.CUTS === '1',
-    disturbsDisks: process.env.DISKS === '1',
-    changesWorkers: process.env.WORKERS === '1',
+    hasTrouble: isOn('TROUBLE'),
+    sendsBatches: !isOn('ALONE'),
+    hasFaultyInstances: isOn('FAULTY'),
+    changesStorage: isOn('CHANGES'),
+    hasFinalFault: isOn('END'),
+    hasMachines,
+    losesPower: isOn('POWER'),
+    cutsLinks: isOn('CUTS'),
+    disturbsDisks: isOn('DISKS'),
+    changesWorkers: isOn('WORKERS'),
     ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) },
     ...process.env.STORAGE_SHARE === undefined ? {} : { storageShare: Number(process.env.STORAGE_SHARE) },
     ...entryMb === undefined || storageMb === undefined ? {} : { memoryMb: { entry: entryMb, storage: storageMb } }
@@ -60,5 +70,4 @@
   await writeFile(join(process.env.LOGS, `${seed}-disturbances.log`), `${disturbances.join('\n')}\n`)
   for (const [name, log] of Object.entries(logs)) await writeFile(join(process.env.LOGS, `${seed}-${name}.log`), `${log.join('\n')}\n`)
 }
-await rm(machineFolder, { recursive: true, force: true })
 process.exit(findingCount === 0 ? 0 : 1)
