--- a/standin/upstream/src/upstream.ts
+++ b/standin/upstream/src/upstream.ts
@@ -147,6 +147,8 @@
     this.onRun(executed)
     if (this.fault === UpstreamFault.silent) return
     if (isEarly) {
+      // A stream that has begun can't go on with a failure.
+      if (headers['last-event-id'] !== undefined) this.onBreakOff(executed)
       executed.body = await this.respondEarly(request, response, callId)
       return
     }
--- a/standin/upstream/test/faults.test.ts
+++ b/standin/upstream/test/faults.test.ts
@@ -40,6 +40,15 @@
   expect(upstream.executedRequests.map(({ callId, body }) => [callId, body])).toEqual([['a1', 'firstafter'], ['b2', 'ok']])
 })
 
+test.each([['a resumption', 'last-event-id: 3\r\n', 1], ['another request', '', 0]])('early-kept: %s that fails early counts as broken off by the instance, as far as its stream had begun', async (_, field, count) => {
+  let brokenOff = 0
+  upstream.onBreakOff = () => brokenOff++
+  upstream.fault = UpstreamFault.earlyKept
+  client.write(formatHead('a1', 2).replace('host: h\r\n', `host: h\r\n${field}`))
+  await waitFor(/failed early$/)
+  expect(brokenOff).toBe(count)
+})
+
 test('early-closed: the response comes before the body, and the connection ends', async () => {
   upstream.fault = UpstreamFault.earlyClosed
   client.write(`${formatHead('a1', 10)}first`)
