--- a/process/ledger/src/viewfile.ts
+++ b/process/ledger/src/viewfile.ts
@@ -29,7 +29,8 @@
   private lastSave = Promise.resolve()
   private isClosed = false
 
-  /// Reads the newest view of `names`, the files of the folder. One that is damaged or of another disk is ignored.
+  /// Reads the newest view of `names`, the files of the folder, and syncs it: the process that wrote it may have been
+  /// killed before its sync. One that is damaged or of another disk is ignored.
   constructor (
     private readonly folder: string,
     private readonly diskId: string,
@@ -45,6 +46,7 @@
         log.event(Events.diskEntryIgnored, { name, reason: errorMessage(error) })
       }
     }
+    if (this.saved.version > 0) this.syncSaved()
   }
 
   /// The newest view that is synced.
@@ -67,7 +69,7 @@
 
   private async saveIfNewer (view: View, { isInThread }: SaveOptions): Promise<void> {
     if (view.version <= this.saved.version) return
-    const name = `view-${view.version}`
+    const name = formatName(view)
     const sync = isInThread ? syncInThread : fsyncSync
     this.assertOpen()
     const file = openSync(join(this.folder, name), 'w')
@@ -89,6 +91,17 @@
     this.removeOthers(name)
   }
 
+  private syncSaved (): void {
+    for (const path of [join(this.folder, formatName(this.saved)), this.folder]) {
+      const file = openSync(path, 'r')
+      try {
+        fsyncSync(file)
+      } finally {
+        closeSync(file)
+      }
+    }
+  }
+
   private removeOthers (name: string): void {
     const others = this.names.filter(other => other !== name)
     this.names = [name]
@@ -106,6 +119,10 @@
   }
 }
 
+function formatName ({ version }: View): string {
+  return `view-${version}`
+}
+
 function encode (view: View, diskId: string): string {
   const json = JSON.stringify({ diskId, view })
   return `${formatChecksum(json)} ${json}\n`
--- a/process/ledger/test/powerloss.test.ts
+++ b/process/ledger/test/powerloss.test.ts
@@ -38,6 +38,9 @@
     expect(view.version).toBeGreaterThanOrEqual(this.viewVersion)
     const missing = [...this.recordIds].filter(id => records.get(`${RecordKind.turn}/${id}`) === undefined)
     expect(missing).toEqual([])
+    // What a start begins with is told from then on.
+    this.viewVersion = view.version
+    for (const key of records.listKeys(0, Infinity).keys) this.recordIds.add(key.slice(`${RecordKind.turn}/`.length))
   }
 }
 
