Ledger: a view that can't be read isn't taken for none

A read that failed for a moment (no free descriptor, an I/O error) was logged as a damaged view, and the start went on without what it had told. What isn't a file is left alone.

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -79,7 +79,8 @@
     // Before the disk has an id, so that a start that ends in between doesn't lose the mark.
     if (isFirstStart && existingDiskId === null) writeFile(folder, firstStartFileName, '')
     const diskId = existingDiskId ?? writeIdentity(folder)
-    const viewFile = new ViewFile(folder, diskId, names, log)
+    const fileNames = entries.filter(entry => entry.isFile()).map(({ name }) => name)
+    const viewFile = new ViewFile(folder, diskId, fileNames, log)
     const disk = new Disk(folder, diskId, viewFile, log)
     const reader = new SegmentReader(nowMs)
     disk.readSegments(entries, reader)
--- a/process/ledger/src/viewfile.ts
+++ b/process/ledger/src/viewfile.ts
@@ -30,7 +30,7 @@
   private isClosed = false
 
   /// Reads the newest view of `names`, the files of the folder, and syncs it: the process that wrote it may have been
-  /// killed before its sync. One that is damaged or of another disk is ignored.
+  /// killed before its sync. One that is damaged or of another disk is ignored. Throws if one can't be read or synced.
   constructor (
     private readonly folder: string,
     private readonly diskId: string,
@@ -39,8 +39,9 @@
   ) {
     this.names = [...names].filter(name => namePattern.test(name))
     for (const name of this.names) {
+      const text = readFileSync(join(folder, name), 'utf8')
       try {
-        const view = decode(readFileSync(join(folder, name), 'utf8'), diskId)
+        const view = decode(text, diskId)
         if (view.version > this.saved.version) this.saved = view
       } catch (error) {
         log.event(Events.diskEntryIgnored, { name, reason: errorMessage(error) })
