--- a/standin/power/recorder.cjs
+++ b/standin/power/recorder.cjs
@@ -25,6 +25,8 @@
 const journals = new Map()
 let remainingSteps = Infinity
 let skipsSyncs = false
+/// Counts the calls of `cutAfter`.
+let lifeCount = 0
 
 class PowerLostError extends Error {}
 
@@ -85,8 +87,9 @@
 function wrapAsyncSync (sync) {
   return (descriptor, callback) => {
     const end = beginSync(descriptor)
+    const life = lifeCount
     const finish = error => {
-      if (error === null && remainingSteps > 0) end?.()
+      if (error === null && remainingSteps > 0 && life === lifeCount) end?.()
       callback(remainingSteps > 0 ? error : new PowerLostError('the power is lost'))
     }
     if (skipsSyncs) setImmediate(finish, null)
@@ -143,6 +146,8 @@
 /// `Infinity` ends a cut. What was recorded is on its journal's file, and nothing is recorded until the next new file.
 exports.cutAfter = steps => {
   remainingSteps = steps
+  // What is still under way has ended with its process.
+  lifeCount++
   for (const { descriptor } of journals.values()) closeSync(descriptor)
   journals.clear()
 }
