--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -67,6 +67,11 @@
 /// An entry that has asked for a report within so many ticks may relay connections here.
 const maxAskedTicks = 4
 
+/// Must be called when bytes of the entry have arrived: it is not lost, though its reports may be.
+export function recordBytes (entry: OtherEntry): void {
+  entry.unansweredQueries = Math.min(entry.unansweredQueries, maxUnansweredQueries)
+}
+
 /// The other entries, from the platform's store and their reports, and which of them a connection should be relayed to.
 /// Only an entry that is busy asks the others for reports.
 export class EntryDirectory implements WatchHandler {
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -2,6 +2,7 @@
 import { destroyIfStalled } from '#connection/front'
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
+import { recordBytes } from './directory.js'
 import type { OtherEntry } from './directory.js'
 import { watchIdle } from './idlewatch.js'
 import type { RelayOrigin } from './origin.js'
@@ -224,6 +225,7 @@
   /// Returns whether to read on.
   private readonly onPeerData = (bytes: Buffer): boolean => {
     this.options.onChunk()
+    recordBytes(this.options.entry)
     this.responses.isToHead = this.requests.isHead
     this.peerReader.add(bytes)
     return !this.options.caller.writableNeedDrain
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -2,6 +2,7 @@
 import { noopLog } from '#process/log'
 import { EntryDirectory } from '#process/relay'
 import type { LoadReport } from '#process/relay'
+import { recordBytes } from '../src/directory.js'
 import { changeObjects, listObjects } from '#standin/store'
 
 /// How long a call takes here in most tests; connections are relayed to entries where it takes less than 83 ms.
@@ -174,6 +175,22 @@
   expect(onLoss).toHaveBeenCalledTimes(losses)
 })
 
+// Guards against streams that are reset while they flow, as only the datagrams between two entries are lost.
+test('an entry whose reports are lost and whose responses still come is not taken for lost until these end', () => {
+  addEntry('e')
+  const [entry] = directory.entries
+  const onLoss = vi.fn()
+  entry!.onUnavailable.add(() => {})
+  entry!.onLoss.add(onLoss)
+  for (let i = 0; i < 20; i++) {
+    tick(3)
+    recordBytes(entry!)
+  }
+  expect([choose(), onLoss.mock.calls.length]).toEqual([null, 0])
+  tick(10)
+  expect(onLoss).toHaveBeenCalledTimes(1)
+})
+
 test.each<[string, () => void, number, number]>([
   ['an idle entry asks nobody', () => addEntry('e'), idleMs, 0],
   ['a busy one asks those that it has not heard of', () => {
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -54,6 +54,8 @@
 interface Relayed {
   readonly caller: End
   readonly entry: End
+  /// What is known of the other entry.
+  readonly other: OtherEntry
   readonly connection: RelayedConnection
   readonly onReturned: ReturnType<typeof vi.fn>
   readonly onUnreachable: ReturnType<typeof vi.fn>
@@ -73,14 +75,15 @@
 
 /// Resolves once the other entry has taken the connection, or before that, if it doesn't.
 async function relay (isTaken = true): Promise<Relayed> {
-  const [front, other] = await Promise.all([listen(), listen()])
+  const [front, peer] = await Promise.all([listen(), listen()])
+  const other = createOtherEntry(`127.0.0.1:${peer.port}`)
   const caller = new End(connect({ port: front.port, host: '127.0.0.1', noDelay: true }))
   const [accepted] = await once(front.server, 'connection') as [Socket]
   sockets.push(accepted)
   const [onReturned, onUnreachable, onUnanswered, onEnd] = [vi.fn(), vi.fn(), vi.fn(), vi.fn()]
   const connection = new RelayedConnection({
     caller: accepted,
-    entry: createOtherEntry(`127.0.0.1:${other.port}`),
+    entry: other,
     origin: { entry: 'entry-0', configVersion: 1 },
     onChunk: () => {},
     onUnreachable,
@@ -91,10 +94,10 @@
     onUnanswered,
     onEnd
   })
-  const [socket] = await once(other.server, 'connection') as [Socket]
+  const [socket] = await once(peer.server, 'connection') as [Socket]
   const entry = new End(socket)
   await vi.waitFor(() => expect(entry.text).toBe('RELAY 1 entry-0 await\n'))
-  const relayed = { caller, entry, connection, onReturned, onUnreachable, onUnanswered, onEnd, accepted }
+  const relayed = { caller, entry, other, connection, onReturned, onUnreachable, onUnanswered, onEnd, accepted }
   if (!isTaken) return relayed
   socket.write(Buffer.of(RelayWord.taken))
   await vi.waitFor(() => expect(accepted.listenerCount('data')).toBe(1))
@@ -424,6 +427,16 @@
   expect(caller.text).toBe((pieces[0]!.startsWith(interim) ? interim : '') + formatResponse(503))
 })
 
+test('bytes of the other entry show that it is not lost', async () => {
+  const { caller, entry, other } = await relay()
+  other.unansweredQueries = 9
+  caller.socket.write(formatRequest('a1'))
+  await entry.receive(1)
+  entry.socket.write(formatResponse(200))
+  await caller.receive(1)
+  expect(other.unansweredQueries).toBeLessThan(5)
+})
+
 const chunkedHead = 'HTTP/1.1 200 X\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n'
 
 // Guards against LOST: a request that crossed the head of the last response was dropped when the response ended.
