Relay: how busy another entry is now isn't known from before a pause

Ages of reports are counted in ticks, which stop while this process does: after a stall a turn was refused for an entry that had been better seconds before, by a report that docs/DESIGN.md calls one of the last 0.8 s.

--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -20,6 +20,8 @@
   askedTicks: number
   /// Ticks since its last report.
   ageTicks: number
+  /// When its last report was read. On the monotonic clock of `performance.now()`.
+  reportedAtMs: number
   /// Queries since its last report.
   unansweredQueries: number
   /// No connection is relayed to it until then, after one has failed. On the monotonic clock of `performance.now()`.
@@ -43,8 +45,9 @@
 const maxUnansweredQueriesOfCalls = 10
 /// Connections are relayed by reports up to this age.
 const maxAgeTicks = 8
-/// A report of at most this age says how busy an entry is now.
+/// A report of at most this age says how busy an entry is now. Ticks alone don't tell: they stop while this process does.
 const maxCurrentTicks = 2
+const maxCurrentMs = 800
 /// Age from which a report is asked for again, for entries that are better than this one and for the others.
 const refreshTicks = 3
 const slowRefreshTicks = 8
@@ -125,6 +128,7 @@
       askersProcessors: 0,
       askedTicks: Infinity,
       ageTicks: Infinity,
+      reportedAtMs: -Infinity,
       unansweredQueries: 0,
       avoidUntilMs: 0,
       onUnavailable: new Set(),
@@ -146,7 +150,9 @@
     if (entry === undefined) return
     if (isSilent(entry)) this.log.event(Events.entryHeard, { entry: name })
     if (entry.isReady && !isReady) for (const onUnavailable of [...entry.onUnavailable]) onUnavailable()
-    Object.assign(entry, { expectedMs, configVersion, isReady, askersProcessors, ageTicks: 0, unansweredQueries: 0 })
+    const reportedAtMs = performance.now()
+    const report = { expectedMs, configVersion, isReady, askersProcessors, reportedAtMs }
+    Object.assign(entry, { ...report, ageTicks: 0, unansweredQueries: 0 })
     if (isQuery) entry.askedTicks = 0
   }
 
@@ -219,7 +225,7 @@
   /// How long a call is expected to take at the slowest of the better entries, by what they say now; `Infinity` if they
   /// have no room for most connections.
   getBetterMs (configVersion: number, ownMs: number): number {
-    const better = this.findBetter(configVersion, ownMs).filter(({ ageTicks }) => ageTicks <= maxCurrentTicks)
+    const better = this.findBetter(configVersion, ownMs).filter(isCurrent)
     if (this.sumRoom(better) < minReconnectRoom) return Infinity
     return Math.max(...better.map(entry => this.getExpectedMs(entry)))
   }
@@ -297,6 +303,10 @@
   return entry.unansweredQueries >= maxUnansweredQueries
 }
 
+function isCurrent ({ ageTicks, reportedAtMs }: OtherEntry): boolean {
+  return ageTicks <= maxCurrentTicks && performance.now() - reportedAtMs <= maxCurrentMs
+}
+
 /// A connection is relayed to an entry at which a call is expected to take less than this.
 function getKeepMs (ownMs: number): number {
   return ownMs * (1 - relayCostShare) - minGainMs
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -253,6 +253,17 @@
   expect(directory.getBetterMs(1, ownMs)).toBe(expectedMs)
 })
 
+// Guards against turns that are refused everywhere after a stall, by what was known before it.
+test('a report from before a pause of this process does not say how busy the other entry is now', () => {
+  addEntry('e', { expectedMs: 20 })
+  tick(1)
+  const nowMs = performance.now()
+  vi.spyOn(performance, 'now').mockReturnValue(nowMs + 3000)
+  const betterMs = directory.getBetterMs(1, ownMs)
+  vi.restoreAllMocks()
+  expect(betterMs).toBe(Infinity)
+})
+
 test('an entry reports the processors of those that have lately asked it', () => {
   for (const name of ['e', 'ee', 'eee']) addEntry(name)
   directory.recordReport({ name: 'e', expectedMs: 90, configVersion: 1, isReady: true, isQuery: true, askersProcessors: 0 })
--- a/process/relay/test/relayedconnection.test.ts
+++ b/process/relay/test/relayedconnection.test.ts
@@ -113,6 +113,7 @@
     askersProcessors: 0,
     askedTicks: 0,
     ageTicks: 0,
+    reportedAtMs: 0,
     unansweredQueries: 0,
     avoidUntilMs: 0,
     onUnavailable: new Set(),
