--- a/process/ledger/test/viewunreadable.test.ts
+++ b/process/ledger/test/viewunreadable.test.ts
@@ -23,7 +23,8 @@
     if (!path.endsWith('view-4') || failures++ > 0) return original(path, ...rest)
     throw Object.assign(new Error('EMFILE: too many open files'), { code: 'EMFILE' })
   }) as typeof readFileSync)
-  const { disk: reopened, contents } = await openDisk(folder, { log: noopLog, isFirstStart: false, signal: AbortSignal.timeout(5000) })
+  const options = { log: noopLog, isFirstStart: false, signal: AbortSignal.timeout(5000) }
+  const { disk: reopened, contents } = await openDisk(folder, options)
   expect(contents.view.version).toBe(4)
   reopened.close()
   rmSync(folder, { recursive: true })
--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -45,7 +45,8 @@
 const maxUnansweredQueriesOfCalls = 10
 /// Connections are relayed by reports up to this age.
 const maxAgeTicks = 8
-/// A report of at most this age says how busy an entry is now. Ticks alone don't tell: they stop while this process does.
+/// A report of at most this age says how busy an entry is now. Ticks alone don't tell: they stop while this process
+/// does.
 const maxCurrentTicks = 2
 const maxCurrentMs = 800
 /// Age from which a report is asked for again, for entries that are better than this one and for the others.
