Membership: a short absence of many isn't taken for their loss when an added member begins to serve

An admitted member served once all that it had reached in the last 4 s knew of it, one at least. If two of three others were cut off or frozen for that long right after it was admitted, it served with one that knew: a turn that these two stored could be ruled out by the other two and an entry that had missed the change as well. It waits 8 s now, which costs time only where more than f members are missing.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -31,7 +31,8 @@
   readonly passes: ReadonlyMap<string, CompletedPass>
   /// Disks that were reached a short time ago, this instance's own among them.
   readonly presentDiskIds: ReadonlySet<string>
-  /// The same over a longer time, so that who marked this instance as leaving has missed the others for long, too.
+  /// The same over a longer time, so that who marked this instance as leaving has missed the others for long, too, and
+  /// a short absence of many isn't taken for their loss.
   readonly lastingDiskIds: ReadonlySet<string>
   /// Whether this instance may take back that it leaves. If it does so again and again, the others see what it doesn't.
   readonly mayTakeBack: boolean
@@ -77,12 +78,13 @@
 }
 
 /// Whether each absence quorum of an older view has one that knows that this member is read.
-/// Members that are gone don't reply, but one must have: a member that reaches nobody may be cut off.
+/// Members that are gone don't reply, but one must have: a member that reaches nobody may be cut off. Those that were
+/// missed only lately may come back without knowing of it, with an entry that doesn't either.
 function isKnownToRead (view: View, standpoint: Standpoint): boolean {
-  const { own, passes, stateVersion, presentDiskIds, toleratedLosses } = standpoint
+  const { own, passes, stateVersion, lastingDiskIds, toleratedLosses } = standpoint
   const others = view.members.filter(member => hasCopied(member) && member.diskId !== own.diskId)
   const knowing = others.filter(({ diskId }) => (passes.get(diskId)?.viewVersion ?? -1) >= stateVersion)
-  const present = others.filter(({ diskId }) => presentDiskIds.has(diskId))
+  const present = others.filter(({ diskId }) => lastingDiskIds.has(diskId))
   const required = Math.min(toleratedLosses + 1, Math.max(present.length, Math.min(1, others.length)))
   return knowing.length >= required
 }
