A refusal as busy says whether the call would wait too long or another entry serves it sooner

Change: the reason has the wait that the call may have, or in what time the other entry serves it; and calls that did wait say so. Result: a new case each in admission.test.ts, which passes.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -123,7 +123,11 @@
     if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
     if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
       this.refusedTurns.add(call.previousTurnId, callClass.sinceMs)
-      return Promise.reject(createBusyError(expectedWaitMs, this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)))
+      const reason = expectedWaitMs > maxWaitMs
+        ? `it may wait for ${Math.round(maxWaitMs)} ms`
+        : `another entry serves it in ${Math.round(this.getBetterMs())} ms`
+      const retryAfterMs = this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)
+      return Promise.reject(createBusyError(`would wait for ${Math.round(expectedWaitMs)} ms, ${reason}`, retryAfterMs))
     }
     if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
       return Promise.reject(createShedError(this.shedShare))
@@ -262,7 +266,7 @@
       this.queues[rank] = queue.filter(waiting => !isExpired(waiting))
       for (const { call, sinceMs, queuedAtMs, refuse } of queue.filter(isExpired)) {
         this.refusedTurns.add(call.previousTurnId, sinceMs)
-        refuse(createBusyError(nowMs - queuedAtMs))
+        refuse(createBusyError(`has waited for ${Math.round(nowMs - queuedAtMs)} ms`))
       }
     }
   }
@@ -282,11 +286,11 @@
   return new RefusedError(Refusal.timedOut, Verdict.notRun, message)
 }
 
-function createBusyError (waitMs: number, retryAfterMs = addJitter(busyRetryAfterMs)): RefusedError {
+function createBusyError (reason: string, retryAfterMs = addJitter(busyRetryAfterMs)): RefusedError {
   return new RefusedError(
     Refusal.busy,
     Verdict.notRun,
-    `this process is busy: the call would wait for ${Math.round(waitMs)} ms`,
+    `this process is busy: the call ${reason}`,
     retryAfterMs
   )
 }
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -184,6 +184,18 @@
   expect(['new', 'turn', 'tool'].filter(id => !started.includes(id))).toEqual(expected)
 })
 
+// Guards against a refusal of which no line says what the entry knew.
+test.each([
+  ['for another entry', 20, 60, /would wait for 360 ms, another entry serves it in 20 ms$/],
+  ['as it would wait too long', Infinity, 400, /would wait for 2400 ms, it may wait for (999|1000) ms$/]
+])('a turn that is refused %s: the reason says so', async (_, betterMs, meanDelayMs, expected) => {
+  admission = new Admission(backlog, () => betterMs)
+  backlog.meanDelayMs = meanDelayMs
+  admit('turn', { programId: 'p', previousTurnId: 't' })
+  await iterate(1)
+  expect(refused.map(({ message }) => message)).toEqual([expect.stringMatching(expected)])
+})
+
 // Guards against a turn that is refused, and finds newer ones before it at each retry.
 test('a turn that comes back after a refusal starts before those that came meanwhile', async () => {
   backlog.meanDelayMs = 60
