--- a/process/ledger/test/powerloss.test.ts
+++ b/process/ledger/test/powerloss.test.ts
@@ -63,6 +63,7 @@
   private disk: Disk | null = null
   private ledger: Ledger | null = null
   private latest: LedgerRecord | null = null
+  private readonly unawaited: Promise<unknown>[] = []
   private recordCount = 0
   private viewCount = 0
 
@@ -77,8 +78,8 @@
     } catch (error) {
       if (!(error as Error).message.includes('the power is lost')) throw error
     }
-    // Appends and saves that nobody waits for fail or end.
-    await new Promise(resolve => { setTimeout(resolve, 2) })
+    power.cutAfter(0)
+    await Promise.allSettled(this.unawaited)
     this.disk?.close()
     this.disk = null
     power.cutAfter(Infinity)
@@ -124,7 +125,11 @@
   }
 
   private persistUnawaited (): void {
-    this.persist(5000).catch(() => {})
+    this.runUnawaited(this.persist(5000))
+  }
+
+  private runUnawaited (work: Promise<void>): void {
+    this.unawaited.push(work.catch(() => {}))
   }
 
   private async adoptView (): Promise<void> {
@@ -134,7 +139,7 @@
   }
 
   private adoptUnawaited (): void {
-    this.adoptView().catch(() => {})
+    this.runUnawaited(this.adoptView())
   }
 
   /// Moves the oldest segment, as if there were many.
--- a/standin/power/src/loss.ts
+++ b/standin/power/src/loss.ts
@@ -60,8 +60,9 @@
     },
     truncate: ({ name }) => { Object.assign(files.get(name) ?? {}, { syncedBytes: 0 }) },
     sync: ({ name, size }) => {
-      const formerName = files.get(name)?.formerName ?? null
-      files.set(name, { syncedBytes: size, namedAt: -1, removedAt: Infinity, formerName })
+      const { formerName = null, syncedBytes = 0 } = files.get(name) ?? {}
+      // Of two syncs at once, the one with fewer bytes may end last.
+      files.set(name, { syncedBytes: Math.max(size, syncedBytes), namedAt: -1, removedAt: Infinity, formerName })
     },
     rename: ({ name, to }, namedAt) => {
       const state = files.get(name)
