--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -100,22 +100,22 @@
   }
 
   private startAdoption (view: View, revision: number): void {
-    this.adoptView(view, revision).then(() => this.reconcile(), (error: unknown) => {
-      if (this.stopping.signal.aborted) return
+    this.adoptView(view, revision).then(() => this.reconcile()).catch((error: unknown) => {
       this.log.event(Events.unexpectedError, { where: 'adopting a view', error: formatError(error) })
     })
   }
 
-  /// Resolves once the view, or a newer one, is adopted. It is on the disk by then: also in its own decisions, this
-  /// instance relies only on a view that it can't forget.
+  /// Resolves once the view, or a newer one, is adopted, or at a stop. It is on the disk by then: also in its own
+  /// decisions, this instance relies only on a view that it can't forget.
   private async adoptView (view: View, revision: number): Promise<void> {
     this.latestRevision = revision
+    const { signal } = this.stopping
     await retry(() => this.ledger.adoptView(view), {
       delayMs: saveRetryDelayMs,
-      signal: this.stopping.signal,
+      signal,
       onFailure: error => this.log.event(Events.diskFailed, { of: 'view', error: formatError(error) })
-    })
-    if (this.stopping.signal.aborted || revision <= this.revision) return
+    }).catch((error: unknown) => { if (!signal.aborted) throw error })
+    if (signal.aborted || revision <= this.revision) return
     this.revision = revision
     if (view.version <= this.view.version) return
     this.followView(view)
