--- a/standin/soak/test/soak.test.ts
+++ b/standin/soak/test/soak.test.ts
@@ -29,19 +29,22 @@
   expect(report.statuses[200]).toBeGreaterThan(report.attempts / 2)
 }, 90_000)
 
-test('with losses of power and a final fault: no turn that was answered whole is lost (seed 20261207)', async () => {
+test.each([
+  ['losses of power', 20261208, false],
+  ['losses of power and a final fault', 20261207, true]
+])('with %s: no sound request is lost, denied or run twice (seed %i)', async (_, seed, hasFinalFault) => {
   const folder = await mkdtemp(join(tmpdir(), 'chicorynotch-soak-'))
   const [, bundle] = await buildDaemon(folder)
   const report = await runSoak({
     command: await buildMachine(folder, bundle!),
-    seed: 20261207,
-    durationMs: shortDurationMs,
+    seed,
+    durationMs: hasFinalFault ? shortDurationMs : durationMs,
     callers: 24,
     graceMs,
     hasTrouble: false,
     hasMachines: true,
     losesPower: true,
-    hasFinalFault: true
+    hasFinalFault
   })
   await rm(folder, { recursive: true, force: true })
   expect(report.findings.map(({ rule, text }) => `${rule}: ${text}`)).toEqual([])
