--- a/process/ledger/src/viewfile.ts
+++ b/process/ledger/src/viewfile.ts
@@ -1,4 +1,4 @@
-import { closeSync, fsync, fsyncSync, openSync, readFileSync, unlinkSync, writeFileSync } from 'node:fs'
+import { closeSync, fsync, fsyncSync, openSync, readFileSync, unlinkSync, writeSync } from 'node:fs'
 import { join } from 'node:path'
 import { promisify } from 'node:util'
 import { crc32 } from 'node:zlib'
@@ -75,7 +75,8 @@
     this.assertOpen()
     const file = openSync(join(this.folder, name), 'w')
     try {
-      writeFileSync(file, encode(view, this.diskId))
+      const bytes = Buffer.from(encode(view, this.diskId))
+      for (let offset = 0; offset < bytes.length;) offset += writeSync(file, bytes, offset)
       await sync(file)
     } finally {
       closeSync(file)
--- a/standin/machine/src/trackedfiles.ts
+++ b/standin/machine/src/trackedfiles.ts
@@ -28,7 +28,7 @@
 
 /// Functions that change files, and that aren't needed: their effects would go unnoticed.
 const refusedNames = [
-  'appendFile', 'appendFileSync', 'createWriteStream', 'fsync', 'ftruncate', 'ftruncateSync', 'open', 'rename', 'rm',
+  'appendFile', 'appendFileSync', 'createWriteStream', 'ftruncate', 'ftruncateSync', 'open', 'rename', 'rm',
   'rmSync', 'truncate', 'truncateSync', 'unlink', 'write', 'writeFileSync', 'writev', 'writevSync'
 ] as const
 
@@ -61,6 +61,7 @@
       writeSync: (file: number, data: Buffer | string, offset?: number) => this.writeSync(file, data, offset),
       fsyncSync: (file: number) => this.syncNow(file, original.fsyncSync),
       fdatasyncSync: (file: number) => this.syncNow(file, original.fdatasyncSync),
+      fsync: (file: number, callback: Callback) => this.sync(file, callback),
       fdatasync: (file: number, callback: Callback) => this.sync(file, callback),
       renameSync: (from: string, to: string) => {
         if (this.has(from)) this.state.addChange({ kind: 'renamed', name: basename(from), to: basename(to) })
