--- a/process/quorum/test/quorum.test.ts
+++ b/process/quorum/test/quorum.test.ts
@@ -145,6 +145,16 @@
   expect(events.filter(([name]) => name === 'turn-ruled-out')).toEqual([ruledOut])
 })
 
+// Guards against LOST: right after a loss, each of the disks that are left holds another part of a chain.
+test('a chain whose turns are on different storage instances is found', async () => {
+  const [first, second] = [createRecord(RecordKind.turn, 't1'), createRecord(RecordKind.turn, 't2')]
+  // Each was stored on the second one, too.
+  await ledgers[0]!.persist([first])
+  await ledgers[2]!.persist([{ ...second, previousId: 't1' }])
+  servers[1]!.close()
+  expect((await quorum.findChain('t2', 900))?.map(({ id }) => id)).toEqual(['t1', 't2'])
+})
+
 test('with one of three storage instances down, turns are committed, found and ruled out', async () => {
   servers[0]!.close()
   await quorum.append([createRecord(RecordKind.turn, 't1')], 900)
