A chain whose turns are on different storage instances is joined

Cause: a chain was found only where one disk holds all of it. With t1 on A and B, t2 on B and C, and B's disk lost, nobody does. Change: the earlier turns that a member lacks are asked of all, and the parts are joined. Why it works: each turn of the chain is committed by itself, so each is found as long as no more disks are lost than are tolerated.

--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -141,6 +141,7 @@
   /// Resolves to a turn's complete chain, oldest first, or to null once a quorum
   /// rules out that the turn was committed. Queries the nearest member first, and
   /// the others as soon as it replies without the chain, or after `hedgeDelayMs`.
+  /// The turns of a chain may be on different members.
   async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
     this.assertAvailable()
     const deadlineMs = performance.now() + timeoutMs
@@ -167,6 +168,7 @@
     const { version } = this.peers.view
     const absentDiskIds = new Set<string>()
     let chain: LedgerRecord[] | null = null
+    let isJoining = false
     const isSameView = (): boolean => this.peers.view.version === version
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
@@ -181,14 +183,34 @@
           state, (peer, limitMs, wait) => peer.findChain(request, limitMs, wait), { deadlineMs, failsFast: true }
         )
         if (reply === null || chain !== null) return
-        if (reply.chain.length > 0 && !reply.incomplete) chain = reply.chain
-        else if (reply.chain.length === 0 && isSameView()) absentDiskIds.add(reply.standing!.diskId)
+        if (reply.chain.length === 0) {
+          if (isSameView()) absentDiskIds.add(reply.standing!.diskId)
+        } else if (!reply.incomplete) {
+          chain = reply.chain
+        } else if (!isJoining) {
+          isJoining = true
+          const joined = await this.addEarlierTurns(reply.chain, deadlineMs)
+          isJoining = false
+          chain ??= joined
+        }
       }
     })
     await fanout.done
     return { chain, absentDiskIds }
   }
 
+  /// Resolves to the complete chain of which a member holds the latest turns, or to null if the earlier ones aren't
+  /// found.
+  private async addEarlierTurns (latest: readonly LedgerRecord[], deadlineMs: number): Promise<LedgerRecord[] | null> {
+    try {
+      const earlier = await this.findChain(latest[0]!.previousId, deadlineMs - performance.now())
+      return earlier === null ? null : [...earlier, ...latest]
+    } catch (error) {
+      if (error instanceof QuorumError) return null
+      throw error
+    }
+  }
+
   /// The member's disk, if it holds what it must by the current view. Must be called before a request is sent: a reply
   /// from before the disk was complete does not count, also if a newer view counts the disk.
   private findReadVoter ({ member }: PeerState): string | null {
