A turn isn't refused for the sake of an entry that is nearly as busy

Cause: the wait here, with its queue and passes of the event loop, was compared with what another entry expects of a single call, which has neither. Change: the other entry's wait is taken to be the wait here times the ratio of what the two expect of a call. Test: a new case of admission.test.ts, which fails with the condition before (turn refused); the others hold as they were, in shares.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -89,9 +89,9 @@
   private lastStartAtMs = 0
   private startIntervalMs = initialStartIntervalMs
 
-  /// `getBetterMs` returns how long a call takes at other entries that are known to serve it sooner; `Infinity` if
-  /// there are none.
-  constructor (private readonly backlog: LoopBacklog, private readonly getBetterMs: () => number = () => Infinity) {}
+  /// `getBetterShare` returns how long a call takes at other entries that are known to serve it sooner, as a share of
+  /// the time that it takes here; `Infinity` if there are none.
+  constructor (private readonly backlog: LoopBacklog, private readonly getBetterShare: () => number = () => Infinity) {}
 
   /// Share of the programs that are refused at their start.
   get shedShare (): number {
@@ -125,7 +125,7 @@
       this.refusedTurns.add(call.previousTurnId, callClass.sinceMs)
       const reason = expectedWaitMs > maxWaitMs
         ? `it may wait for ${Math.round(maxWaitMs)} ms`
-        : `another entry serves it in ${Math.round(this.getBetterMs())} ms`
+        : `another entry serves it in ${Math.round(expectedWaitMs * this.getBetterShare())} ms`
       const retryAfterMs = this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)
       return Promise.reject(createBusyError(`would wait for ${Math.round(expectedWaitMs)} ms, ${reason}`, retryAfterMs))
     }
@@ -159,14 +159,15 @@
     const { call, route, isRelayed } = request
     if (rank !== turnRank || isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
     return this.refusedTurns.findSinceMs(call.previousTurnId) === null &&
-      this.getBetterMs() + busyRetryAfterMs + reconnectMs < expectedWaitMs
+      expectedWaitMs * this.getBetterShare() + busyRetryAfterMs + reconnectMs < expectedWaitMs
   }
 
   /// Returns after how long the call could be served here, or at once if another entry would serve it sooner.
   private findRetryAfterMs (
     { deadlineMs, isRelayed }: AdmissionRequest, maxWaitMs: number, expectedWaitMs: number
   ): number {
-    if (!isRelayed && this.getBetterMs() + reconnectMs < expectedWaitMs) return addJitter(busyRetryAfterMs)
+    const elsewhereMs = expectedWaitMs * this.getBetterShare() + reconnectMs
+    if (!isRelayed && elsewhereMs < expectedWaitMs) return addJitter(busyRetryAfterMs)
     const remainingMs = deadlineMs - performance.now()
     const excessMs = expectedWaitMs - maxWaitMs
     // A wait that is bound by a share of the caller's time must shrink by more, since that time shrinks with it.
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -169,13 +169,14 @@
 
 // Guards against a turn that is refused as busy by one entry after the other while programs start.
 test.each([
-  ['another entry is known to serve it much sooner', 60, 20, false, ['new', 'turn']],
-  ['another entry would serve it about as late, with its retry', 60, 200, false, ['new']],
-  ['another entry has passed it on', 60, 20, true, ['new']],
+  ['another entry is known to serve it much sooner', 60, 0.05, false, ['new', 'turn']],
+  ['another entry would serve it about as late, with its retry', 60, 0.6, false, ['new']],
+  ['another entry is nearly as busy', 150, 0.8, false, ['new']],
+  ['another entry has passed it on', 60, 0.05, true, ['new']],
   ['no other entry would serve it sooner', 60, Infinity, false, ['new']],
   ['no other entry would, and it would end too late', 400, Infinity, false, ['new', 'turn', 'tool']]
-])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, betterMs, isRelayed, expected) => {
-  admission = new Admission(backlog, () => betterMs)
+])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, betterShare, isRelayed, expected) => {
+  admission = new Admission(backlog, () => betterShare)
   backlog.meanDelayMs = meanDelayMs
   admit('new', { programId: 'p1', isRelayed })
   admit('turn', { programId: 'p2', previousTurnId: 't', isRelayed })
@@ -186,10 +187,10 @@
 
 // Guards against a refusal of which no line says what the entry knew.
 test.each([
-  ['for another entry', 20, 60, /would wait for 360 ms, another entry serves it in 20 ms$/],
+  ['for another entry', 0.1, 60, /would wait for 360 ms, another entry serves it in 36 ms$/],
   ['as it would wait too long', Infinity, 400, /would wait for 2400 ms, it may wait for (999|1000) ms$/]
-])('a turn that is refused %s: the reason says so', async (_, betterMs, meanDelayMs, expected) => {
-  admission = new Admission(backlog, () => betterMs)
+])('a turn that is refused %s: the reason says so', async (_, betterShare, meanDelayMs, expected) => {
+  admission = new Admission(backlog, () => betterShare)
   backlog.meanDelayMs = meanDelayMs
   admit('turn', { programId: 'p', previousTurnId: 't' })
   await iterate(1)
@@ -235,10 +236,10 @@
   ['a turn, when half of its time is longer than its wait', { previousTurnId: 't' }, 200, Infinity, 400, 562],
   ['a turn, no later than callers wait', { previousTurnId: 't' }, 400, Infinity, 660, 667],
   ['a new program, when it would wait for its latency target', {}, 100, Infinity, 400, 560],
-  ['a turn that another entry would serve sooner, soon', { previousTurnId: 't' }, 200, 20, 72, 168],
+  ['a turn that another entry would serve sooner, soon', { previousTurnId: 't' }, 200, 0.05, 72, 168],
   ['a call that could be served soon, not at once', { previousTurnId: 't' }, 170, Infinity, 72, 168]
-])('a refused caller comes back: %s', async (_, options, meanDelayMs, betterMs, atLeastMs, atMostMs) => {
-  admission = new Admission(backlog, () => betterMs)
+])('a refused caller comes back: %s', async (_, options, meanDelayMs, betterShare, atLeastMs, atMostMs) => {
+  admission = new Admission(backlog, () => betterShare)
   backlog.meanDelayMs = meanDelayMs
   admit('call', { programId: 'p', ...options })
   await iterate(1)
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -115,7 +115,7 @@
       onStaleView: () => this.viewReader.read()
     }, log)
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
-    const admission = new Admission(backlog, () => this.peers.relay.betterMs)
+    const admission = new Admission(backlog, () => this.peers.relay.betterShare)
     const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -119,7 +119,7 @@
   delayMs = 0
   readonly loop = { currentDelayMs: 0, meanDelayMs: 0 }
   /// How long a call takes at other entries that are known to be better.
-  betterMs = Infinity
+  betterShare = Infinity
   /// Called with each exchange before it is served.
   onExchange: (exchange: Exchange) => void = () => {}
   address = ''
@@ -145,7 +145,7 @@
     this.placement = new Placement(this.registry, 'z', noopLog)
     const context = {
       codec: platformHeaders,
-      admission: new Admission(this.loop, () => this.betterMs),
+      admission: new Admission(this.loop, () => this.betterShare),
       placement: this.placement,
       limits: new RequestLimits(this.directory, noopLog),
       serviceTime: this.serviceTime,
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -45,10 +45,10 @@
   }
 
   /// How long a call is expected to take at the entries to which most new connections would be relayed, by what they
-  /// say now; `Infinity` if there are none.
-  get betterMs (): number {
-    const { directory, serviceTime, getConfigVersion } = this.options
-    return directory.getBetterMs(getConfigVersion(), serviceTime.expectedMs)
+  /// say now, as a share of the time that it takes here; `Infinity` if there are none.
+  get betterShare (): number {
+    const { directory, serviceTime: { expectedMs }, getConfigVersion } = this.options
+    return directory.getBetterMs(getConfigVersion(), expectedMs) / expectedMs
   }
 
   /// Relays the connection, or calls `serve` if it should be served here.
