--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -1,15 +1,15 @@
-import { randomBytes } from 'node:crypto'
-import {
-  closeSync, fdatasync, fdatasyncSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync,
-  unlinkSync, writeSync
-} from 'node:fs'
+import { closeSync, fdatasync, fdatasyncSync, mkdirSync, readdirSync, unlinkSync, writeSync } from 'node:fs'
 import type { Dirent } from 'node:fs'
 import { join } from 'node:path'
 import type { LedgerRecord, View } from '#connection/rpc'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
+import { createBatch } from './batch.js'
+import type { Batch } from './batch.js'
 import { DiskClosedError } from './diskclosed.js'
 import { encodeFrame } from './frames.js'
+import { openIdentity, removeFirstStartMark } from './identity.js'
+import { createSegment, formatSegmentName, parseSegmentName, syncSegment } from './segmentfiles.js'
 import { SegmentReader } from './segmentreader.js'
 import type { SegmentRecord } from './segmentreader.js'
 import { ViewFile } from './viewfile.js'
@@ -33,12 +33,10 @@
   readonly isFirstStart?: boolean
 }
 
-const identityFileName = 'identity'
-/// Marks a disk that was new in the first start of the system.
-const firstStartFileName = 'first-start'
-const segmentPattern = /^segment-(\d{8,16})$/
 /// A new segment starts once the current one is larger than this.
 const segmentRolloverBytes = 8 * 1024 * 1024
+/// The descriptor while no segment is open.
+const noFile = -1
 /// After a sync that took longer, the next one doesn't block the event loop.
 const slowSyncMs = 20
 
@@ -74,11 +72,8 @@
   ): { disk: Disk, contents: DiskContents } {
     mkdirSync(folder, { recursive: true })
     const entries = readdirSync(folder, { withFileTypes: true })
-    const names = new Set(entries.map(({ name }) => name))
-    const existingDiskId = names.has(identityFileName) ? readIdentity(folder) : null
-    // Before the disk has an id, so that a start that ends in between doesn't lose the mark.
-    if (isFirstStart && existingDiskId === null) writeFile(folder, firstStartFileName, '')
-    const diskId = existingDiskId ?? writeIdentity(folder)
+    const names = entries.map(({ name }) => name)
+    const { diskId, isNew, isFromFirstStart } = openIdentity(folder, names, isFirstStart)
     const fileNames = entries.filter(entry => entry.isFile()).map(({ name }) => name)
     const viewFile = new ViewFile(folder, diskId, fileNames, log)
     const disk = new Disk(folder, diskId, viewFile, log)
@@ -92,16 +87,16 @@
       expired: reader.recordCount - records.length,
       segments: disk.segmentCount - 1,
       viewVersion: viewFile.view.version,
-      isNew: existingDiskId === null
+      isNew
     })
     const hasRecords = reader.recordCount > 0
-    if (hasRecords && names.has(firstStartFileName)) unlinkSync(join(folder, firstStartFileName))
+    if (hasRecords) removeFirstStartMark(folder, names)
     return {
       disk,
       contents: {
         records,
-        wasEmpty: existingDiskId === null && !hasRecords,
-        isFromFirstStart: !hasRecords && (isFirstStart || names.has(firstStartFileName)),
+        wasEmpty: isNew && !hasRecords,
+        isFromFirstStart: !hasRecords && isFromFirstStart,
         view: viewFile.view
       }
     }
@@ -248,7 +243,9 @@
       }
       if (validBytes < bytes) this.log.event(Events.diskTailDropped, { segment, validBytes, bytes })
     }
-    this.syncLatestSegment()
+    // The process that wrote it may have been killed before its last sync. Earlier starts have synced those before it.
+    const latest = this.segments[this.segments.length - 1]
+    if (latest !== undefined) syncSegment(this.folder, latest)
   }
 
   private findSegments (entries: readonly Dirent[]): number[] {
@@ -262,95 +259,4 @@
     }
     return segments.sort((a, b) => a - b)
   }
-
-  /// The process that wrote it may have been killed before its last sync. Those before it were synced at earlier
-  /// starts.
-  private syncLatestSegment (): void {
-    const latest = this.segments[this.segments.length - 1]
-    if (latest === undefined) return
-    const file = openSync(join(this.folder, formatSegmentName(latest)), 'r+')
-    try {
-      fdatasyncSync(file)
-    } finally {
-      closeSync(file)
-    }
-  }
-}
-
-const noFile = -1
-
-interface Batch {
-  readonly frames: Buffer[]
-  readonly synced: Promise<number>
-  readonly resolve: (segment: number) => void
-  readonly reject: (error: Error) => void
-}
-
-function createBatch (): Batch {
-  let resolve: Batch['resolve'] = () => {}
-  let reject: Batch['reject'] = () => {}
-  const synced = new Promise<number>((_resolve, _reject) => {
-    resolve = _resolve
-    reject = _reject
-  })
-  return { frames: [], synced, resolve, reject }
-}
-
-/// Leaves no file behind if it throws.
-function createSegment (folder: string, number: number): number {
-  const path = join(folder, formatSegmentName(number))
-  const file = openSync(path, 'wx')
-  try {
-    fsyncSync(file)
-    syncFolder(folder)
-    return file
-  } catch (error) {
-    closeSync(file)
-    unlinkSync(path)
-    throw error
-  }
-}
-
-function formatSegmentName (number: number): string {
-  return `segment-${String(number).padStart(8, '0')}`
-}
-
-/// Returns null for another name than one that `formatSegmentName` returns.
-function parseSegmentName (name: string): number | null {
-  const number = Number(segmentPattern.exec(name)?.[1])
-  return Number.isSafeInteger(number) && formatSegmentName(number) === name ? number : null
-}
-
-function readIdentity (folder: string): string | null {
-  const text = readFileSync(join(folder, identityFileName), 'utf8')
-  return /^[0-9a-f]{24}$/.test(text) ? text : null
-}
-
-function writeIdentity (folder: string): string {
-  const diskId = randomBytes(12).toString('hex')
-  writeFile(folder, identityFileName, diskId)
-  return diskId
-}
-
-/// Writes a file that is there as a whole, and synced, or not at all.
-function writeFile (folder: string, name: string, text: string): void {
-  const path = join(folder, name)
-  const file = openSync(`${path}.new`, 'w')
-  try {
-    writeSync(file, text)
-    fsyncSync(file)
-  } finally {
-    closeSync(file)
-  }
-  renameSync(`${path}.new`, path)
-  syncFolder(folder)
-}
-
-function syncFolder (folder: string): void {
-  const handle = openSync(folder, 'r')
-  try {
-    fsyncSync(handle)
-  } finally {
-    closeSync(handle)
-  }
 }
