Stand-in system: one job a file

No logic and no test changed.

Measured: the type check and the linter are clean, standin/system's 2 unit tests passed, load average 20 to 30 on 8 cores. Tests that start processes weren't run on this commit by itself.

--- a/standin/system/src/system.ts
+++ b/standin/system/src/system.ts
@@ -1,4 +1,3 @@
-import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { mkdir, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
@@ -8,12 +7,13 @@
 import { locateRunRecord } from '#process/runrecord'
 import { StandinStore } from '#standin/store'
 import { StandinUpstream } from '#standin/upstream'
+import { createConfiguration, instanceSlots } from './configuration.js'
+import { formatSettings, isReady, launch, terminate } from './node.js'
+import type { LaunchOptions, SystemNode } from './node.js'
 import { findFreePorts } from './ports.js'
 
 /// How many processes and stand-ins a system has, and how its processes are started.
-export interface SystemOptions {
-  /// Program and arguments that start the daemon.
-  readonly command: readonly string[]
+export interface SystemOptions extends LaunchOptions {
   readonly entries: number
   readonly storages: number
   readonly engines: number
@@ -24,41 +24,12 @@
   readonly stopGraceMs?: number
   /// The memory that each process may use, or those of each role; without it there is no limit.
   readonly memoryMb?: number | Readonly<Record<SystemNode['role'], number>>
-  /// Whether `command` runs the daemon on a machine of the stand-in, which takes messages.
-  readonly hasMachines?: boolean
-  /// Inserted before the arguments of `command`, for the Node.js runtime.
-  readonly nodeArguments?: readonly string[]
-}
-
-/// One process of the system. Addresses are HOST:PORT.
-export interface SystemNode {
-  readonly name: string
-  readonly role: 'entry' | 'storage'
-  readonly callersAddress: string
-  readonly readinessAddress: string
-  readonly dataDir: string
-  readonly zone: string
-  readonly peerPort: number
-  readonly metricsPort: number
-  readonly runRecordFile: string
-  /// What the process connects to the store from, if it has a machine of the stand-in.
-  readonly localAddress: string
-  process: ChildProcess
-  /// Lines of standard output and standard error, also of earlier runs.
-  readonly outputLines: string[]
 }
 
 const zones = ['north', 'south', 'east']
-const heartbeatMs = 1200
-const defaultStopGraceMs = 4000
 const startTimeoutMs = 15_000
 const toleratedLosses = 1
-/// Requests that an instance runs at once.
-export const instanceSlots = 32
-const defaultTurnTimeoutMs = 4000
-
 const eventsPerTurn = 12
-export const tokensPerEvent = 10
 
 /// The services of the stand-in instances.
 export type ServiceName = 'models' | 'tools'
@@ -259,94 +230,21 @@
   }
 
   private formatSettings (node: SystemNode): string {
-    const { memoryMb } = this.options
-    const ownMemoryMb = typeof memoryMb === 'object' ? memoryMb[node.role] : memoryMb
-    return `[node]
-name = "${node.name}"
-role = "${node.role}"
-zone = "${node.zone}"
-ip = "127.0.0.1"
-first_start = ${this.isFirstStart}
-${ownMemoryMb === undefined ? '' : `memory_mb = ${ownMemoryMb}`}
-tolerated_losses = ${toleratedLosses}
-[listen]
-callers = "${node.callersAddress}"
-readiness = "${node.readinessAddress}"
-readiness_path = "/readyz"
-peer_port = ${node.peerPort}
-metrics_port = ${node.metricsPort}
-[store]
-address = "${this.storeAddress}"
-[storage]
-data_dir = "${node.dataDir}"
-disk_mb = 100
-[timing]
-stop_grace_ms = ${this.options.stopGraceMs ?? defaultStopGraceMs}
-drain_ms = 2000
-catch_up_ms = 4900
-heartbeat_ms = ${heartbeatMs}
-`
+    const { memoryMb, stopGraceMs } = this.options
+    return formatSettings(node, {
+      isFirstStart: this.isFirstStart,
+      toleratedLosses,
+      storeAddress: this.storeAddress,
+      stopGraceMs,
+      memoryMb: typeof memoryMb === 'object' ? memoryMb[node.role] : memoryMb
+    })
   }
 
   private launch (node: SystemNode): ChildProcess {
-    const [program, ...args] = this.options.command
-    const { hasMachines = false, nodeArguments = [] } = this.options
-    const child = spawn(program!, [...nodeArguments, ...args], {
-      env: {
-        ...process.env,
-        CHICORYNOTCH_CONFIG: this.settingsPath(node),
-        ...hasMachines ? { STANDIN_LOCAL_ADDRESS: node.localAddress } : {}
-      },
-      stdio: ['ignore', 'pipe', 'pipe', ...hasMachines ? ['ipc' as const] : []]
-    })
-    // A message to a process that ends.
-    if (hasMachines) child.on('error', () => {})
-    const collect = (text: Buffer): void => { node.outputLines.push(...text.toString('utf8').split('\n').filter(line => line !== '')) }
-    child.stdout!.on('data', collect)
-    child.stderr!.on('data', collect)
-    return child
+    return launch(node, this.settingsPath(node), this.options)
   }
 
   private settingsPath (node: SystemNode): string {
     return join(this.folder, node.name, 'settings.toml')
   }
 }
-
-/// Builds the operator's configuration for the stand-in upstream instances, with further routes that get no calls.
-export function createConfiguration (version: number, idleRoutes = 0, turnTimeoutMs = defaultTurnTimeoutMs): unknown {
-  const turn = { hostname: 'demo.example', route_kind: 'streaming', timeout_ms: turnTimeoutMs, target_latency_ms: 250, service: 'models', max_attempts: 2, retention_s: 60, sticky: true, target_gap_ms: 200 }
-  const tool = { hostname: 'demo.example', timeout_ms: 1500, target_latency_ms: 100, priority: 2, service: 'tools' }
-  return {
-    version,
-    routes: [
-      { ...turn, name: 'chat', path_prefix: '/chat/', priority: 0, keeps_history: true, resumable: false },
-      { ...turn, name: 'query', path_prefix: '/query/', priority: 1, keeps_history: false, resumable: true },
-      { ...tool, name: 'check', path_prefix: '/check/', route_kind: 'idempotent', max_attempts: 2 },
-      { ...tool, name: 'charge', path_prefix: '/charge/', route_kind: 'non_idempotent', max_attempts: 1, sticky: true },
-      ...Array.from({ length: idleRoutes }, (_, i) => {
-        return { ...tool, name: `idle-${i}`, path_prefix: `/idle-${i}/`, route_kind: 'idempotent', max_attempts: 2 }
-      })
-    ],
-    services: [
-      { name: 'models', health_path: '/healthz', max_conns: 240, protocol: 'h1', tls: false, engine: { slots: instanceSlots, kv_capacity: 800_000, chunk_tokens: tokensPerEvent } },
-      { name: 'tools', health_path: '/healthz', max_conns: 110, protocol: 'h1', tls: false }
-    ],
-    limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
-  }
-}
-
-async function isReady (address: string): Promise<boolean> {
-  try {
-    return (await fetch(`http://${address}/readyz`)).ok
-  } catch {
-    return false
-  }
-}
-
-function terminate (child: ChildProcess, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
-  return new Promise(resolve => {
-    if (child.exitCode !== null || child.signalCode !== null) return resolve()
-    child.once('exit', () => resolve())
-    child.kill(signal)
-  })
-}
--- a/standin/system/src/throttle.ts
+++ b/standin/system/src/throttle.ts
@@ -1,4 +1,4 @@
-import type { SystemNode } from './system.js'
+import type { SystemNode } from './node.js'
 
 const periodMs = 40
 
