A busy entry accepts connections before it serves them

Cause. libuv accepts one connection in an iteration of the event loop, and an overloaded iteration refuses a call and passes on the events of the calls that run. So connections waited in the system's queue with an unknown age, and at 1024 of them the SYN was dropped and repeated after 1 s or more.

While each iteration accepts a connection, those that were accepted wait in the entry with the time of their arrival, and are served in batches: the oldest first, the newest last. So a new program whose request has waited for longer than its latency target, while others wait behind it, is refused at once. Turns that go on are not. A longer backlog was not tried: it would have hidden the age of what waits in it.

A client that leaves while it waits is closed when its turn comes (orderlyclose.test.ts hung without that).

--- /dev/null
+++ b/connection/front/src/connectionqueue.ts
@@ -0,0 +1,82 @@
+import type { Socket } from 'node:net'
+
+/// So many connections are served in one iteration of the event loop.
+const servedPerIteration = 8
+/// After so many iterations that each accept a connection, some are served although more may wait.
+const maxAcceptingIterations = 32
+/// While so many wait here, the system's queue has to hold the others.
+const maxWaiting = 1024
+
+export interface ConnectionQueueOptions {
+  readonly serve: (socket: Socket) => void
+  /// Called in each iteration in which connections are accepted, or wait to be served.
+  readonly onIteration: () => void
+}
+
+/// Connections that were accepted and wait to be served. libuv accepts one connection in an iteration of the event
+/// loop, and the age of what it hasn't accepted is unknown. So while each iteration accepts one, they wait here, and
+/// the iterations are short.
+export class ConnectionQueue {
+  /// The oldest first.
+  private readonly waiting: Socket[] = []
+  private hasAccepted = false
+  /// How many iterations in a row have accepted a connection.
+  private acceptingIterations = 0
+  private isIterationCounted = false
+  private isClosed = false
+
+  constructor (private readonly options: ConnectionQueueOptions) {}
+
+  /// Serves a connection at once if the iteration before has accepted none.
+  add (socket: Socket): void {
+    this.hasAccepted = true
+    this.options.onIteration()
+    this.countIteration()
+    const isFirst = this.acceptingIterations === 0 && this.waiting.length === 0
+    if (isFirst || this.isClosed) return this.options.serve(socket)
+    socket.on('error', ignoreError)
+    this.waiting.push(socket)
+  }
+
+  /// Serves all that wait, and from now on each one at once.
+  close (): void {
+    this.isClosed = true
+    while (this.waiting.length > 0) this.serveWaiting(this.waiting.shift()!)
+  }
+
+  private countIteration (): void {
+    if (this.isIterationCounted) return
+    this.isIterationCounted = true
+    setImmediate(() => this.endIteration())
+  }
+
+  private endIteration (): void {
+    this.isIterationCounted = false
+    this.acceptingIterations = this.hasAccepted ? this.acceptingIterations + 1 : 0
+    this.hasAccepted = false
+    if (!this.isAccepting) this.serveSome()
+    if (this.waiting.length > 0) this.options.onIteration()
+    if (this.acceptingIterations > 0 || this.waiting.length > 0) this.countIteration()
+  }
+
+  /// Whether accepting goes first.
+  private get isAccepting (): boolean {
+    return this.acceptingIterations % maxAcceptingIterations > 0 && this.waiting.length < maxWaiting
+  }
+
+  /// The last one is the newest: if the others have waited for too long to be served, that one has not.
+  private serveSome (): void {
+    for (let i = 1; i < servedPerIteration && this.waiting.length > 0; i++) this.serveWaiting(this.waiting.shift()!)
+    if (this.waiting.length > 0) this.serveWaiting(this.waiting.pop()!)
+  }
+
+  private serveWaiting (socket: Socket): void {
+    socket.off('error', ignoreError)
+    if (socket.destroyed) return
+    // The client has left without a request, and its end isn't announced once more.
+    if (socket.readableEnded) socket.destroy()
+    else this.options.serve(socket)
+  }
+}
+
+function ignoreError (): void {}
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -6,6 +6,7 @@
 import type { Listener } from '#connection/listen'
 import { findRequestProblem } from '#connection/header'
 import { CallerConnection, readArrived } from './callerconnection.js'
+import { ConnectionQueue } from './connectionqueue.js'
 import { Exchange } from './exchange.js'
 import { QueuedExchange } from './queuedexchange.js'
 import type { ExchangeHandlers } from './queuedexchange.js'
@@ -15,7 +16,7 @@
   readonly onMalformed: (code: string) => void
   /// How long an event that is handled now may have waited for the event loop.
   readonly getDelayMs: () => number
-  /// Called for each connection that is accepted.
+  /// Called in each event loop iteration in which connections are accepted, or wait to be served.
   readonly onConnection: () => void
   /// Gets each connection that is accepted, and calls `serve` to have it served. Without it all are served.
   readonly offerConnection?: (socket: Socket, serve: ServeConnection) => void
@@ -58,6 +59,7 @@
   /// Those that are served here.
   private readonly connections = new WeakMap<Socket, CallerConnection>()
   private readonly openSockets = new Set<Socket>()
+  private readonly queue: ConnectionQueue
   private acceptedCount = 0
   private isClosing = false
   private isClosingIdle = false
@@ -78,7 +80,7 @@
       http: { maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false, requireHostHeader: false },
       clientErrorHandler: (error, socket) => this.handleClientError(error.code, socket as Socket)
     })
-    this.interceptConnections()
+    this.queue = this.interceptConnections()
     this.app.addHook('onRequest', serve)
     this.app.all('*', () => {})
   }
@@ -95,16 +97,13 @@
   }
 
   /// Node's HTTP server gets a connection only when it is to be served here.
-  private interceptConnections (): void {
+  private interceptConnections (): ConnectionQueue {
     const { options } = this
     const server = this.app.server as Server & { httpAllowHalfOpen: boolean }
     server.httpAllowHalfOpen = options.allowsHalfOpen ?? false
     const [serve] = server.listeners('connection') as ((socket: Socket) => void)[]
     server.removeAllListeners('connection')
-    server.on('connection', (socket: Socket) => {
-      this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
-      this.acceptedCount++
-      options.onConnection()
+    const serveSocket = (socket: Socket): void => {
       const serveHere: ServeConnection = wasUsed => {
         if (wasUsed) this.openedAtMs.delete(socket)
         this.openConnection(socket)
@@ -113,6 +112,12 @@
       }
       if (options.offerConnection === undefined) serveHere(false)
       else options.offerConnection(socket, serveHere)
+    }
+    const queue = new ConnectionQueue({ serve: serveSocket, onIteration: options.onConnection })
+    server.on('connection', (socket: Socket) => {
+      this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
+      this.acceptedCount++
+      queue.add(socket)
     })
     // A connection that has been idle for too long.
     server.on('timeout', (socket: Socket) => {
@@ -125,6 +130,7 @@
       this.connections.get(socket)?.breakOff(formatEmptyResponse('501 Not Implemented'))
     })
     this.keepUnsentResponses(server)
+    return queue
   }
 
   private openConnection (socket: Socket): void {
@@ -218,6 +224,7 @@
       countBefore = this.acceptedCount
       await readArrived()
     } while (this.acceptedCount > countBefore && performance.now() < endAtMs)
+    this.queue.close()
     await readArrived()
   }
 
--- a/connection/front/test/acceptqueue.test.ts
+++ b/connection/front/test/acceptqueue.test.ts
@@ -1,27 +1,55 @@
 import { afterEach, expect, test } from 'vitest'
 import { FrontServer } from '#connection/front'
+import type { Exchange } from '#connection/front'
 import { RawClient } from './rawclient.js'
 
 const clientCount = 40
+const serveMs = 20
 
 let clients: RawClient[] = []
 
 afterEach(() => { for (const client of clients) client.socket.destroy() })
 
-// Guards against LOST: requests on connections that waited to be accepted were reset as the server closed.
-test('many connections wait to be accepted as the server closes: each gets its response', async () => {
-  const front = new FrontServer({
-    serve: async exchange => exchange.respond(200, {}, Buffer.from('ok'), true),
+function createFront (serve: (exchange: Exchange) => void): FrontServer {
+  return new FrontServer({
+    serve: async exchange => {
+      serve(exchange)
+      exchange.respond(200, {}, Buffer.from('ok'), true)
+    },
     onMalformed: () => {},
     onDropped: () => {},
     onConnection: () => {},
     getDelayMs: () => 0
   })
+}
+
+/// Opens connections, and sends a request on each, before any is accepted.
+async function openClients (front: FrontServer): Promise<void> {
   const port = Number(new URL(await front.listen('127.0.0.1:0')).port)
-  const opening = Array.from({ length: clientCount }, () => RawClient.open(port))
-  clients = await Promise.all(opening)
+  clients = await Promise.all(Array.from({ length: clientCount }, () => RawClient.open(port)))
   for (const client of clients) client.socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n')
+}
+
+// Guards against LOST: requests on connections that waited to be accepted were reset as the server closed.
+test('many connections wait to be accepted as the server closes: each gets its response', async () => {
+  const front = createFront(() => {})
+  await openClients(front)
   await front.close()
   await Promise.all(clients.map(client => client.waitForEnd()))
   expect(clients.map(({ statuses }) => statuses.join())).toEqual(Array(clientCount).fill('200'))
 })
+
+// Guards against calls whose age is unknown, since they wait to be accepted while others are served.
+test('serving a request takes long: connections are accepted first, and requests count as arrived with them', async () => {
+  const arrivedAtMs: number[] = []
+  const front = createFront(exchange => {
+    arrivedAtMs.push(exchange.arrivedAtMs)
+    const startedAtMs = performance.now()
+    while (performance.now() - startedAtMs < serveMs);
+  })
+  await openClients(front)
+  await Promise.all(clients.map(client => client.waitForEnd()))
+  await front.close()
+  expect(arrivedAtMs.length).toBe(clientCount)
+  expect(Math.max(...arrivedAtMs) - Math.min(...arrivedAtMs)).toBeLessThan(clientCount * serveMs / 2)
+})
--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -74,8 +74,7 @@
 /// they have lost no work, and can be started later or by another entry. A turn that comes back after a refusal has the
 /// place of its first try.
 ///
-/// libuv accepts one connection in an iteration. While each iteration accepts one, more may be waiting, and calls start
-/// in few iterations, so that these are short.
+/// While connections are accepted, or wait to be served, calls start in few iterations, so that these are short.
 export class Admission {
   private readonly programs = new RecentPrograms()
   private readonly shedding = new Shedding()
@@ -102,7 +101,7 @@
     return this.queues.reduce((sum, queue) => sum + queue.length, 0)
   }
 
-  /// Must be called for each connection that is accepted.
+  /// Must be called in each event loop iteration in which connections are accepted, or wait to be served.
   countConnection (): void {
     this.hasAccepted = true
     this.countIteration()
@@ -118,9 +117,10 @@
     }
     const callClass = this.classify(call, route, remainingMs)
     const { rank, maxWaitMs } = callClass
-    const expectedWaitMs = this.countAhead(callClass) * this.startIntervalMs +
+    const comingWaitMs = this.countAhead(callClass) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
-    if (rank >= turnRank) this.shedding.observe(expectedWaitMs, route.targetLatencyMs)
+    if (rank >= turnRank) this.shedding.observe(comingWaitMs, route.targetLatencyMs)
+    const expectedWaitMs = this.findPastWaitMs(call) + comingWaitMs
     if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
       this.refusedTurns.add(call.previousTurnId, callClass.sinceMs)
       const reason = expectedWaitMs > maxWaitMs
@@ -184,6 +184,11 @@
     return call.previousTurnId === null && call.program !== null && !this.programs.has(call.program.id)
   }
 
+  /// How long a new program's call has waited for its connection to be accepted and read, if more wait behind it.
+  private findPastWaitMs (call: Call): number {
+    return this.hasAccepted && this.isNewProgram(call) ? performance.now() - call.receivedAtMs : 0
+  }
+
   private countAhead (callClass: CallClass): number {
     let count = this.findPlace(callClass)
     for (let rank = 0; rank < callClass.rank; rank++) count += this.queues[rank]?.length ?? 0
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -14,6 +14,8 @@
   readonly targetLatencyMs?: number
   readonly remainingMs?: number
   readonly isRelayed?: boolean
+  /// How long it has waited to be read.
+  readonly pastWaitMs?: number
 }
 
 let admission: Admission
@@ -33,11 +35,11 @@
 /// Asks for the start of a call and records the outcome under `id`.
 function admit (id: string, options: Options = {}): void {
   const { kind = RouteKind.streaming, programId, previousTurnId = null } = options
-  const { priority = 0, targetLatencyMs = 200, remainingMs = 2000, isRelayed = false } = options
+  const { priority = 0, targetLatencyMs = 200, remainingMs = 2000, isRelayed = false, pastWaitMs = 0 } = options
   const program = programId === undefined
     ? null
     : { id: programId, sessionId: programId, remainingMs: 5000, tokenBudget: null }
-  const call = { id, program, previousTurnId } as Call
+  const call = { id, program, previousTurnId, receivedAtMs: performance.now() - pastWaitMs } as Call
   const route = { kind, priority, targetLatencyMs } as Route
   // Calls that a test leaves in the queue must not be recorded in the next one.
   const [ownStarted, ownRefused] = [started, refused]
@@ -88,6 +90,18 @@
   expect(started.length).toBeLessThanOrEqual(atMost)
 })
 
+// Guards against programs that start late, all of them, since each has waited in the sockets of a busy entry.
+test.each([
+  ['while connections are accepted, a new program is refused', true, {}, 'refused'],
+  ['while connections are accepted, a turn that goes on starts', true, { previousTurnId: 't' }, 'started'],
+  ['while none are, a new program starts', false, {}, 'started']
+])('a call that has waited for longer than its target latency: %s', async (_, isAccepting, options, outcome) => {
+  if (isAccepting) admission.countConnection()
+  admit('call', { programId: 'p', targetLatencyMs: 200, pastWaitMs: 250, ...options })
+  await iterate(2)
+  expect([started.length, refused.length]).toEqual(outcome === 'started' ? [1, 0] : [0, 1])
+})
+
 /// Queues calls whose starts take `intervalMs` each, and lets some of them start, so that later ones expect to wait.
 async function keepBusy (intervalMs: number): Promise<void> {
   for (let i = 0; i < 60; i++) admit(`busy ${i}`, { kind: RouteKind.idempotent, remainingMs: 100_000 })
