Soak: bursts, long stops, addresses used again, half-closed connections, few descriptors

Besides, with SHARE a frozen entry went on after 40 ms at most, as the limit of its processor continued it: TROUBLE=1 on small processors has had no freezes until now.

Change: BURSTS=1 (burst.ts), FREEZES=1 (freezes.ts, 2 to 9 s, entries and storage instances; `Supervisor.freeze` holds the limit meanwhile), REUSE=1 (addressreuse.ts, half of the time while the store is silent), callers that end their sending half after a whole request (a way of leaving), DESCRIPTORS=N. New check of ROUTE: a request that is run by an instance of another service. What disturbs a run is one list of groups with one table of actions in place of eight options. A process that is stopped by SIGSTOP may outlive its grace time; SIGSTOP and SIGCONT no longer excuse a process that doesn't start.

--- a/demo/src/plannedsoak.ts
+++ b/demo/src/plannedsoak.ts
@@ -2,7 +2,7 @@
 import { mkdir, mkdtemp, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { runSoak } from '#standin/soak'
+import { DisturbanceGroup, runSoak } from '#standin/soak'
 import { buildMachine } from '#standin/system'
 import { exitAtSignals } from './signals.js'
 
@@ -12,10 +12,9 @@
 // CALLERS, ENTRIES and ENGINES say how many of them a run has. SHARE=0.5 gives each entry half a processor, and
 // STORAGE_SHARE each storage instance. MEMORY=350,390 says how many MB an entry and a storage instance may use. With
 // ALONE=1 callers send one request after the other.
-// What disturbs a run, each with =1: TROUBLE, processes and the store fail; CHANGES, storage machines are added,
-// replaced and retired; FAULTY, instances break off, lose answers or refuse; WORKERS, instances come and go, answer
-// early or send too much; POWER, machines lose power, and with it what they haven't synced; CUTS, links are cut, slow
-// or silent; DISKS, disks are slow or full and clocks step; END, all processes are killed at the end, and turns are
+// DESCRIPTORS=100 says how many descriptors each process may have open.
+// What disturbs a run, each with =1: the groups of `DisturbanceGroup` by their names in capitals (TROUBLE, CHANGES,
+// FAULTY, POWER, CUTS, DISKS, WORKERS, REUSE, FREEZES, BURSTS); END, all processes are killed at the end, and turns are
 // gone on from after that.
 
 const [firstSeed = 1, seeds = 1, durationS = 30] = process.argv.slice(2).map(Number)
@@ -23,7 +22,11 @@
 const graceMs = 8000
 const bundle = 'target/chicorynotchd.cjs'
 const isOn = (name: string): boolean => process.env[name] === '1'
-const hasMachines = ['POWER', 'CUTS', 'DISKS'].some(isOn)
+const groups = Object.values(DisturbanceGroup).filter(group => isOn(group.toUpperCase()))
+const { power, cuts, disks } = DisturbanceGroup
+const machineGroups: readonly DisturbanceGroup[] = [power, cuts, disks]
+const hasMachines = groups.some(group => machineGroups.includes(group))
+const { SHARE, STORAGE_SHARE, DESCRIPTORS } = process.env
 
 /// Returns the program and arguments that start the daemon.
 async function prepareCommand (): Promise<readonly string[]> {
@@ -46,18 +49,13 @@
     entries: Number(process.env.ENTRIES ?? 4),
     engines: Number(process.env.ENGINES ?? 3),
     graceMs,
-    hasTrouble: isOn('TROUBLE'),
+    groups,
     sendsBatches: !isOn('ALONE'),
-    hasFaultyInstances: isOn('FAULTY'),
-    changesStorage: isOn('CHANGES'),
     hasFinalFault: isOn('END'),
     hasMachines,
-    losesPower: isOn('POWER'),
-    cutsLinks: isOn('CUTS'),
-    disturbsDisks: isOn('DISKS'),
-    changesWorkers: isOn('WORKERS'),
-    ...process.env.SHARE === undefined ? {} : { entryShare: Number(process.env.SHARE) },
-    ...process.env.STORAGE_SHARE === undefined ? {} : { storageShare: Number(process.env.STORAGE_SHARE) },
+    ...SHARE === undefined ? {} : { entryShare: Number(SHARE) },
+    ...STORAGE_SHARE === undefined ? {} : { storageShare: Number(STORAGE_SHARE) },
+    ...DESCRIPTORS === undefined ? {} : { descriptors: Number(DESCRIPTORS) },
     ...entryMb === undefined || storageMb === undefined ? {} : { memoryMb: { entry: entryMb, storage: storageMb } }
   })
   findingCount += findings.length
--- a/standin/soak/src/breaches.ts
+++ b/standin/soak/src/breaches.ts
@@ -2,8 +2,8 @@
 import type { Attempt, Disturbance, Observations } from './observations.js'
 import type { Finding } from './rules.js'
 
-// The users' rules LOST and BUDGET count some sentences only from a number on. Each finding is a fault; this says which
-// of them break the rule.
+// The users' rules LOST, ROUTE and BUDGET count some sentences only from a number on. Each finding is a fault; this
+// says which of them break the rule.
 
 /// More than so many requests from kept connections break the rule.
 const maxLostOnKeptConnections = 3
@@ -21,6 +21,7 @@
     return isNearOwnWork(attempt, observations) || isCutMoreOften(attempt, observations)
   }),
   'run at too many instances': findings => findings.length > maxRunAtTooMany,
+  'run by another service': findings => findings.length > 0,
   'previous turn denied': findings => findings.length > 0,
   'previous turn reaches no instance': findings => findings.length > 0,
   'previous turn not reached by the end of recovery': findings => findings.length > 0,
--- a/standin/soak/src/rules.ts
+++ b/standin/soak/src/rules.ts
@@ -8,7 +8,7 @@
   findDeniedTurn, findGivenUpTurn, findUnreachableAtEnd, findUnreachableTurn, findUnrecoveredTurn
 } from './turnrules.js'
 
-// The sentences of the users' rule LOST, and those near it, as the callers and instances saw them.
+// The sentences of the users' rules LOST and ROUTE, and those near it, as the callers and instances saw them.
 
 /// Of the grace time of a stop, in its last part an instance that is at work may be cut off, on a request that was sent
 /// no later than this after the signal.
@@ -55,6 +55,11 @@
     const maxInstances = kinds.find(kind => kind.path === path)?.maxInstances ?? Infinity
     return size > maxInstances ? `${size} instances` : null
   },
+  'run by another service': ({ id, path }, { runs }) => {
+    const service = kinds.find(kind => kind.path === path)?.service ?? ''
+    const stray = runs.get(id)?.find(({ instanceId }) => !instanceId.startsWith(service))
+    return stray === undefined ? null : `${path} at ${stray.instanceId}`
+  },
   'bytes that are no response': ({ status, body }) => {
     return status === noStatus ? `${JSON.stringify(body.slice(0, maxShownBytes))} ${JSON.stringify(body.slice(body.indexOf('\nAFTER')))}` : null
   },
--- a/standin/soak/src/supervisor.ts
+++ b/standin/soak/src/supervisor.ts
@@ -100,6 +100,18 @@
     setTimeout(() => { this.delayMs = restartDelayMs }, delayMs)
   }
 
+  /// Stops the process of a node for a while, whatever its share of the processor.
+  async freeze (node: SystemNode, durationMs: number): Promise<void> {
+    const life = this.life(node)
+    this.throttles.get(node)?.()
+    this.throttles.delete(node)
+    this.signal(node, 'SIGSTOP')
+    await sleep(durationMs)
+    if (this.life(node) !== life) return
+    this.signal(node, 'SIGCONT')
+    this.throttleProcess(node)
+  }
+
   /// Gives the processes of all nodes of a role only this share of a processor.
   throttleRole (role: SystemNode['role'], share: number): void {
     this.roleShares.set(role, share)
--- a/standin/soak/test/liferules.test.ts
+++ b/standin/soak/test/liferules.test.ts
@@ -72,6 +72,16 @@
     disturbances: [createDisturbance('unplanned', stoppedAtMs + 1000, stoppedAtMs + 2000)],
     found: ['outlived its grace time']
   },
+  {
+    name: 'a process that outlives its grace time, as it is stopped by SIGSTOP',
+    fields: { ...outlived, signals: [...outlived.signals, { signal: 'SIGSTOP', atMs: stoppedAtMs }] },
+    found: []
+  },
+  {
+    name: 'a process that outlives its grace time, after it was stopped by SIGSTOP',
+    fields: { ...outlived, signals: [{ signal: 'SIGCONT', atMs: stoppedAtMs - 1 }, ...outlived.signals] },
+    found: ['outlived its grace time']
+  },
   { name: 'a process that ends by itself', fields: endedItself, found: ['ended by itself'] },
   {
     name: 'a process that ends by itself right after a fault of its machine',
--- a/standin/system/src/build.ts
+++ b/standin/system/src/build.ts
@@ -26,3 +26,8 @@
   await build({ ...common, entryPoints: ['standin/machine/src/main.ts'], outfile })
   return [process.execPath, outfile, bundle]
 }
+
+/// Returns the program and arguments that start `command` with at most so many open descriptors.
+export function limitDescriptors (command: readonly string[], count: number): readonly string[] {
+  return ['/bin/sh', '-c', `ulimit -n ${count} && exec "$0" "$@"`, ...command]
+}
--- a/standin/system/src/index.ts
+++ b/standin/system/src/index.ts
@@ -1,4 +1,4 @@
-export { buildDaemon, buildMachine } from './build.js'
+export { buildDaemon, buildMachine, limitDescriptors } from './build.js'
 export { findFreePorts } from './ports.js'
 export { createConfiguration, instanceSlots, tokensPerEvent } from './configuration.js'
 export type { SystemNode } from './node.js'
