Losses of power: one piece plays them, standin/power is gone

Change: `stepsToLoss` and `skipsSyncs` of `DiskBehaviour`; replaced functions reach named imports of `node:fs` too; a loss of power writes only what differs from before. The two tests on losses of power use it; what is lost is chosen by `PowerLoss`, as in the soak. viewfile.ts looks `fsync` up when it is called, not when the module is loaded.

--- a/process/daemon/test/powerloss.test.ts
+++ b/process/daemon/test/powerloss.test.ts
@@ -1,6 +1,6 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
-import { join, resolve } from 'node:path'
+import { join } from 'node:path'
 import { afterAll, afterEach, beforeAll, expect, test } from 'vitest'
 import { LedgerConnection } from '#connection/rpc'
 import type { LedgerRecord } from '#connection/rpc'
@@ -9,9 +9,9 @@
 import { noopLog } from '#process/log'
 import { parseView } from '#process/membership'
 import { LedgerQuorum, QuorumError } from '#process/quorum'
-import { losePower } from '#standin/power'
+import { losePower, PowerLoss } from '#standin/machine'
 import { StoreFault } from '#standin/store'
-import { StandinSystem, buildDaemon } from '#standin/system'
+import { StandinSystem, buildDaemon, buildMachine } from '#standin/system'
 import type { SystemNode } from '#standin/system'
 import { Random } from '../../../standin/soak/src/random.js'
 
@@ -34,7 +34,8 @@
 
 beforeAll(async () => {
   folder = await mkdtemp(join(tmpdir(), 'chicorynotch-bundle-'))
-  command = await buildDaemon(folder)
+  const [, bundle] = await buildDaemon(folder)
+  command = await buildMachine(folder, bundle!)
 }, 30_000)
 
 afterEach(async () => {
@@ -138,7 +139,7 @@
     setTimeout(() => { target.store.fault = StoreFault.none }, storeOutageMs)
   }
   for (const storage of storages) {
-    if (storage !== diskLoser) losePower(storage.dataDir, () => random.next())
+    if (storage !== diskLoser) losePower(storage.dataDir, random.pick(Object.values(PowerLoss)), () => random.next())
     await target.startAgain(storage, storage === diskLoser)
   }
 }
@@ -158,8 +159,7 @@
 // Guards against LOST: turns that were answered whole and are denied, or not found in time, after all have lost power.
 test.each(seeds)('all storage instances lose power, at times one its disk or beside a retirement: each committed turn is found (seed %i)', async seed => {
   const random = new Random(seed)
-  const nodeArguments = ['--require', resolve('standin/power/recorder.cjs')]
-  system = new StandinSystem({ command, nodeArguments, entries: 0, storages: 3, engines: 0, services: 0 })
+  system = new StandinSystem({ command, hasMachines: true, entries: 0, storages: 3, engines: 0, services: 0 })
   await system.start()
   cluster = new Client(system)
   for (let round = 0; round < rounds; round++) {
--- a/process/ledger/src/viewfile.ts
+++ b/process/ledger/src/viewfile.ts
@@ -18,8 +18,6 @@
   readonly isInThread: boolean
 }
 
-const syncInThread = promisify(fsync)
-
 /// The newest view that an instance has adopted, on its disk. Others rely on its having told them of a view, also after
 /// a restart or a loss of power. Each view gets a file of its own, and the one before is removed once that is synced: a
 /// loss of power may take back a rename by halves.
@@ -121,6 +119,10 @@
   }
 }
 
+function syncInThread (file: number): Promise<void> {
+  return promisify(fsync)(file)
+}
+
 function formatName ({ version }: View): string {
   return `view-${version}`
 }
--- a/process/ledger/test/powerloss.test.ts
+++ b/process/ledger/test/powerloss.test.ts
@@ -6,16 +6,10 @@
 import type { LedgerRecord } from '#connection/rpc'
 import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
-import { losePower } from '#standin/power'
+import { losePower, PowerLoss, PowerLostError, trackFiles } from '#standin/machine'
+import type { DiskBehaviour } from '#standin/machine'
 import { Random } from '../../../standin/soak/src/random.js'
 
-const power = vi.hoisted(() => {
-  const require = process.getBuiltinModule('node:module').createRequire(import.meta.url)
-  const recorder = require('../../../standin/power/recorder.cjs') as { cutAfter: (steps: number) => void, skipSyncs: () => void }
-  recorder.skipSyncs()
-  return recorder
-})
-
 const seed = Number(process.env.HISTORY_SEED ?? 20261206)
 const runCount = Number(process.env.HISTORIES ?? 60)
 const maxActions = 30
@@ -63,6 +57,7 @@
 class Machine {
   readonly promises = new Promises()
   private readonly folder = join(mkdtempSync(join(tmpdir(), 'power-')), 'data')
+  private readonly behaviour: DiskBehaviour = { syncDelayMs: 0, isFull: false, skipsSyncs: true }
   private disk: Disk | null = null
   private ledger: Ledger | null = null
   private latest: LedgerRecord | null = null
@@ -74,24 +69,26 @@
 
   /// Acts until the process is killed, with or without a loss of power, or to the end.
   async run ({ actions, cutAfter, losesPower }: Life): Promise<void> {
-    power.cutAfter(cutAfter)
+    const untrack = trackFiles(this.folder, this.behaviour)
+    this.behaviour.stepsToLoss = cutAfter
     try {
       this.start()
       for (const action of actions) await this[action]()
     } catch (error) {
-      if (!(error as Error).message.includes('the power is lost')) throw error
+      if (!(error instanceof PowerLostError)) throw error
+    } finally {
+      this.behaviour.stepsToLoss = 0
+      await Promise.allSettled(this.unawaited)
+      this.disk?.close()
+      this.disk = null
+      untrack()
     }
-    power.cutAfter(0)
-    await Promise.allSettled(this.unawaited)
-    this.disk?.close()
-    this.disk = null
-    power.cutAfter(Infinity)
-    if (losesPower) losePower(this.folder, () => this.random.next())
+    const { random } = this
+    if (losesPower) losePower(this.folder, random.pick(Object.values(PowerLoss)), () => random.next())
   }
 
   /// Starts without a fault, and checks what is there.
   check (): void {
-    power.cutAfter(Infinity)
     this.start()
     this.disk!.close()
     this.disk = null
@@ -193,7 +190,6 @@
       for (const life of lives) await machine.run(life)
       machine.check()
     } finally {
-      power.cutAfter(Infinity)
       machine.remove()
     }
   }), { seed, numRuns: runCount })
--- a/standin/machine/src/index.ts
+++ b/standin/machine/src/index.ts
@@ -3,5 +3,5 @@
 export { Link } from './link.js'
 export { Network } from './network.js'
 export { losePower, PowerLoss } from './powerloss.js'
-export { trackFiles } from './trackedfiles.js'
+export { PowerLostError, trackFiles } from './trackedfiles.js'
 export type { DiskBehaviour } from './trackedfiles.js'
--- a/standin/machine/src/powerloss.ts
+++ b/standin/machine/src/powerloss.ts
@@ -1,4 +1,4 @@
-import { existsSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { applyChanges, SyncedState } from './syncedstate.js'
 import type { Names } from './syncedstate.js'
@@ -20,17 +20,18 @@
 export function losePower (dataDir: string, loss: PowerLoss, random: () => number): void {
   if (!existsSync(dataDir)) return
   const state = SyncedState.open(dataDir)
-  const written = readWritten(dataDir, state.currentNames)
+  const { currentNames } = state
+  const written = readWritten(dataDir, currentNames)
   const names = chooseNames(state, loss, random)
-  const files = Object.entries(names).map(([name, id]): [string, Buffer] => {
+  for (const [name, id] of Object.entries(currentNames)) if (names[name] !== id) rmSync(join(dataDir, name))
+  for (const [name, id] of Object.entries(names)) {
     const synced = state.readBytes(id)
-    const later = written.get(id)
-    return [name, loss === PowerLoss.nothing || later === undefined ? synced : mixBytes(synced, later, random)]
-  })
-  rmSync(dataDir, { recursive: true })
-  mkdirSync(dataDir)
-  for (const [name, bytes] of files) writeFileSync(join(dataDir, name), bytes)
-  SyncedState.create(dataDir)
+    const later = written.get(id) ?? synced
+    const bytes = loss === PowerLoss.nothing || later.equals(synced) ? synced : mixBytes(synced, later, random)
+    if (currentNames[name] !== id || !bytes.equals(later)) writeFileSync(join(dataDir, name), bytes)
+    if (bytes !== synced) writeFileSync(state.locateBytes(id), bytes)
+  }
+  state.setNames(names)
 }
 
 /// By the id of the file.
--- a/standin/machine/src/syncedstate.ts
+++ b/standin/machine/src/syncedstate.ts
@@ -111,6 +111,16 @@
     this.save()
   }
 
+  /// All names there are now, and no others. They are synced.
+  setNames (names: Names): void {
+    const formerIds = Object.values(this.currentNames)
+    this.names = names
+    this.pending = []
+    this.save()
+    const ids = new Set(Object.values(names))
+    for (const id of formerIds) if (!ids.has(id)) rmSync(this.locateBytes(id), { force: true })
+  }
+
   /// The last process may have ended between the note of a change and the change.
   private correct (actual: readonly string[]): void {
     const current = this.currentNames
--- a/standin/machine/src/trackedfiles.ts
+++ b/standin/machine/src/trackedfiles.ts
@@ -1,6 +1,8 @@
 import fs from 'node:fs'
+import { syncBuiltinESMExports } from 'node:module'
 import { basename, dirname, resolve } from 'node:path'
 import { SyncedState } from './syncedstate.js'
+import type { NameChange } from './syncedstate.js'
 
 /// How the disk of the machine behaves.
 export interface DiskBehaviour {
@@ -8,6 +10,17 @@
   syncDelayMs: number
   /// Whether there is no room for further bytes and files.
   isFull: boolean
+  /// Whether syncs are only recorded, which is faster and makes no difference to what a loss of power leaves.
+  skipsSyncs?: boolean
+  /// After so many further writes, syncs and changes of names the power is lost: all later ones fail without effect.
+  stepsToLoss?: number
+}
+
+/// Thrown by what is done with files after the power is lost.
+export class PowerLostError extends Error {
+  constructor () {
+    super('the power is lost')
+  }
 }
 
 interface OpenFile {
@@ -65,11 +78,11 @@
       fsync: (file: number, callback: Callback) => this.sync(file, callback),
       fdatasync: (file: number, callback: Callback) => this.sync(file, callback),
       renameSync: (from: string, to: string) => {
-        if (this.has(from)) this.state.addChange({ kind: 'renamed', name: basename(from), to: basename(to) })
+        if (this.has(from)) this.changeName({ kind: 'renamed', name: basename(from), to: basename(to) })
         original.renameSync(from, to)
       },
       unlinkSync: (path: string) => {
-        if (this.has(path)) this.state.addChange({ kind: 'removed', name: basename(path) })
+        if (this.has(path)) this.changeName({ kind: 'removed', name: basename(path) })
         original.unlinkSync(path)
       },
       writeFile: (path: string, data: string, options: fs.WriteFileOptions, callback: Callback) => {
@@ -83,8 +96,28 @@
     const refusals = Object.fromEntries(refusedNames.map(name => [name, this.refuse(name)]))
     const names = [...Object.keys(replacements), ...refusedNames] as (keyof typeof fs)[]
     const replaced = Object.fromEntries(names.map(name => [name, original[name]]))
-    Object.assign(fs, replacements, refusals)
-    return () => { Object.assign(fs, replaced) }
+    const assign = (...functions: object[]): void => {
+      Object.assign(fs, ...functions)
+      syncBuiltinESMExports()
+    }
+    assign(replacements, refusals)
+    return () => { assign(replaced) }
+  }
+
+  /// Makes a step, unless the power is lost.
+  private step (): void {
+    const { behaviour } = this
+    if (this.isPowerLost) throw new PowerLostError()
+    if (behaviour.stepsToLoss !== undefined) behaviour.stepsToLoss--
+  }
+
+  private get isPowerLost (): boolean {
+    return this.behaviour.stepsToLoss === 0
+  }
+
+  private changeName (change: NameChange): void {
+    this.step()
+    this.state.addChange(change)
   }
 
   private has (path: unknown): path is string {
@@ -124,6 +157,7 @@
 
   /// Notes that a file is created or emptied. Returns its id.
   private noteOpened (path: string, isEmptying: boolean): string {
+    this.step()
     const id = this.state.currentNames[basename(path)]
     if (id === undefined) return this.state.addFile(basename(path))
     if (isEmptying) this.addLater(id, { offset: null, bytes: Buffer.alloc(0) })
@@ -134,6 +168,7 @@
     const { original } = this
     const opened = this.open.get(file)
     if (opened === undefined || opened.id === null) return original.writeSync(file, data as Buffer, offset)
+    this.step()
     this.throwIfFull('write')
     const written = original.writeSync(file, data as Buffer, offset)
     const from = typeof data === 'string' ? 0 : offset ?? 0
@@ -149,22 +184,25 @@
 
   private syncNow (file: number, sync: (file: number) => void): void {
     const finish = this.beginSync(file)
-    sync(file)
+    if (this.behaviour.skipsSyncs !== true) sync(file)
     block(this.behaviour.syncDelayMs)
     finish()
   }
 
   private sync (file: number, callback: Callback): void {
+    const { skipsSyncs = false } = this.behaviour
     const finish = this.beginSync(file)
-    this.original.fdatasync(file, error => {
+    const onSynced: Callback = error => {
       const end = (): void => {
-        if (error === null) finish()
-        callback(error)
+        if (error === null && !this.isPowerLost) finish()
+        callback(this.isPowerLost ? new PowerLostError() : error)
       }
       const { syncDelayMs } = this.behaviour
       if (syncDelayMs === 0) end()
       else setTimeout(end, syncDelayMs)
-    })
+    }
+    if (skipsSyncs) setImmediate(onSynced, null)
+    else this.original.fdatasync(file, onSynced)
   }
 
   /// Returns what is to be called when the sync has succeeded: it covers what was written by now.
@@ -172,6 +210,7 @@
     const { state, later } = this
     const opened = this.open.get(file)
     if (opened === undefined) return () => {}
+    this.step()
     const { id } = opened
     if (id === null) {
       const count = state.changes.length
--- a/standin/machine/test/powerloss.test.ts
+++ b/standin/machine/test/powerloss.test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { losePower, PowerLoss, trackFiles } from '#standin/machine'
+import { losePower, PowerLoss, PowerLostError, trackFiles } from '#standin/machine'
 import type { DiskBehaviour } from '#standin/machine'
 
 let root = ''
@@ -148,6 +148,16 @@
   expect(lose(PowerLoss.nothing)).toEqual({ a: 'ONE+' })
 })
 
+test('from the step on at which the power is lost, nothing has an effect', () => {
+  const file = create('a', 'one', true)
+  behaviour.stepsToLoss = 1
+  fs.writeSync(file, 'two')
+  for (const act of [
+    () => fs.fsyncSync(file), () => fs.writeSync(file, 'three'), () => create('b', '', false), () => fs.unlinkSync(join(folder, 'a'))
+  ]) expect(act).toThrow(PowerLostError)
+  expect(lose(PowerLoss.nothing)).toEqual({ a: 'one' })
+})
+
 test('a full disk takes no bytes and no files', () => {
   const file = create('a', 'one', true)
   behaviour.isFull = true
--- a/standin/power/src/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export { losePower } from './loss.js'
