A turn isn't refused for another entry's sake for a small gain, or in the first seconds

Any gain beyond the retry's own time was enough; and what entries that have started together say of themselves in their first seconds tells little.

The gain must be more than the route's target latency, and an entry knows of no better one in the first 4 s of its process (EntryDirectory.getBetterMs; connections are still relayed at that time).

Three cases fail on the code before.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -153,13 +153,14 @@
     return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs }
   }
 
-  /// Whether a turn that would be late here is known to be served sooner by another entry, with its retry. One that
-  /// another entry has passed on, or that comes back, could be refused by each in turn.
+  /// Whether another entry is known to serve a turn sooner by more than its target latency, with its retry: many
+  /// callers try only once. One that another entry has passed on, or that comes back, could be refused by each in turn.
   private isForOtherEntry (request: AdmissionRequest, { rank }: CallClass, expectedWaitMs: number): boolean {
     const { call, route, isRelayed } = request
-    if (rank !== turnRank || isRelayed || expectedWaitMs <= route.targetLatencyMs) return false
+    if (rank !== turnRank || isRelayed) return false
+    const elsewhereMs = expectedWaitMs * this.getBetterShare() + busyRetryAfterMs + reconnectMs
     return this.refusedTurns.findSinceMs(call.previousTurnId) === null &&
-      expectedWaitMs * this.getBetterShare() + busyRetryAfterMs + reconnectMs < expectedWaitMs
+      expectedWaitMs - elsewhereMs > route.targetLatencyMs
   }
 
   /// Returns after how long the call could be served here, or at once if another entry would serve it sooner.
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -170,7 +170,8 @@
 test.each([
   ['an event loop on time', 2, []],
   ['an event loop that is a little behind', 25, []],
-  ['an event loop that is behind', 60, ['new', 'turn']],
+  ['an event loop that is behind', 60, ['new']],
+  ['an event loop that is behind, by more than an idle entry needs with a retry', 80, ['new', 'turn']],
   ['an event loop that is far behind', 400, ['new', 'turn', 'tool']]
 ])('with %s, those calls are refused that would end too late', async (_, meanDelayMs, expected) => {
   backlog.meanDelayMs = meanDelayMs
@@ -183,10 +184,11 @@
 
 // Guards against a turn that is refused as busy by one entry after the other while programs start.
 test.each([
-  ['another entry is known to serve it much sooner', 60, 0.05, false, ['new', 'turn']],
+  ['another entry is known to serve it much sooner', 80, 0.05, false, ['new', 'turn']],
+  ['another entry would serve it sooner by less than its target latency', 60, 0.05, false, ['new']],
   ['another entry would serve it about as late, with its retry', 60, 0.6, false, ['new']],
   ['another entry is nearly as busy', 150, 0.8, false, ['new']],
-  ['another entry has passed it on', 60, 0.05, true, ['new']],
+  ['another entry has passed it on', 80, 0.05, true, ['new']],
   ['no other entry would serve it sooner', 60, Infinity, false, ['new']],
   ['no other entry would, and it would end too late', 400, Infinity, false, ['new', 'turn', 'tool']]
 ])('a turn of a running program that would wait long, while %s', async (_, meanDelayMs, betterShare, isRelayed, expected) => {
@@ -201,7 +203,7 @@
 
 // Guards against a refusal of which no line says what the entry knew.
 test.each([
-  ['for another entry', 0.1, 60, /would wait for 360 ms, another entry serves it in 36 ms$/],
+  ['for another entry', 0.1, 80, /would wait for 480 ms, another entry serves it in 48 ms$/],
   ['as it would wait too long', Infinity, 400, /would wait for 2400 ms, it may wait for (999|1000) ms$/]
 ])('a turn that is refused %s: the reason says so', async (_, betterShare, meanDelayMs, expected) => {
   admission = new Admission(backlog, () => betterShare)
@@ -213,7 +215,7 @@
 
 // Guards against a turn that is refused, and finds newer ones before it at each retry.
 test('a turn that comes back after a refusal starts before those that came meanwhile', async () => {
-  backlog.meanDelayMs = 60
+  backlog.meanDelayMs = 80
   admit('refused', { programId: 'p1', previousTurnId: 't1' })
   backlog.meanDelayMs = 0
   await iterate(1)
@@ -227,7 +229,7 @@
 
 // Guards against a turn that is sent from one entry to the other.
 test('a turn that comes back is not refused again for the sake of another entry', async () => {
-  backlog.meanDelayMs = 60
+  backlog.meanDelayMs = 80
   for (let i = 0; i < 2; i++) admit(`try ${i}`, { programId: 'p1', previousTurnId: 't1' })
   await iterate(2)
   expect([started, refused.length]).toEqual([['try 1'], 1])
--- a/process/entry/test/relay.test.ts
+++ b/process/entry/test/relay.test.ts
@@ -416,7 +416,7 @@
   const previousTurn = 'previous'
   await idle.call('/chat/1', { 'attempt-id': previousTurn })
   listEntry(idle.relayAddress)
-  idle.loop.meanDelayMs = 60
+  idle.loop.meanDelayMs = 80
   idle.betterShare = 0.02
   expect((await getEntry().call('/chat/1', { 'previous-turn': previousTurn })).status).toBe(status)
   expect(busy.relay.count).toBe(status === 200 ? 1 : 0)
--- a/process/relay/src/directory.ts
+++ b/process/relay/src/directory.ts
@@ -49,6 +49,8 @@
 /// does.
 const maxCurrentTicks = 2
 const maxCurrentMs = 800
+/// In the first seconds of a process, how busy another one says it is tells little: it may have started with this one.
+const minKnowledgeMs = 4000
 /// Age from which a report is asked for again, for entries that are better than this one and for the others.
 const refreshTicks = 3
 const slowRefreshTicks = 8
@@ -84,6 +86,7 @@
   private readonly departed = new Set<OtherEntry>()
   private candidates: readonly OtherEntry[] = []
   private registrations: readonly Registration[] | null = null
+  private readonly createdAtMs = performance.now()
 
   constructor (private registration: Registration, private readonly log: EventLog) {}
 
@@ -224,8 +227,9 @@
   }
 
   /// How long a call is expected to take at the slowest of the better entries, by what they say now; `Infinity` if they
-  /// have no room for most connections.
+  /// have no room for most connections, or this process has just started.
   getBetterMs (configVersion: number, ownMs: number): number {
+    if (performance.now() - this.createdAtMs < minKnowledgeMs) return Infinity
     const better = this.findBetter(configVersion, ownMs).filter(isCurrent)
     if (this.sumRoom(better) < minReconnectRoom) return Infinity
     return Math.max(...better.map(entry => this.getExpectedMs(entry)))
--- a/process/relay/test/directory.test.ts
+++ b/process/relay/test/directory.test.ts
@@ -12,9 +12,16 @@
 
 let directory: EntryDirectory
 
-beforeEach(() => {
-  directory = new EntryDirectory({ name: 'own', address: '127.0.0.1:1', zone: 'a', processors: 1 }, noopLog)
-})
+/// The directory of a process that started so long ago.
+function createDirectory (ageMs: number): EntryDirectory {
+  const createdAtMs = performance.now() - ageMs
+  const now = vi.spyOn(performance, 'now').mockReturnValue(createdAtMs)
+  const created = new EntryDirectory({ name: 'own', address: '127.0.0.1:1', zone: 'a', processors: 1 }, noopLog)
+  now.mockRestore()
+  return created
+}
+
+beforeEach(() => { directory = createDirectory(4000) })
 
 /// Lists an entry in zone `zone` and records a report of it.
 function addEntry (name: string, report: Partial<LoadReport> = {}, zone = 'a'): void {
@@ -246,6 +253,10 @@
   ['as the slowest of the better ones says', () => { addEntry('e', { expectedMs: 20 }); addEntry('ee', { expectedMs: 50 }) }, 51],
   ['in no finite time if none is better', () => addEntry('e', { expectedMs: 90 }), Infinity],
   ['in no finite time if the better one has too little room', () => addEntry('e', { askersProcessors: 4 }), Infinity],
+  ['in no finite time if this one has just started', () => {
+    directory = createDirectory(3000)
+    addEntry('e', { expectedMs: 20 })
+  }, Infinity],
   ['as a report of two ticks ago says', () => { addEntry('e', { expectedMs: 20 }); tick(2) }, 21],
   ['in no finite time if the report is older', () => { addEntry('e', { expectedMs: 20 }); tick(3) }, Infinity]
 ])('other entries would serve a call %s', (_, prepare, expectedMs) => {
