The place of a refused turn is kept for one caller, not for all that go on from the same turn

Callers of other programs waited behind any number of calls that went on from one refused turn, for up to 10 s: each had the place of the first try, also after that turn had started.

A retry has an id of its own, so the place is known by the turn before, and was kept until it was 10 s old.

The next call that goes on from the turn takes the place; if it is refused, too, the place is kept again.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -26,6 +26,8 @@
   readonly maxWaitMs: number
   /// Since when its caller has tried.
   readonly sinceMs: number
+  /// Whether it was refused before.
+  readonly isRetry: boolean
 }
 
 interface WaitingCall {
@@ -145,22 +147,22 @@
   private classify (call: Call, route: Route, remainingMs: number): CallClass {
     const maxWaitMs = remainingMs * maxWaitShare
     const nowMs = performance.now()
-    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs, sinceMs: nowMs }
+    if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs, sinceMs: nowMs, isRetry: false }
     if (!this.isNewProgram(call)) {
-      return { rank: turnRank, maxWaitMs, sinceMs: this.refusedTurns.findSinceMs(call.previousTurnId) ?? nowMs }
+      const refusedSinceMs = this.refusedTurns.take(call.previousTurnId)
+      return { rank: turnRank, maxWaitMs, sinceMs: refusedSinceMs ?? nowMs, isRetry: refusedSinceMs !== null }
     }
     const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
-    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs }
+    return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs, isRetry: false }
   }
 
   /// Whether another entry is known to serve a turn sooner by more than its target latency, with its retry: many
   /// callers try only once. One that another entry has passed on, or that comes back, could be refused by each in turn.
-  private isForOtherEntry (request: AdmissionRequest, { rank }: CallClass, expectedWaitMs: number): boolean {
-    const { call, route, isRelayed } = request
-    if (rank !== turnRank || isRelayed) return false
+  private isForOtherEntry (request: AdmissionRequest, { rank, isRetry }: CallClass, expectedWaitMs: number): boolean {
+    const { route, isRelayed } = request
+    if (rank !== turnRank || isRelayed || isRetry) return false
     const elsewhereMs = expectedWaitMs * this.getBetterShare() + busyRetryAfterMs + reconnectMs
-    return this.refusedTurns.findSinceMs(call.previousTurnId) === null &&
-      expectedWaitMs - elsewhereMs > route.targetLatencyMs
+    return expectedWaitMs - elsewhereMs > route.targetLatencyMs
   }
 
   /// Returns after how long the call could be served here, or at once if another entry would serve it sooner.
--- a/process/admission/src/refusedturns.ts
+++ b/process/admission/src/refusedturns.ts
@@ -8,8 +8,15 @@
   /// In the order in which they were refused first.
   private readonly sinceMsByPreviousId = new Map<string, number>()
 
-  /// Returns since when callers have tried to go on from the turn, `null` if none was refused lately.
-  findSinceMs (previousTurnId: string | null): number | null {
+  /// Returns since when callers have tried to go on from the turn, `null` if none was refused lately. One of them gets
+  /// the place of the refused one; others that go on from the same turn begin anew.
+  take (previousTurnId: string | null): number | null {
+    const sinceMs = this.findSinceMs(previousTurnId)
+    if (previousTurnId !== null) this.sinceMsByPreviousId.delete(previousTurnId)
+    return sinceMs
+  }
+
+  private findSinceMs (previousTurnId: string | null): number | null {
     const sinceMs = previousTurnId === null ? undefined : this.sinceMsByPreviousId.get(previousTurnId)
     return sinceMs === undefined || performance.now() - sinceMs > maxAgeMs ? null : sinceMs
   }
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -227,6 +227,19 @@
   expect(started).toEqual(['first', 'comes back', 'a', 'b'])
 })
 
+// Guards against calls that all go on from one refused turn, and starve others.
+test('of several that go on from a turn that was refused, one has the place of the refused one', async () => {
+  backlog.meanDelayMs = 80
+  admit('refused', { programId: 'p1', previousTurnId: 't1' })
+  backlog.meanDelayMs = 0
+  await iterate(1)
+  admit('first')
+  admit('other', { programId: 'p2', previousTurnId: 't2' })
+  for (const id of ['a', 'b', 'c']) admit(id, { programId: 'p1', previousTurnId: 't1' })
+  await iterate(6)
+  expect(started).toEqual(['first', 'a', 'other', 'b', 'c'])
+})
+
 // Guards against a turn that is sent from one entry to the other.
 test('a turn that comes back is not refused again for the sake of another entry', async () => {
   backlog.meanDelayMs = 80
