A single stall of the event loop doesn't make an entry refuse the calls after it

Callers got 503 busy for a while after an entry had stood still, though nothing waited there: with 40 new programs a second and a pause of 0.5 s in 2 s, most of the 80 were refused.

A call's wait is expected as the mean delay of the event loop times its passes through it, and a stall of a second alone raised that mean to 775 ms, which fell with a time constant of 300 ms.

What counts in the mean is the delay that two checks in a row have in common. A delay that goes on still counts from the second check on (the test of four long iterations is unchanged); what waits after a stall is in the queue, and counts there.

The new test of loopmonitor.test.ts failed before (775 in place of 0).

--- a/process/clock/src/loopmonitor.ts
+++ b/process/clock/src/loopmonitor.ts
@@ -32,7 +32,7 @@
 export interface LoopBacklog {
   /// How long an event that is handled now may have waited.
   readonly currentDelayMs: number
-  /// Mean delay of the last few hundred milliseconds.
+  /// Mean delay of the last few hundred milliseconds, without single stalls: what waits next doesn't wait for them.
   readonly meanDelayMs: number
 }
 
@@ -65,9 +65,10 @@
     const nowMs = performance.now()
     const elapsedMs = nowMs - this.checkedAtMs
     const delayMs = Math.max(0, elapsedMs - checkIntervalMs)
+    const repeatedDelayMs = Math.min(delayMs, this.lastDelayMs)
     this.checkedAtMs = nowMs
     this.lastDelayMs = delayMs
-    this.meanDelayMs += (delayMs - this.meanDelayMs) * (1 - Math.exp(-elapsedMs / meanWindowMs))
+    this.meanDelayMs += (repeatedDelayMs - this.meanDelayMs) * (1 - Math.exp(-elapsedMs / meanWindowMs))
     this.maxDelayMs = Math.max(this.maxDelayMs, delayMs)
     this.options.onDelay(delayMs)
     if (delayMs >= stallThresholdMs) this.options.onStall(Math.round(delayMs))
--- a/process/clock/test/loopmonitor.test.ts
+++ b/process/clock/test/loopmonitor.test.ts
@@ -91,6 +91,12 @@
   expect(monitor.meanDelayMs).toBeLessThan(10)
 })
 
+// Guards against calls that are refused after a stall, though nothing waits.
+test('a single stall does not change the mean delay', () => {
+  checkAt([50, 1050, 1100])
+  expect(monitor.meanDelayMs).toBe(0)
+})
+
 // Guards against calls cut off during a planned stop: the time since the last check counted as their wait.
 test('once the monitor is stopped, no event counts as delayed', () => {
   checkAt([50])
