Soak: one context for all that disturbs a run

Cause: nine classes each named the same five to seven things that they act on, in nine interfaces and nine lists. Change: `DisturbanceContext` in their place.

--- a/standin/soak/src/addressreuse.ts
+++ b/standin/soak/src/addressreuse.ts
@@ -1,17 +1,8 @@
 import { sleep } from '#process/clock'
 import { StoreFault } from '#standin/store'
-import type { ServiceName, StandinSystem } from '#standin/system'
+import type { ServiceName } from '#standin/system'
 import type { StandinUpstream } from '#standin/upstream'
-import type { DisturbanceLog } from './disturbancelog.js'
-import type { Random } from './random.js'
-
-export interface AddressReuseOptions {
-  readonly system: StandinSystem
-  readonly log: DisturbanceLog
-  readonly random: Random
-  /// Called with each instance that is added.
-  readonly onAdd: (upstream: StandinUpstream) => void
-}
+import type { DisturbanceContext } from './disturbancecontext.js'
 
 const minReuseMs = 20
 const maxReuseMs = 2000
@@ -27,12 +18,12 @@
   private index = firstIndex
   private isSwapping = false
 
-  constructor (private readonly options: AddressReuseOptions) {}
+  constructor (private readonly context: DisturbanceContext) {}
 
   readonly actions: readonly (() => Promise<void>)[] = [() => this.swap(), () => this.swap()]
 
   private async swap (): Promise<void> {
-    const { system, log, random } = this.options
+    const { system, log, random } = this.context
     if (this.isSwapping || Math.min(system.engines.length, system.services.length) < 2) return
     this.isSwapping = true
     const endSilence = random.next() < unheardShare ? this.silenceStore() : () => {}
@@ -49,7 +40,7 @@
 
   /// The entries don't hear of the swap until the function that this returns is called.
   private silenceStore (): () => void {
-    const { system: { store }, log } = this.options
+    const { system: { store }, log } = this.context
     if (store.fault !== StoreFault.none) return () => {}
     const silence = log.add('unplanned', null, Infinity, `the store is ${StoreFault.silent}`)
     store.fault = StoreFault.silent
@@ -63,13 +54,13 @@
   /// Returns the port that is free then.
   private end (upstream: StandinUpstream): number {
     upstream.breakOffAll()
-    return this.options.system.removeUpstream(upstream)
+    return this.context.system.removeUpstream(upstream)
   }
 
   private async add (service: ServiceName, port: number): Promise<void> {
-    const { system, log, onAdd } = this.options
+    const { system, log, onAddInstance } = this.context
     const index = this.index++
     log.add('signal', null, 0, `${service}-${index} is added at the address of an instance of another service`)
-    onAdd(await system.addUpstream(service, index, port))
+    onAddInstance(await system.addUpstream(service, index, port))
   }
 }
--- a/standin/soak/src/burst.ts
+++ b/standin/soak/src/burst.ts
@@ -1,12 +1,4 @@
-import type { Caller } from './caller.js'
-import type { DisturbanceLog } from './disturbancelog.js'
-import type { Random } from './random.js'
-
-export interface BurstOptions {
-  readonly log: DisturbanceLog
-  readonly random: Random
-  readonly createCaller: (name: string) => Pick<Caller, 'run'>
-}
+import type { DisturbanceContext } from './disturbancecontext.js'
 
 const minCallers = 20
 const maxCallers = 150
@@ -14,7 +6,7 @@
 const maxMs = 2000
 
 /// Many callers open connections at one moment, and leave when they have the answers that they wait for after a while.
-export async function playBurst ({ log, random, createCaller }: BurstOptions): Promise<void> {
+export async function playBurst ({ log, random, createCaller }: DisturbanceContext): Promise<void> {
   const size = Math.round(random.between(minCallers, maxCallers))
   const durationMs = random.between(minMs, maxMs)
   const startMs = performance.now()
--- a/standin/soak/src/disturber.ts
+++ b/standin/soak/src/disturber.ts
@@ -1,9 +1,8 @@
 import { sleep } from '#process/clock'
 import type { StandinSystem } from '#standin/system'
-import type { StandinUpstream } from '#standin/upstream'
 import { AddressReuse } from './addressreuse.js'
 import { playBurst } from './burst.js'
-import type { Caller } from './caller.js'
+import type { DisturbanceContext } from './disturbancecontext.js'
 import { DisturbanceLog } from './disturbancelog.js'
 import { Faults } from './faults.js'
 import { Freezes } from './freezes.js'
@@ -45,13 +44,9 @@
 
 export type DisturbanceGroup = typeof DisturbanceGroup[keyof typeof DisturbanceGroup]
 
-export interface DisturberOptions {
+export interface DisturberOptions extends Partial<Pick<DisturbanceContext, 'onAddInstance' | 'createCaller'>> {
   readonly graceMs: number
   readonly groups: readonly DisturbanceGroup[]
-  /// Called with each instance that is added.
-  readonly onAddInstance?: (instance: StandinUpstream) => void
-  /// A caller that comes for a while.
-  readonly createCaller?: (name: string) => Pick<Caller, 'run'>
 }
 
 type Action = () => Promise<void>
@@ -81,9 +76,13 @@
     const log = new DisturbanceLog(observations)
     const storageTurns = new StorageTurns(system, supervisor, random)
     this.storageTurns = storageTurns
-    this.plannedWork = new PlannedWork({
-      system, supervisor, observations, log, storageTurns, random, graceMs: options.graceMs
-    })
+    const machines = new Machines()
+    supervisor.onLaunch = node => machines.restore(node)
+    const { graceMs, onAddInstance = () => {}, createCaller = () => ({ run: async () => {} }) } = options
+    const context: DisturbanceContext = {
+      system, supervisor, machines, storageTurns, observations, log, random, graceMs, onAddInstance, createCaller
+    }
+    this.plannedWork = new PlannedWork(context)
     this.storageChanges = new StorageChanges(system, supervisor, random.fork(), {
       add: text => { log.add('signal', null, 0, text) },
       addLoss: text => {
@@ -92,22 +91,19 @@
         return () => { loss.endMs = performance.now() }
       }
     })
-    const machines = new Machines()
-    supervisor.onLaunch = node => machines.restore(node)
-    const { onAddInstance: onAdd = () => {}, createCaller = () => ({ run: async () => {} }) } = options
-    const faults = new Faults({ system, supervisor, log, storageTurns, random })
+    const faults = new Faults(context)
     const changeStorage = (): Promise<void> => this.changeStorage()
-    const burst = (): Promise<void> => playBurst({ log, random, createCaller })
+    const burst = (): Promise<void> => playBurst(context)
     this.actions = {
       trouble: faults.actions,
       changes: [changeStorage, changeStorage, changeStorage],
       faulty: [() => faults.failInstance()],
-      power: new PowerFaults({ system, supervisor, log, storageTurns, random }).actions,
-      cuts: new NetworkFaults({ system, machines, log, random }).actions,
-      disks: new MachineFaults({ system, machines, log, random }).actions,
-      workers: new WorkerChanges({ system, log, random, onAdd }).actions,
-      reuse: new AddressReuse({ system, log, random, onAdd }).actions,
-      freezes: new Freezes({ system, supervisor, log, storageTurns, random }).actions,
+      power: new PowerFaults(context).actions,
+      cuts: new NetworkFaults(context).actions,
+      disks: new MachineFaults(context).actions,
+      workers: new WorkerChanges(context).actions,
+      reuse: new AddressReuse(context).actions,
+      freezes: new Freezes(context).actions,
       bursts: [burst, burst]
     }
     supervisor.onStart = node => { this.start(() => this.plannedWork.signalStarting(node)) }
--- a/standin/soak/src/faults.ts
+++ b/standin/soak/src/faults.ts
@@ -1,21 +1,10 @@
 import { sleep } from '#process/clock'
 import { StoreFault } from '#standin/store'
-import type { StandinSystem, SystemNode } from '#standin/system'
+import type { SystemNode } from '#standin/system'
 import { UpstreamFault } from '#standin/upstream'
 import type { StandinUpstream } from '#standin/upstream'
-import type { DisturbanceLog } from './disturbancelog.js'
+import type { DisturbanceContext } from './disturbancecontext.js'
 import { chooseEntry } from './entrychoice.js'
-import type { Random } from './random.js'
-import type { StorageTurns } from './storageturns.js'
-import type { Supervisor } from './supervisor.js'
-
-export interface FaultOptions {
-  readonly system: StandinSystem
-  readonly supervisor: Supervisor
-  readonly log: DisturbanceLog
-  readonly storageTurns: StorageTurns
-  readonly random: Random
-}
 
 const maxReadyMs = 15_000
 const minFreezeMs = 300
@@ -33,8 +22,8 @@
 export class Faults {
   private readonly instances: readonly StandinUpstream[]
 
-  constructor (private readonly options: FaultOptions) {
-    const { engines, services } = options.system
+  constructor (private readonly context: DisturbanceContext) {
+    const { engines, services } = context.system
     this.instances = [...engines, ...services]
   }
 
@@ -47,7 +36,7 @@
 
   /// The rules say themselves what doesn't count of a request that a faulty instance ran.
   async failInstance (): Promise<void> {
-    const { log, random } = this.options
+    const { log, random } = this.context
     const upstream = random.pick(this.instances)
     if (upstream.fault !== UpstreamFault.none) return
     upstream.fault = random.pick(instanceFaults)
@@ -58,14 +47,14 @@
   }
 
   private async killEntry (): Promise<void> {
-    const { system, supervisor, random } = this.options
+    const { system, supervisor, random } = this.context
     const entry = chooseEntry(system, supervisor, random)
     if (entry === null) return
     await this.kill(entry, false)
   }
 
   private async killStorage (): Promise<void> {
-    const { storageTurns, random } = this.options
+    const { storageTurns, random } = this.context
     const losesDisk = random.next() < diskLossShare
     await storageTurns.disturb(async storage => {
       if (losesDisk) storageTurns.isDiskMissing = true
@@ -74,7 +63,7 @@
   }
 
   private async kill (node: SystemNode, losesDisk: boolean): Promise<void> {
-    const { supervisor, log } = this.options
+    const { supervisor, log } = this.context
     const life = supervisor.life(node)
     const entry = node.role === 'entry' ? node : null
     const trouble = log.add('unplanned', entry, Infinity, `SIGKILL of ${node.name}${losesDisk ? ', which loses its disk' : ''}`)
@@ -86,7 +75,7 @@
   }
 
   private async freezeEntry (): Promise<void> {
-    const { system, supervisor, log, random } = this.options
+    const { system, supervisor, log, random } = this.context
     const entry = random.pick(system.entries)
     const durationMs = random.between(minFreezeMs, maxFreezeMs)
     log.add('unplanned', entry, durationMs, `SIGSTOP of ${entry.name} for ${Math.round(durationMs)} ms`)
@@ -94,7 +83,7 @@
   }
 
   private async failStore (): Promise<void> {
-    const { system, log, random } = this.options
+    const { system, log, random } = this.context
     const { store } = system
     if (store.fault !== StoreFault.none) return
     store.fault = random.pick(storeFaults)
--- a/standin/soak/src/freezes.ts
+++ b/standin/soak/src/freezes.ts
@@ -1,23 +1,11 @@
-import type { StandinSystem } from '#standin/system'
-import type { DisturbanceLog } from './disturbancelog.js'
-import type { Random } from './random.js'
-import type { StorageTurns } from './storageturns.js'
-import type { Supervisor } from './supervisor.js'
-
-export interface FreezeOptions {
-  readonly system: StandinSystem
-  readonly supervisor: Supervisor
-  readonly log: DisturbanceLog
-  readonly storageTurns: StorageTurns
-  readonly random: Random
-}
+import type { DisturbanceContext } from './disturbancecontext.js'
 
 const minMs = 2000
 const maxMs = 9000
 
 /// Processes that are stopped for so long that others take them for lost, and that then go on where they were.
 export class Freezes {
-  constructor (private readonly options: FreezeOptions) {}
+  constructor (private readonly context: DisturbanceContext) {}
 
   readonly actions: readonly (() => Promise<void>)[] = [
     () => this.freezeEntry(),
@@ -26,7 +14,7 @@
   ]
 
   private async freezeEntry (): Promise<void> {
-    const { system, supervisor, log, random } = this.options
+    const { system, supervisor, log, random } = this.context
     const entry = random.pick(system.entries)
     const durationMs = random.between(minMs, maxMs)
     log.add('unplanned', entry, durationMs, `SIGSTOP of ${entry.name} for ${Math.round(durationMs)} ms`)
@@ -34,7 +22,7 @@
   }
 
   private async freezeStorage (): Promise<void> {
-    const { supervisor, log, storageTurns, random } = this.options
+    const { supervisor, log, storageTurns, random } = this.context
     const durationMs = random.between(minMs, maxMs)
     await storageTurns.disturb(async storage => {
       log.add('unplanned', null, durationMs, `SIGSTOP of ${storage.name} for ${Math.round(durationMs)} ms`, storage)
--- a/standin/soak/src/networkfaults.ts
+++ b/standin/soak/src/networkfaults.ts
@@ -2,17 +2,8 @@
 import { usualLink } from '#standin/machine'
 import type { LinkState } from '#standin/machine'
 import { StoreFault } from '#standin/store'
-import type { StandinSystem, SystemNode } from '#standin/system'
-import type { DisturbanceLog } from './disturbancelog.js'
-import type { Machines } from './machines.js'
-import type { Random } from './random.js'
-
-export interface NetworkFaultOptions {
-  readonly system: StandinSystem
-  readonly machines: Machines
-  readonly log: DisturbanceLog
-  readonly random: Random
-}
+import type { SystemNode } from '#standin/system'
+import type { DisturbanceContext } from './disturbancecontext.js'
 
 const minMs = 500
 const maxMs = 6000
@@ -31,7 +22,7 @@
 
 /// What goes wrong between machines, and between single ones and the store.
 export class NetworkFaults {
-  constructor (private readonly options: NetworkFaultOptions) {}
+  constructor (private readonly context: DisturbanceContext) {}
 
   readonly actions: readonly (() => Promise<void>)[] = [
     () => this.cutOne(),
@@ -44,7 +35,7 @@
 
   /// One machine is cut from all others, both ways or one way.
   private async cutOne (): Promise<void> {
-    const { system, random } = this.options
+    const { system, random } = this.context
     const node = random.pick(system.nodes)
     const others = system.nodes.filter(other => other !== node)
     if (random.next() >= oneWayShare) return await this.cut([node], others, true)
@@ -52,7 +43,7 @@
   }
 
   private async split (): Promise<void> {
-    const { system, random } = this.options
+    const { system, random } = this.context
     const halves: [SystemNode[], SystemNode[]] = [[], []]
     for (const node of system.nodes) random.pick(halves).push(node)
     await this.cut(...halves, true)
@@ -60,7 +51,7 @@
 
   /// What one side sends doesn't reach the other one, nor the other way round if `isMutual`.
   private async cut (from: readonly SystemNode[], to: readonly SystemNode[], isMutual: boolean): Promise<void> {
-    const { machines } = this.options
+    const { machines } = this.context
     const [ownState, otherState] = isMutual ? [bothCut, bothCut] : [sendingCut, receivingCut]
     const text = `${formatNames(from)} cut from ${formatNames(to)}${isMutual ? '' : ', one way'}`
     await this.last(findOnlyEntry(from) ?? findOnlyEntry(to), text, () => from.flatMap(node => to.flatMap(other => [
@@ -70,7 +61,7 @@
 
   /// The store serves others meanwhile.
   private async cutFromStore (): Promise<void> {
-    const { system, random } = this.options
+    const { system, random } = this.context
     const fault = random.pick(storeFaults)
     const nodes = system.nodes.filter(() => random.next() < unservedShare)
     const { clientFaults } = system.store
@@ -82,7 +73,7 @@
 
   /// Open connections go silent for good, while new ones work. By the rules this concerns all machines.
   private async silence (): Promise<void> {
-    const { system, machines, log, random } = this.options
+    const { system, machines, log, random } = this.context
     const from = random.pick(system.nodes)
     const to = system.nodes.filter(other => other !== from && random.next() < 0.5)
     log.add('unplanned', null, 0, `connections of ${from.name} to ${formatNames(to)} go silent`)
@@ -90,7 +81,7 @@
   }
 
   private async delay (): Promise<void> {
-    const { system, machines, random } = this.options
+    const { system, machines, random } = this.context
     const node = random.pick(system.nodes)
     const delayMs = Math.round(random.between(minDelayMs, maxDelayMs))
     const others = system.nodes.filter(other => other !== node)
@@ -102,8 +93,8 @@
   }
 
   private async last (entry: SystemNode | null, text: string, act: () => readonly Undo[]): Promise<void> {
-    const durationMs = this.options.random.between(minMs, maxMs)
-    this.options.log.add('unplanned', entry, durationMs, `${text} for ${Math.round(durationMs)} ms`)
+    const durationMs = this.context.random.between(minMs, maxMs)
+    this.context.log.add('unplanned', entry, durationMs, `${text} for ${Math.round(durationMs)} ms`)
     const undos = act()
     await sleep(durationMs)
     for (const undo of undos) undo()
--- a/standin/soak/src/plannedwork.ts
+++ b/standin/soak/src/plannedwork.ts
@@ -1,23 +1,9 @@
 import { sleep } from '#process/clock'
 import { createConfiguration } from '#standin/system'
-import type { StandinSystem, SystemNode } from '#standin/system'
-import type { DisturbanceLog } from './disturbancelog.js'
+import type { SystemNode } from '#standin/system'
+import type { DisturbanceContext } from './disturbancecontext.js'
 import { chooseEntry } from './entrychoice.js'
-import type { Observations } from './observations.js'
-import type { Random } from './random.js'
-import type { StorageTurns } from './storageturns.js'
 import { hasStopSignal } from './supervisor.js'
-import type { Supervisor } from './supervisor.js'
-
-export interface PlannedWorkOptions {
-  readonly system: StandinSystem
-  readonly supervisor: Supervisor
-  readonly observations: Observations
-  readonly log: DisturbanceLog
-  readonly storageTurns: StorageTurns
-  readonly random: Random
-  readonly graceMs: number
-}
 
 /// Planned work lasts so long beyond its own time, by the users' rules.
 const stopMarginMs = 1000
@@ -48,7 +34,7 @@
 export class PlannedWork {
   private version = 1
 
-  constructor (private readonly options: PlannedWorkOptions) {}
+  constructor (private readonly context: DisturbanceContext) {}
 
   readonly actions: readonly (() => Promise<void>)[] = [
     () => this.stopEntry(),
@@ -62,7 +48,7 @@
 
   /// Signals to a process that has just been started, at the first milliseconds more often than later.
   async signalStarting (node: SystemNode): Promise<void> {
-    const { system, supervisor, random } = this.options
+    const { system, supervisor, random } = this.context
     if (random.next() > signalledStartShare) return
     const life = supervisor.life(node)
     await sleep(this.betweenLogarithmic(1, maxStartMs))
@@ -74,7 +60,7 @@
 
   /// Sends a signal, and then often others in series. Those to a process that ends go to the one that follows it.
   private async signalInSeries (node: SystemNode, first: PlannedSignal): Promise<void> {
-    const { supervisor, random } = this.options
+    const { supervisor, random } = this.context
     this.signal(node, first)
     while (random.next() < repetitionShare) {
       await sleep(this.betweenLogarithmic(minRepetitionMs, maxRepetitionMs))
@@ -85,7 +71,7 @@
   }
 
   private signal (node: SystemNode, signal: PlannedSignal): void {
-    const { supervisor, log, graceMs } = this.options
+    const { supervisor, log, graceMs } = this.context
     const isFirstStop = signal !== 'SIGHUP' && !hasStopSignal(supervisor.life(node))
     supervisor.signal(node, signal)
     const text = `${signal} of ${node.name}`
@@ -95,18 +81,18 @@
   }
 
   private betweenLogarithmic (low: number, high: number): number {
-    return low * Math.pow(high / low, this.options.random.next())
+    return low * Math.pow(high / low, this.context.random.next())
   }
 
   private async stopEntry (): Promise<void> {
-    const { system, supervisor, random } = this.options
+    const { system, supervisor, random } = this.context
     const entry = chooseEntry(system, supervisor, random)
     if (entry === null) return
     await this.stopNode(entry)
   }
 
   private async stopNode (node: SystemNode): Promise<void> {
-    const { supervisor, random, graceMs } = this.options
+    const { supervisor, random, graceMs } = this.context
     const life = supervisor.life(node)
     const signals = this.signalInSeries(node, random.pick(stops))
     await supervisor.waitUntilReadyAfter(life, graceMs + maxReadyMs)
@@ -114,11 +100,11 @@
   }
 
   private async stopStorage (): Promise<void> {
-    await this.options.storageTurns.disturb(storage => this.stopNode(storage))
+    await this.context.storageTurns.disturb(storage => this.stopNode(storage))
   }
 
   private async signalSettings (): Promise<void> {
-    const { system, random } = this.options
+    const { system, random } = this.context
     const node = random.pick(system.nodes)
     const share = random.between(0.3, 1).toFixed(2)
     await system.changeSettings(node, text => text.replace(/^(processor_share = .*\n)?tolerated/m, `processor_share = ${share}\ntolerated`))
@@ -126,7 +112,7 @@
   }
 
   private async changeConfigurations (): Promise<void> {
-    const { system, observations, log, random } = this.options
+    const { system, observations, log, random } = this.context
     const count = 1 + Math.floor(random.next() * configurationsInSeries)
     for (let i = 0; i < count; i++) {
       this.version += 1 + Math.floor(random.next() * 3)
@@ -141,6 +127,6 @@
   }
 
   private async cutWatches (): Promise<void> {
-    this.options.system.store.compactHistory()
+    this.context.system.store.compactHistory()
   }
 }
--- a/standin/soak/src/powerfaults.ts
+++ b/standin/soak/src/powerfaults.ts
@@ -1,23 +1,12 @@
-import type { DisturbanceLog } from './disturbancelog.js'
-import type { Random } from './random.js'
-import type { StorageTurns } from './storageturns.js'
-import type { Supervisor } from './supervisor.js'
 import type { StandinSystem, SystemNode } from '#standin/system'
-
-export interface PowerFaultOptions {
-  readonly system: StandinSystem
-  readonly supervisor: Supervisor
-  readonly log: DisturbanceLog
-  readonly storageTurns: StorageTurns
-  readonly random: Random
-}
+import type { DisturbanceContext } from './disturbancecontext.js'
 
 const maxReadyMs = 15_000
 const downMs = 1000
 
 /// Machines that lose power, in the middle of the traffic: a storage machine, all of them, or all machines at once.
 export class PowerFaults {
-  constructor (private readonly options: PowerFaultOptions) {}
+  constructor (private readonly context: DisturbanceContext) {}
 
   readonly actions: readonly (() => Promise<void>)[] = [
     () => this.cutOne(),
@@ -27,14 +16,14 @@
   ]
 
   private async cutOne (): Promise<void> {
-    const { supervisor, storageTurns, random } = this.options
+    const { supervisor, storageTurns, random } = this.context
     await storageTurns.disturb(async storage => {
       await this.cut([storage], `${storage.name} loses`, () => { supervisor.cutPower(storage, random.fork()) })
     })
   }
 
   private async cutAll (choose: (system: StandinSystem) => readonly SystemNode[], text: string): Promise<void> {
-    const { system, supervisor, storageTurns, random } = this.options
+    const { system, supervisor, storageTurns, random } = this.context
     await storageTurns.disturb(async () => {
       const nodes = [...choose(system)]
       await this.cut(nodes, text, () => { supervisor.killAll(nodes, null, downMs, random.fork()) })
@@ -42,7 +31,7 @@
   }
 
   private async cut (nodes: readonly SystemNode[], text: string, act: () => void): Promise<void> {
-    const { supervisor, log } = this.options
+    const { supervisor, log } = this.context
     const lives = nodes.map(node => supervisor.life(node))
     const trouble = log.add('unplanned', null, Infinity, `${text} power`)
     act()
--- a/standin/soak/src/workerchanges.ts
+++ b/standin/soak/src/workerchanges.ts
@@ -1,17 +1,8 @@
 import { sleep } from '#process/clock'
-import type { ServiceName, StandinSystem } from '#standin/system'
+import type { ServiceName } from '#standin/system'
 import { UpstreamFault } from '#standin/upstream'
 import type { StandinUpstream } from '#standin/upstream'
-import type { DisturbanceLog } from './disturbancelog.js'
-import type { Random } from './random.js'
-
-export interface WorkerChangeOptions {
-  readonly system: StandinSystem
-  readonly log: DisturbanceLog
-  readonly random: Random
-  /// Called with each instance that is added.
-  readonly onAdd: (upstream: StandinUpstream) => void
-}
+import type { DisturbanceContext } from './disturbancecontext.js'
 
 const minFaultMs = 300
 const maxFaultMs = 2500
@@ -33,7 +24,7 @@
   private nextIndex = 100
   private isReleasing = false
 
-  constructor (private readonly options: WorkerChangeOptions) {}
+  constructor (private readonly context: DisturbanceContext) {}
 
   readonly actions: readonly (() => Promise<void>)[] = [
     () => this.fail(),
@@ -45,7 +36,7 @@
 
   /// An instance sends something unexpected for a while.
   private async fail (): Promise<void> {
-    const { system, log, random } = this.options
+    const { system, log, random } = this.context
     const upstream = random.pick([...system.engines, ...system.services])
     if (upstream.fault !== UpstreamFault.none) return
     upstream.fault = random.pick(faults)
@@ -59,7 +50,7 @@
   private async release (): Promise<void> {
     if (this.isReleasing) return
     this.isReleasing = true
-    const service = this.options.random.pick(services)
+    const service = this.context.random.pick(services)
     for (const upstream of this.list(service).slice(0, releasedAtOnce)) {
       const port = await this.takeAway(upstream)
       await sleep(addressReuseMs)
@@ -69,22 +60,22 @@
   }
 
   private async scaleIn (): Promise<void> {
-    const service = this.options.random.pick(services)
+    const service = this.context.random.pick(services)
     const all = this.list(service)
     if (this.isReleasing || all.length <= minInstances) return
     this.isReleasing = true
-    await this.takeAway(this.options.random.pick(all))
+    await this.takeAway(this.context.random.pick(all))
     this.isReleasing = false
   }
 
   private async scaleOut (): Promise<void> {
-    const service = this.options.random.pick(services)
+    const service = this.context.random.pick(services)
     if (this.list(service).length < maxInstances) await this.add(service)
   }
 
   /// Returns the port that is free then.
   private async takeAway (upstream: StandinUpstream): Promise<number> {
-    const { system, log } = this.options
+    const { system, log } = this.context
     const { id } = upstream.options
     log.add('signal', null, 0, `${id} is draining`)
     system.drainUpstream(upstream)
@@ -97,14 +88,14 @@
   }
 
   private async add (service: ServiceName, port?: number): Promise<void> {
-    const { system, log, onAdd } = this.options
+    const { system, log, onAddInstance } = this.context
     const index = this.nextIndex++
     log.add('signal', null, 0, `${service}-${index} is added${port === undefined ? '' : ' at the address of another one'}`)
     const upstream = await system.addUpstream(service, index, port)
-    onAdd(upstream)
+    onAddInstance(upstream)
   }
 
   private list (service: ServiceName): StandinUpstream[] {
-    return [...service === 'models' ? this.options.system.engines : this.options.system.services]
+    return [...service === 'models' ? this.context.system.engines : this.context.system.services]
   }
 }
