Turns wait for a storage that starts

Callers saw: after a final fault turns that go on were refused at once as "too few storage instances are up", with a Retry-After of 0.25 s, by each entry in turn, while the storage was starting; sub-agents try once.

Cause: an entry took a storage instance whose machine refuses connections for one that can't be reached, and a quorum without enough members that are up for one that this entry is cut off from. Before it had read a view it refused, too.

Change: an error of a peer says whether its machine was up (it refused or closed the connection, or accepted it and its process has not replied yet). While enough members are up or starting, reads and reservations wait, bounded by the time that they had before (half of what the caller has left), and go on as soon as the quorum is there. A start is waited for 5 s at most; without a view, that counts from the start of the entry. Silence still means that the entry is cut off: refused at once, 0.25 s. Else Retry-After is about 1 s. All turns of an entry wait for one probe (every 0.05 to 0.15 s at random, 0.1 to 0.3 s after these 5 s; it was 0.2 s, in step) in place of a try each 40 ms by each of them. Connections of callers aren't closed meanwhile: other entries have no storage either.

--- a/connection/rpc/src/session.ts
+++ b/connection/rpc/src/session.ts
@@ -9,7 +9,11 @@
   override readonly name = 'PeerError'
 
   /// `isUnresponsive` is false only if the request timed out while the peer replied to others: it is slow then.
-  constructor (message: string, readonly isUnresponsive = true, readonly isTimeout = false) {
+  /// `isMachineUp` if its machine refused or accepted the connection, but its process has not replied: it may be
+  /// starting.
+  constructor (
+    message: string, readonly isUnresponsive = true, readonly isTimeout = false, readonly isMachineUp = false
+  ) {
     super(message)
   }
 }
@@ -41,6 +45,8 @@
 const stallThresholdMs = 15
 /// After a stall, replies that have already arrived get this long to be read.
 const stallGraceMs = 60
+/// Errors of a connection that only a machine that is up causes.
+const machineUpCodes: ReadonlySet<string | undefined> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EPIPE'])
 
 export type Operation = Omit<Partial<Request>, 'number'>
 
@@ -67,6 +73,7 @@
   private lastNumber = 0
   private consecutiveTimeouts = 0
   private lastReplyMs = -Infinity
+  private isConnected = false
   private hasEnded = false
 
   /// `onClose` is called once.
@@ -124,9 +131,10 @@
         socket.destroy(error as Error)
       }
     })
-    socket.on('error', error => this.handleEnd(error.message))
+    socket.on('connect', () => { this.isConnected = true })
+    socket.on('error', (error: NodeJS.ErrnoException) => this.handleEnd(error.message, machineUpCodes.has(error.code)))
     socket.on('end', () => socket.destroy())
-    socket.on('close', () => this.handleEnd('the peer closed the connection'))
+    socket.on('close', () => this.handleEnd('the peer closed the connection', true))
   }
 
   private handleReply (reply: Reply): void {
@@ -168,7 +176,8 @@
   private handleTimeout (number: number, request: PendingRequest, sinceMs: number): void {
     const { liveness } = this
     const isUnresponsive = liveness.lastReplyMs < sinceMs
-    this.expire(number, request, new PeerError(`${this.address}: request timed out`, isUnresponsive, true))
+    const isMachineUp = this.isConnected && this.lastReplyMs === -Infinity
+    this.expire(number, request, new PeerError(`${this.address}: request timed out`, isUnresponsive, true, isMachineUp))
     if (isUnresponsive && ++liveness.consecutiveTimeouts >= timeoutsBeforeReplacement) {
       liveness.consecutiveTimeouts = 0
       liveness.generation++
@@ -197,20 +206,20 @@
   }
 
   /// The replies of a connection that failed or ended are lost.
-  private handleEnd (reason: string): void {
+  private handleEnd (reason: string, isMachineUp = false): void {
     if (this.hasEnded) return
     this.hasEnded = this.isClosing = true
     const requests = [...this.pending.values()]
     this.pending.clear()
     for (const { timer, reject } of requests) {
       clearTimeout(timer)
-      reject(this.createLossError(reason))
+      reject(this.createLossError(reason, isMachineUp))
     }
     this.onClose()
   }
 
-  private createLossError (reason: string): PeerError {
-    return new PeerError(`${this.address}: connection lost: ${reason}`)
+  private createLossError (reason: string, isMachineUp = false): PeerError {
+    return new PeerError(`${this.address}: connection lost: ${reason}`, true, false, isMachineUp)
   }
 }
 
--- a/process/clock/src/index.ts
+++ b/process/clock/src/index.ts
@@ -1,4 +1,5 @@
 export { callAfterReading } from './afterreading.js'
+export { ChangeSignal } from './changesignal.js'
 export { retry } from './retry.js'
 export type { RetryOptions } from './retry.js'
 export { sleep } from './sleep.js'
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -228,7 +228,7 @@
 
   /// Callers reconnect to another entry if this one can't serve them, or to have their new connection relayed.
   shouldCloseConnection (origin: RelayOrigin | null): boolean {
-    if (this.drain.isStopping || !this.quorum.isAvailable) return true
+    if (this.drain.isStopping || this.quorum.isCutOff) return true
     return origin === null && this.peers.relay.prefersNewConnections
   }
 
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -29,6 +29,7 @@
   /// By KIND/ID, where the kind is 1 for a reservation, 2 for a settlement and 3 for a turn.
   readonly records = new Map<string, LedgerRecord>()
   isUnavailable = false
+  readonly retryAfterMs = 250
 
   async append (records: readonly LedgerRecord[]): Promise<Commit> {
     if (this.isUnavailable) throw new Error('away')
--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -1,6 +1,6 @@
 import { PeerError } from '#connection/rpc'
 import type { DigestReply, DigestRequest, LedgerPeer, Member, Standing, View, WaitOptions } from '#connection/rpc'
-import { sleep } from '#process/clock'
+import { ChangeSignal, sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
 import { emptyView, computeQuorums } from '#process/membership'
@@ -23,6 +23,10 @@
   /// Set by a failed request, cleared by the next reply. A request that times out
   /// while the member replies to others does not count: the member is slow, not down.
   isDown: boolean
+  /// When it was lost, on the monotonic clock of `performance.now()`.
+  downSinceMs: number
+  /// Whether its machine was up at the last failed request, so that its process may be starting.
+  isMachineUp: boolean
   /// Whether it has been silent, and is asked whether it is present.
   isAsked: boolean
   /// From 0 to 1: its place among members that are equally suitable.
@@ -33,7 +37,7 @@
 export interface RetryOptions {
   /// On the monotonic clock of `performance.now()`.
   readonly deadlineMs: number
-  /// Gives up as soon as the member is down and too few members are up.
+  /// Gives up as soon as the member is down, and too few members are up or starting.
   readonly failsFast: boolean
 }
 
@@ -51,8 +55,14 @@
 /// For the late reply of a member that is slow, not down.
 const probeTimeoutMs = 2000
 const retryDelayMs = 40
-/// Interval at which members that are down are probed.
+/// Mean interval at which members that are down are probed; the actual ones are spread, as all entries may probe them.
 const probeIntervalMs = 200
+/// The same while too few members are up, and calls wait for those that are starting.
+const startProbeIntervalMs = 100
+/// Of an interval, either way.
+const probeJitter = 0.5
+/// A storage instance that takes longer to start is not waited for.
+const maxStartMs = 5000
 
 /// The first reply that arrives for requests that have failed.
 class LateReply<Reply> {
@@ -80,7 +90,11 @@
   private peers: PeerState[] = []
   /// The members in the order of preference, `null` if that may have changed.
   private ordered: readonly PeerState[] | null = null
-  private probeTimer: ReturnType<typeof setInterval> | null = null
+  private probeTimer: ReturnType<typeof setTimeout> | null = null
+  private isClosed = false
+  private readonly createdAtMs = performance.now()
+  /// Of what `isAvailable`, `isViewStale`, `isStarting` and the states of members depend on, but for the time.
+  private readonly change = new ChangeSignal()
   /// Called for each new view.
   readonly onView = new Set<() => void>()
 
@@ -106,19 +120,51 @@
       if (existing !== undefined) return Object.assign(existing, { member })
       const peer = this.options.connect(member.address)
       peer.open()
-      return { member, peer, isDown: false, isAsked: false, spread: Math.random() }
+      return {
+        member, peer, isDown: false, downSinceMs: 0, isMachineUp: false, isAsked: false, spread: Math.random()
+      }
     })
     this.ordered = null
     for (const old of previousPeers) if (!this.peers.some(state => state.peer === old.peer)) old.peer.close()
     this.log.event(Events.viewAdopted, { version: view.version, source, members: view.members.length })
     if (!this.isAvailable) this.startProbing()
+    this.change.notify()
     for (const listener of [...this.onView]) listener()
   }
 
   /// Whether enough members seem to be up to commit an append.
   get isAvailable (): boolean {
-    const up = this.peers.filter(state => !state.isDown && this.quorums.appendVoters.has(state.member.diskId))
-    return up.length >= this.quorums.appendQuorum
+    return this.hasAppendQuorum(state => !state.isDown)
+  }
+
+  /// Whether too few members are up, and enough of the others may be starting. At the start of this process, as long as
+  /// it knows no view, the storage may be starting, too.
+  get isStarting (): boolean {
+    if (this.isAvailable) return false
+    const sinceMs = performance.now() - maxStartMs
+    if (this.view.version === 0) return this.createdAtMs > sinceMs
+    return this.hasAppendQuorum(state => !state.isDown || (state.isMachineUp && state.downSinceMs > sinceMs))
+  }
+
+  /// Whether the machines of enough members are up, also if their processes have been down for long: another entry
+  /// couldn't commit an append either.
+  get areMachinesUp (): boolean {
+    return this.hasAppendQuorum(state => !state.isDown || state.isMachineUp)
+  }
+
+  private hasAppendQuorum (counts: (state: PeerState) => boolean): boolean {
+    const { appendVoters, appendQuorum } = this.quorums
+    return this.peers.filter(state => appendVoters.has(state.member.diskId) && counts(state)).length >= appendQuorum
+  }
+
+  /// Waits while members are starting. Resolves once a request may be sent, to false if it would be in vain.
+  async waitForStart (deadlineMs: number): Promise<boolean> {
+    while (!this.isAvailable && !this.isViewStale) {
+      const remainingMs = deadlineMs - performance.now()
+      if (!this.isStarting || remainingMs <= 1) return false
+      await this.change.wait(Math.min(remainingMs, probeIntervalMs))
+    }
+    return true
   }
 
   /// Whether the view has too few members, none of them down: a reply will carry the newer view.
@@ -145,18 +191,34 @@
   /// Sends a request to one member, and sends it again while the member is silent, until a reply to any of these comes.
   /// Resolves to null at the deadline, or if it fails fast.
   async sendWithRetry<Reply extends Replied> (
-    state: PeerState, send: SendToPeer<Reply>, { deadlineMs, failsFast }: RetryOptions
+    state: PeerState, send: SendToPeer<Reply>, options: RetryOptions
   ): Promise<Reply | null> {
+    const { deadlineMs } = options
     const late = new LateReply<Reply>(reply => this.handleStanding(state, reply.standing!))
     const wait = { silenceTimeoutMs, onLateReply: late.accept }
-    for (let isRepeated = false; late.reply === null; isRepeated = true) {
+    for (let isRepeated = false; ; isRepeated = true) {
+      if (isRepeated) await this.waitForRetry(state, options)
+      if (late.reply !== null) return late.reply
       const remainingMs = deadlineMs - performance.now()
-      if (remainingMs <= 1 || (failsFast && state.isDown && !this.isAvailable)) return null
+      if (remainingMs <= 1 || (state.isDown && this.givesUp(options))) return null
       const attempt = this.sendOnce(state, send(state.peer, remainingMs, wait))
       const reply = await (isRepeated ? Promise.race([attempt, late.wait()]) : attempt)
       if (reply !== null) return reply
     }
-    return late.reply
+  }
+
+  /// A member that is down is probed for all requests that wait for it.
+  private async waitForRetry (state: PeerState, options: RetryOptions): Promise<void> {
+    await sleep(retryDelayMs)
+    while (state.isDown && !this.givesUp(options)) {
+      const remainingMs = options.deadlineMs - performance.now()
+      if (remainingMs <= 1) return
+      await this.change.wait(Math.min(remainingMs, probeIntervalMs))
+    }
+  }
+
+  private givesUp ({ failsFast }: RetryOptions): boolean {
+    return failsFast && !this.isAvailable && !this.isStarting
   }
 
   /// Resolves to the reply, or to null when the request has failed and may be sent again.
@@ -167,13 +229,13 @@
       return reply
     } catch (error) {
       this.recordFailure(state, error)
-      await sleep(retryDelayMs)
       return null
     }
   }
 
   close (): void {
-    if (this.probeTimer !== null) clearInterval(this.probeTimer)
+    this.isClosed = true
+    if (this.probeTimer !== null) clearTimeout(this.probeTimer)
     for (const { peer } of this.peers) peer.close()
   }
 
@@ -183,6 +245,7 @@
     if (state.isDown) {
       state.isDown = false
       this.ordered = null
+      this.change.notify()
       this.log.event(Events.memberRegained, { member: state.member.name })
     }
     if (standing.newerView !== undefined) this.adoptView(standing.newerView, state.member.name)
@@ -211,36 +274,46 @@
   }
 
   private recordDown (state: PeerState, error: unknown): void {
-    if (!state.isDown) this.log.event(Events.memberLost, { member: state.member.name, error: formatError(error) })
+    if (!state.isDown) {
+      this.log.event(Events.memberLost, { member: state.member.name, error: formatError(error) })
+      state.downSinceMs = performance.now()
+    }
     state.isDown = true
+    state.isMachineUp = isMachineUp(error)
     this.ordered = null
+    this.change.notify()
     this.options.onStaleView()
     this.startProbing()
   }
 
   private startProbing (): void {
-    this.probeTimer ??= setInterval(() => this.probe(), probeIntervalMs)
+    if (this.isClosed) return
+    const meanMs = this.isStarting ? startProbeIntervalMs : probeIntervalMs
+    const jitter = (Math.random() * 2 - 1) * probeJitter
+    this.probeTimer ??= setTimeout(() => this.probe(), meanMs * (1 + jitter))
   }
 
   /// Probes members that are down, and reports a stale view while too few
-  /// members are up. Stops the timer once all are up.
+  /// members are up. Is repeated until all are up.
   private probe (): void {
+    this.probeTimer = null
     const down = this.peers.filter(state => state.isDown)
     if (!this.isAvailable) this.options.onStaleView()
-    else if (down.length === 0 && this.probeTimer !== null) {
-      clearInterval(this.probeTimer)
-      this.probeTimer = null
-    }
+    if (!this.isAvailable || down.length > 0) this.startProbing()
     const request = this.createProbe()
     for (const state of down) {
       const accept = (reply: DigestReply): void => this.handleStanding(state, reply.standing!)
-      state.peer.digest(request, probeTimeoutMs, { silenceTimeoutMs, onLateReply: accept }).then(accept, () => {
-        // The member stays down, which has been logged.
+      state.peer.digest(request, probeTimeoutMs, { silenceTimeoutMs, onLateReply: accept }).then(accept, error => {
+        if (state.isDown) state.isMachineUp = isMachineUp(error)
       })
     }
   }
 }
 
+function isMachineUp (error: unknown): boolean {
+  return error instanceof PeerError && error.isMachineUp
+}
+
 function isSamePeer (a: Member, b: Member): boolean {
   return a.diskId === b.diskId && a.address === b.address
 }
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -20,11 +20,19 @@
 const chainHedgeDelayMs = 40
 /// The same for an append, which goes to as many members first as a quorum needs.
 const appendHedgeDelayMs = 50
+/// Longer than most starts of a storage instance take from then on.
+const startRetryAfterMs = 1000
+/// Another entry may reach the storage.
+const cutOffRetryAfterMs = 250
+/// Callers that were refused at the same time come back spread over this share of the delay, either way.
+const retryJitter = 0.25
 
 /// The replies to an append, which may still arrive after there is a quorum.
 interface Collection {
   /// By disk id.
   readonly replies: ReadonlyMap<string, AppendReply>
+  /// Version of the view in which it was sent.
+  readonly viewVersion: number
   /// Rejects with `QuorumError`.
   readonly quorum: Promise<void>
   /// Asks the members that have not been asked. Resolves when every member has replied, or is given up.
@@ -65,12 +73,24 @@
   }
 
   /// Whether enough members seem to be up to commit an append. While it is
-  /// false, reservations and reads fail at once instead of waiting for their
-  /// timeout, unless no member of the view is down: then the view is out of date.
+  /// false, reservations and reads wait for members that are starting, and fail
+  /// at once if too few are, unless no member of the view is down: then the view
+  /// is out of date.
   get isAvailable (): boolean {
     return this.peers.isAvailable
   }
 
+  /// Whether too few members are up or starting.
+  get isCutOff (): boolean {
+    return !this.peers.isAvailable && !this.peers.isStarting
+  }
+
+  get retryAfterMs (): number {
+    const isStarting = !this.peers.isAvailable && (this.peers.isStarting || this.peers.areMachinesUp)
+    const meanMs = isStarting ? startRetryAfterMs : cutOffRetryAfterMs
+    return Math.round(meanMs * (1 + (Math.random() * 2 - 1) * retryJitter))
+  }
+
   /// Appends records and resolves once they are committed. Retries until the
   /// timeout, even while too few storage instances seem to be up.
   async append (records: readonly LedgerRecord[], timeoutMs: number): Promise<Commit> {
@@ -103,9 +123,8 @@
 
   /// Appends a reservation and resolves, once it is committed, to the program's account.
   async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount> {
-    const { version } = this.peers.view
-    const { replies, quorum, askAll } =
-      this.appendAndReadAccount([reservation], reservation.programId, timeoutMs, this.peers.quorums.appendQuorum)
+    const { replies, quorum, askAll, viewVersion: version } =
+      await this.appendAndReadAccount([reservation], reservation.programId, timeoutMs)
     await quorum
     return {
       entries: mergeAccounts(replies),
@@ -120,20 +139,22 @@
 
   /// Resolves to a program's account: all that was reserved and settled before the request.
   async readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]> {
-    const { replies, quorum } = this.appendAndReadAccount([], programId, timeoutMs, 0)
+    const { replies, quorum } = await this.appendAndReadAccount([], programId, timeoutMs)
     await quorum
     return mergeAccounts(replies)
   }
 
-  private appendAndReadAccount (
+  private async appendAndReadAccount (
     records: readonly LedgerRecord[],
     programId: string,
-    timeoutMs: number,
-    requiredAppends: number
-  ): Collection {
-    this.assertAvailable()
-    return this.collect(records, programId, timeoutMs, (replies, completeDiskIds) => {
-      return countVoters(replies.keys(), this.peers.quorums.appendVoters) >= requiredAppends &&
+    timeoutMs: number
+  ): Promise<Collection> {
+    const deadlineMs = performance.now() + timeoutMs
+    await this.waitUntilAvailable(deadlineMs)
+    return this.collect(records, programId, deadlineMs - performance.now(), (replies, completeDiskIds) => {
+      const { appendVoters, appendQuorum } = this.peers.quorums
+      const requiredAppends = records.length > 0 ? appendQuorum : 0
+      return countVoters(replies.keys(), appendVoters) >= requiredAppends &&
         countVoters(completeDiskIds, this.peers.quorums.readVoters) >= this.peers.quorums.accountQuorum
     })
   }
@@ -143,8 +164,8 @@
   /// the others as soon as it replies without the chain, or after `hedgeDelayMs`.
   /// The turns of a chain may be on different members.
   async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
-    this.assertAvailable()
     const deadlineMs = performance.now() + timeoutMs
+    await this.waitUntilAvailable(deadlineMs)
     while (true) {
       const { version } = this.peers.view
       const { chain, absentDiskIds } = await this.queryChain(turnId, deadlineMs)
@@ -239,7 +260,8 @@
     const replies = new Map<string, AppendReply>()
     // Those that were complete when they were sent the request.
     const completeDiskIds = new Set<string>()
-    const request = { viewVersion: this.peers.view.version, records: [...records], accountOf }
+    const { viewVersion } = this
+    const request = { viewVersion, records: [...records], accountOf }
     const { appendQuorum, accountQuorum } = this.peers.quorums
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
@@ -268,11 +290,12 @@
       })
       throw new QuorumError(`too few replies for a quorum: ${replies.size} storage instances replied in time`)
     })
-    return { replies, quorum, askAll: () => fanout.sendToAll() }
+    return { replies, viewVersion, quorum, askAll: () => fanout.sendToAll() }
   }
 
-  private assertAvailable (): void {
-    if (!this.isAvailable && !this.peers.isViewStale) throw new QuorumError('too few storage instances are up to commit an append')
+  private async waitUntilAvailable (deadlineMs: number): Promise<void> {
+    const mayBeAvailable = await this.peers.waitForStart(deadlineMs)
+    if (!mayBeAvailable) throw new QuorumError('too few storage instances are up to commit an append')
   }
 }
 
--- /dev/null
+++ b/process/quorum/test/startingstorage.test.ts
@@ -0,0 +1,120 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import type { Server } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { LedgerConnection, LedgerServer, PeerError } from '#connection/rpc'
+import type { LedgerPeer, View } from '#connection/rpc'
+import { sleep } from '#process/clock'
+import { Disk, Ledger } from '#process/ledger'
+import { noopLog } from '#process/log'
+import { LedgerQuorum } from '#process/quorum'
+
+const startMs = 600
+const timeoutMs = 3000
+/// From the start of the storage to the answer.
+const maxAnswerMs = 400
+
+const folders: string[] = []
+const servers: (LedgerServer | Server)[] = []
+const ledgers: Ledger[] = []
+let view: View
+let quorum: LedgerQuorum
+
+beforeEach(async () => {
+  const members: View['members'] = []
+  for (const name of ['a', 'b', 'c']) {
+    const folder = await mkdtemp(join(tmpdir(), 'ledger-'))
+    folders.push(folder)
+    const { disk, contents } = Disk.open(folder, noopLog)
+    ledgers.push(new Ledger(disk, contents))
+    const freed = new LedgerServer()
+    const address = `127.0.0.1:${await freed.listen('127.0.0.1:0')}`
+    freed.close()
+    members.push({ name, diskId: disk.diskId, address, zone: name, state: 'serving', replacement: false, syncedView: 0 })
+  }
+  view = { version: 3, members, leaveVersion: 0 }
+  quorum = createQuorum(address => new LedgerConnection(address))
+})
+
+afterEach(async () => {
+  quorum.close()
+  for (const server of servers.splice(0)) server.close()
+  ledgers.splice(0)
+  for (const folder of folders.splice(0)) await rm(folder, { recursive: true })
+})
+
+function createQuorum (connect: (address: string) => LedgerPeer): LedgerQuorum {
+  return new LedgerQuorum({ zone: 'a', toleratedLosses: 1, connect, onStaleView: () => {} }, noopLog)
+}
+
+/// Starts all but the last one, whose disk may be lost.
+async function startStorage (): Promise<void> {
+  for (const [index, ledger] of ledgers.slice(0, 2).entries()) {
+    const server = new LedgerServer(ledger)
+    servers.push(server)
+    await server.listen(view.members[index]!.address)
+  }
+}
+
+async function rejectConnections (): Promise<void> {
+  for (const { address } of view.members) {
+    const server = createServer(socket => socket.destroy())
+    servers.push(server)
+    await new Promise<void>(resolve => { server.listen(Number(address.split(':')[1]), '127.0.0.1', resolve) })
+  }
+}
+
+async function closeAll (): Promise<void> {
+  await Promise.all(servers.splice(0).map(server => new Promise(resolve => { server.close(resolve as () => void) })))
+}
+
+// Guards against LOST: after a final fault, turns are refused as the storage starts more slowly than the entries.
+test.each<[string, () => Promise<void>, number]>([
+  ['connections are refused', async () => quorum.adoptView(view, 'test'), startMs],
+  ['connections are closed at once', async () => {
+    await rejectConnections()
+    quorum.adoptView(view, 'test')
+    setTimeout(() => { closeAll().catch(() => {}) }, startMs / 2)
+  }, startMs],
+  ['the view is not read yet', async () => { setTimeout(() => quorum.adoptView(view, 'test'), startMs) }, startMs / 2]
+])('%s while the storage starts: turns wait for it, and go on at once', async (_, prepare, storageMs) => {
+  await prepare()
+  const beganAtMs = performance.now()
+  const endings = [0, 100, 300].map(async delayMs => {
+    await sleep(delayMs)
+    const chain = await quorum.findChain('t1', timeoutMs).catch(String)
+    return [chain, performance.now() - beganAtMs < startMs + maxAnswerMs]
+  })
+  await sleep(storageMs)
+  await startStorage()
+  expect(await Promise.all(endings)).toEqual([[null, true], [null, true], [null, true]])
+})
+
+const silence = new PeerError('request timed out', true, true)
+const refusal = new PeerError('connection refused', true, false, true)
+
+/// Resolves to whether a turn waits once the members are down, and whether its caller should come back late.
+async function findOutcome (errors: readonly PeerError[]): Promise<[boolean, boolean]> {
+  let index = 0
+  const peers = errors.map(error => {
+    const fail = async (): Promise<never> => { throw error }
+    return { open () {}, close () {}, digest: fail, findChain: fail } as unknown as LedgerPeer
+  })
+  quorum = createQuorum(() => peers[index++]!)
+  quorum.adoptView(view, 'test')
+  await quorum.findChain('t1', 200).catch(() => {})
+  const startedAtMs = performance.now()
+  await quorum.findChain('t1', 200).catch(() => {})
+  return [performance.now() - startedAtMs > 150, quorum.retryAfterMs >= startMs]
+}
+
+test.each([
+  ['all machines are reached', [refusal, refusal, refusal], [true, true]],
+  ['enough machines are reached', [refusal, silence, refusal], [true, true]],
+  ['too few machines are reached', [silence, silence, refusal], [false, false]],
+  ['only this entry is cut off', [silence, silence, silence], [false, false]]
+])('no storage instance replies, %s', async (_, errors, expected) => {
+  expect(await findOutcome(errors)).toEqual(expected)
+})
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -3,13 +3,10 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import type { Call } from '#request/call'
 import type { Route } from '#version/configuration'
-import { formatError } from '#process/log'
 import type { ChainCache } from './chaincache.js'
-import { createRecord } from './ledger.js'
+import { createLedgerRefusal, createRecord } from './ledger.js'
 import type { TurnLedger } from './ledger.js'
 
-const ledgerRetryAfterMs = 250
-
 /// Reads the history of a call, oldest turn first; empty for the first turn. Waits up to `timeoutMs` for storage.
 /// Rejects with `RefusedError`: `unknownTurn` only if the previous turn is certainly not stored.
 export async function readHistory (
@@ -31,7 +28,7 @@
   try {
     chain = await ledger.findChain(turnId, timeoutMs)
   } catch (error) {
-    throw new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), ledgerRetryAfterMs)
+    throw createLedgerRefusal(ledger, error)
   }
   if (chain === null) throw new RefusedError(Refusal.unknownTurn, Verdict.notRun, `previous turn ${turnId} is not stored`)
   return chain
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -1,8 +1,12 @@
 import type { AccountEntry, LedgerRecord } from '#connection/rpc'
+import { Refusal, RefusedError, Verdict } from '#request/call'
+import { formatError } from '#process/log'
 
 /// The ledger operations that turns need; `LedgerQuorum` implements them. They reject if too few
 /// storage instances reply in time.
 export interface TurnLedger {
+  /// After which time the caller of a turn that was refused for a rejection should come back.
+  readonly retryAfterMs: number
   /// Resolves once the records are committed.
   append (records: readonly LedgerRecord[], timeoutMs: number): Promise<Commit>
   /// Appends the record a little later, together with others, and resolves once it is committed.
@@ -32,6 +36,11 @@
   readComplete (maxWaitMs: number): Promise<readonly AccountEntry[] | null>
 }
 
+/// Refuses a turn because an operation of the ledger was rejected with `error`.
+export function createLedgerRefusal ({ retryAfterMs }: TurnLedger, error: unknown): RefusedError {
+  return new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), retryAfterMs)
+}
+
 /// Creates a record of any kind. Fields that only some kinds use are left empty.
 export function createRecord (kind: number, id: string, programId: string, retentionMs: number): LedgerRecord {
   return {
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -6,7 +6,7 @@
 import { sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { createRecord } from './ledger.js'
+import { createLedgerRefusal, createRecord } from './ledger.js'
 import type { ReservedAccount, TurnLedger } from './ledger.js'
 
 /// Assumed maximum of turns of one program that reserve within one round trip and so may miss each other's records.
@@ -19,7 +19,6 @@
 const settleTimeoutMs = 1500
 const settleRetryDelayMs = 400
 const maxSettleAttempts = 8
-const ledgerRetryAfterMs = 250
 /// Records of an account are retained for at least this time, also if the route retains its turns for less.
 const minAccountRetentionMs = 60_000
 
@@ -146,7 +145,7 @@
       return await account
     } catch (error) {
       this.giveUp()
-      throw new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), ledgerRetryAfterMs)
+      throw createLedgerRefusal(this.ledger, error)
     }
   }
 
--- a/request/turn/test/tokenreservation.test.ts
+++ b/request/turn/test/tokenreservation.test.ts
@@ -19,6 +19,7 @@
   const entries = [settled('earlier', spent)]
   let reads = 0
   const ledger: TurnLedger = {
+    retryAfterMs: 250,
     append: async () => ({ diskIds: [], viewVersion: 1 }),
     appendSoon: async () => {},
     reserve: async () => ({ entries, readComplete: async () => allReplied ? entries : null }),
