The folders above a new data folder are synced

Cause: of a data folder that a start creates, and of the ones above it, the names were never synced.

Change: a start that creates folders syncs the ones that name them before it writes anything. Not covered: a start that is killed between the two, as the next one finds the folder.

Measured: process/ledger/test/newfolder.test.ts, 2 of 3 cases failed before, all pass; powerloss, disk and failedopen pass, too (28 tests, load average 27).

--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -4,7 +4,7 @@
   unlinkSync, writeSync
 } from 'node:fs'
 import type { Dirent } from 'node:fs'
-import { join } from 'node:path'
+import { dirname, join, resolve } from 'node:path'
 import type { LedgerRecord, View } from '#connection/rpc'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
@@ -72,7 +72,7 @@
   static open (
     folder: string, log: EventLog, { nowMs = 0, isFirstStart = false }: DiskOpenOptions = {}
   ): { disk: Disk, contents: DiskContents } {
-    mkdirSync(folder, { recursive: true })
+    createFolder(folder)
     const entries = readdirSync(folder, { withFileTypes: true })
     const names = new Set(entries.map(({ name }) => name))
     const existingDiskId = names.has(identityFileName) ? readIdentity(folder) : null
@@ -332,6 +332,16 @@
   return diskId
 }
 
+/// Creates a folder, and those above it that don't exist, and syncs the ones that name them.
+function createFolder (folder: string): void {
+  const firstCreated = mkdirSync(folder, { recursive: true })
+  if (firstCreated === undefined) return
+  for (let created = resolve(folder); ; created = dirname(created)) {
+    syncFolder(dirname(created))
+    if (created === resolve(firstCreated)) return
+  }
+}
+
 /// Writes a file that is there as a whole, and synced, or not at all.
 function writeFile (folder: string, name: string, text: string): void {
   const path = join(folder, name)
