A reservation waits for the disk that still copies

Callers saw: turns with a budget refused as ledger-unavailable ("too few replies for a quorum: 3 storage instances replied in time") 0.3 s after they came, while a disk that had been lost in the final fault, in a view of two members, was copied; it served 0.4 to 1 s later.

Cause: the account of a program needs the disks of a majority that hold what they must. Once all members had replied without one, the reservation was rejected, whatever the caller's time; only reads of chains went on in a newer view.

Change: while a member of the view still copies, the reservation or read waits for the next view and is sent again, within the time that it had; the entry asks one member, at the interval at which it probes for a start, so that it learns of that view soon.

Measured: process/quorum/test/startingstorage.test.ts, 2 cases more, both failed before; process/quorum, request/turn and process/entry/test/serve pass (load average 16).

--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -3,7 +3,7 @@
 import { ChangeSignal, sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { emptyView, computeQuorums } from '#process/membership'
+import { computeQuorums, emptyView, hasCopied } from '#process/membership'
 import type { Quorums } from '#process/membership'
 
 export interface LedgerPeersOptions {
@@ -92,6 +92,8 @@
   private ordered: readonly PeerState[] | null = null
   private probeTimer: ReturnType<typeof setTimeout> | null = null
   private isClosed = false
+  /// How many requests wait for the next view.
+  private viewWaiters = 0
   private readonly createdAtMs = performance.now()
   /// Of what `isAvailable`, `isViewStale`, `isStarting` and the states of members depend on, but for the time.
   private readonly change = new ChangeSignal()
@@ -188,6 +190,23 @@
     return [...this.peers].sort((a, b) => rank(a) - rank(b))
   }
 
+  /// Waits for a newer view than `version`, if one is due soon as a member still copies. Resolves to whether there is
+  /// one.
+  async waitForView (version: number, deadlineMs: number): Promise<boolean> {
+    this.viewWaiters++
+    this.startProbing()
+    try {
+      while (this.view.version === version) {
+        const remainingMs = deadlineMs - performance.now()
+        if (remainingMs <= 1 || this.view.members.every(hasCopied)) return false
+        await this.change.wait(remainingMs)
+      }
+      return true
+    } finally {
+      this.viewWaiters--
+    }
+  }
+
   /// Sends a request to one member, and sends it again while the member is silent, until a reply to any of these comes.
   /// Resolves to null at the deadline, or if it fails fast.
   async sendWithRetry<Reply extends Replied> (
@@ -288,20 +307,22 @@
 
   private startProbing (): void {
     if (this.isClosed) return
-    const meanMs = this.isStarting ? startProbeIntervalMs : probeIntervalMs
+    const meanMs = this.isStarting || this.viewWaiters > 0 ? startProbeIntervalMs : probeIntervalMs
     const jitter = (Math.random() * 2 - 1) * probeJitter
     this.probeTimer ??= setTimeout(() => this.probe(), meanMs * (1 + jitter))
   }
 
-  /// Probes members that are down, and reports a stale view while too few
-  /// members are up. Is repeated until all are up.
+  /// Probes members that are down, and one that is up while requests wait for
+  /// the view in its reply. Reports a stale view while too few members are up.
+  /// Is repeated until all are up and no request waits.
   private probe (): void {
     this.probeTimer = null
     const down = this.peers.filter(state => state.isDown)
     if (!this.isAvailable) this.options.onStaleView()
-    if (!this.isAvailable || down.length > 0) this.startProbing()
+    if (!this.isAvailable || down.length > 0 || this.viewWaiters > 0) this.startProbing()
+    const up = this.getByPreference().filter(state => !state.isDown)
     const request = this.createProbe()
-    for (const state of down) {
+    for (const state of this.viewWaiters > 0 ? [...down, ...up.slice(0, 1)] : down) {
       const accept = (reply: DigestReply): void => this.handleStanding(state, reply.standing!)
       state.peer.digest(request, probeTimeoutMs, { silenceTimeoutMs, onLateReply: accept }).then(accept, error => {
         if (state.isDown) state.isMachineUp = isMachineUp(error)
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -123,9 +123,8 @@
 
   /// Appends a reservation and resolves, once it is committed, to the program's account.
   async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount> {
-    const { replies, quorum, askAll, viewVersion: version } =
+    const { replies, askAll, viewVersion: version } =
       await this.appendAndReadAccount([reservation], reservation.programId, timeoutMs)
-    await quorum
     return {
       entries: mergeAccounts(replies),
       readComplete: async maxWaitMs => {
@@ -139,11 +138,12 @@
 
   /// Resolves to a program's account: all that was reserved and settled before the request.
   async readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]> {
-    const { replies, quorum } = await this.appendAndReadAccount([], programId, timeoutMs)
-    await quorum
+    const { replies } = await this.appendAndReadAccount([], programId, timeoutMs)
     return mergeAccounts(replies)
   }
 
+  /// Resolves once there is a quorum. If there is none as a member still copies, the records are sent again under the
+  /// next view: a member counts for the account only if it held what it must before it was sent the request.
   private async appendAndReadAccount (
     records: readonly LedgerRecord[],
     programId: string,
@@ -151,7 +151,20 @@
   ): Promise<Collection> {
     const deadlineMs = performance.now() + timeoutMs
     await this.waitUntilAvailable(deadlineMs)
-    return this.collect(records, programId, deadlineMs - performance.now(), (replies, completeDiskIds) => {
+    while (true) {
+      const collection = this.collectAccount(records, programId, deadlineMs - performance.now())
+      try {
+        await collection.quorum
+        return collection
+      } catch (error) {
+        const hasNewView = await this.peers.waitForView(collection.viewVersion, deadlineMs)
+        if (!hasNewView) throw error
+      }
+    }
+  }
+
+  private collectAccount (records: readonly LedgerRecord[], programId: string, timeoutMs: number): Collection {
+    return this.collect(records, programId, timeoutMs, (replies, completeDiskIds) => {
       const { appendVoters, appendQuorum } = this.peers.quorums
       const requiredAppends = records.length > 0 ? appendQuorum : 0
       return countVoters(replies.keys(), appendVoters) >= requiredAppends &&
--- a/process/quorum/test/startingstorage.test.ts
+++ b/process/quorum/test/startingstorage.test.ts
@@ -5,9 +5,9 @@
 import { join } from 'node:path'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { LedgerConnection, LedgerServer, PeerError } from '#connection/rpc'
-import type { LedgerPeer, View } from '#connection/rpc'
+import type { LedgerPeer, LedgerRecord, View } from '#connection/rpc'
 import { sleep } from '#process/clock'
-import { Disk, Ledger } from '#process/ledger'
+import { Disk, Ledger, RecordKind } from '#process/ledger'
 import { noopLog } from '#process/log'
 import { LedgerQuorum } from '#process/quorum'
 
@@ -49,6 +49,10 @@
   return new LedgerQuorum({ zone: 'a', toleratedLosses: 1, connect, onStaleView: () => {} }, noopLog)
 }
 
+function createReservation (): LedgerRecord {
+  return { kind: RecordKind.reservation, id: 'r1', programId: 'p', tokens: 10, previousId: '', input: Buffer.alloc(0), output: Buffer.alloc(0), recordedAtMs: Date.now(), retentionMs: 60_000, instanceId: '' }
+}
+
 /// Starts all but the last one, whose disk may be lost.
 async function startStorage (): Promise<void> {
   for (const [index, ledger] of ledgers.slice(0, 2).entries()) {
@@ -118,3 +122,24 @@
 ])('no storage instance replies, %s', async (_, errors, expected) => {
   expect(await findOutcome(errors)).toEqual(expected)
 })
+
+// Guards against LOST: one of two disks is lost, and turns are refused until the new one has copied the other.
+test.each<[string, string, unknown]>([
+  ['the new disk serves soon', 'serving', true],
+  ['the new disk goes on copying', 'joining', false]
+])('one disk holds what it must, another one is new: %s', async (_, laterState, isReserved) => {
+  await startStorage()
+  const members = view.members.slice(0, 2)
+  const withState = (version: number, state: string): View => {
+    const isNew = state === 'joining'
+    return { version, members: [members[0]!, { ...members[1]!, state, replacement: isNew }], leaveVersion: 0 }
+  }
+  for (const ledger of ledgers) await ledger.adoptView(withState(4, 'joining'))
+  quorum.adoptView(withState(4, 'joining'), 'test')
+  const beganAtMs = performance.now()
+  const reserved = quorum.reserve(createReservation(), startMs * 2).then(() => true, () => false)
+  await sleep(startMs / 2)
+  for (const ledger of ledgers) await ledger.adoptView(withState(5, laterState))
+  expect(await reserved).toBe(isReserved)
+  expect(performance.now() - beganAtMs < startMs / 2 + maxAnswerMs).toBe(isReserved)
+})
