A new member doesn't serve while more members are missed than may be lost

A member that is added copies and is admitted; a split of more than 8 s leaves it with one other. It served, these two acknowledged a turn, and an entry on the other side, on a view in which the new member isn't read, ruled the turn out with the two members there.

Cause: of the members that must know that the new one is read, those missed for 8 s were taken for gone, however many they were.

Change: no more are taken for gone than may be lost at once. With three others it always takes f+1 = 2; with two, one of them may still be gone, as else a system of two could never grow. A split that hides one of only two others isn't covered.

--- a/process/membership/src/decisions.ts
+++ b/process/membership/src/decisions.ts
@@ -78,14 +78,16 @@
 }
 
 /// Whether each absence quorum of an older view has one that knows that this member is read.
-/// Members that are gone don't reply, but one must have: a member that reaches nobody may be cut off. Those that were
-/// missed only lately may come back without knowing of it, with an entry that doesn't either.
+/// Members that are gone don't reply, but one must have: a member that reaches nobody may be cut off. No more are taken
+/// for gone than may be lost: if more are missed, or lately, they may come back without knowing of it, with an entry
+/// that doesn't either.
 function isKnownToRead (view: View, standpoint: Standpoint): boolean {
   const { own, passes, stateVersion, lastingDiskIds, toleratedLosses } = standpoint
   const others = view.members.filter(member => hasCopied(member) && member.diskId !== own.diskId)
   const knowing = others.filter(({ diskId }) => (passes.get(diskId)?.viewVersion ?? -1) >= stateVersion)
   const present = others.filter(({ diskId }) => lastingDiskIds.has(diskId))
-  const required = Math.min(toleratedLosses + 1, Math.max(present.length, Math.min(1, others.length)))
+  const lowestLeft = Math.max(others.length - toleratedLosses, Math.min(1, others.length))
+  const required = Math.min(toleratedLosses + 1, Math.max(present.length, lowestLeft))
   return knowing.length >= required
 }
 
--- a/process/membership/test/disagreement.test.ts
+++ b/process/membership/test/disagreement.test.ts
@@ -96,10 +96,13 @@
 })
 
 // Guards against LOST: b and c, cut off with an entry on the view before, rule out a turn that a and d have stored.
-test('an admitted member that has just lost sight of others does not serve before enough of them know that it is read', () => {
+test.each([
+  ['just', ['a', 'b', 'c', 'd']],
+  ['long since', ['a', 'd']]
+])('an admitted member that has %s lost sight of others does not serve before enough of them know that it is read', (_, lasting) => {
   const admitted: View = { ...view, version: 10, members: [...view.members, createMember('d', MemberState.admitted)] }
   const passes = new Map([['disk-a', { diskId: 'disk-a', viewVersion: 10, wasComplete: true }]])
-  const lastingDiskIds = new Set(['a', 'b', 'c', 'd'].map(name => `disk-${name}`))
+  const lastingDiskIds = new Set(lasting.map(name => `disk-${name}`))
   const own = createStandpoint('d', ['a', 'd'], { stateVersion: 10, passes, lastingDiskIds })
   expect(computeNextView(admitted, own).members.find(({ name }) => name === 'd')?.state).toBe(MemberState.admitted)
 })
--- a/process/membership/test/model.ts
+++ b/process/membership/test/model.ts
@@ -52,6 +52,8 @@
   private readonly committed = new Set<number>()
   /// Machines that count as lost until the next `settle`; a removed one until it has a successor by then.
   private readonly lost = new Set<Machine>()
+  /// The machines and entries that a split separates from the rest. All reach the platform's store.
+  private readonly separated = new Set<Machine | Entry>()
   private recordCount = 0
   private diskCount = 0
 
@@ -104,6 +106,16 @@
     Object.assign(machine, { isGone: true, machinesWhenGone: this.machines.length })
   }
 
+  /// Separates these machines and entries from the rest until `heal`, for longer than any absence is taken for short.
+  split (...separated: readonly (Machine | Entry)[]): void {
+    this.heal()
+    for (const one of separated) this.separated.add(one)
+  }
+
+  heal (): void {
+    this.separated.clear()
+  }
+
   retire (machine: Machine): void {
     this.retired.add(machine.name)
   }
@@ -119,7 +131,7 @@
 
   /// The machine copies all that a peer holds.
   copy (machine: Machine, peer: Machine): void {
-    if (!machine.isUp || !peer.isUp || machine === peer) return
+    if (!machine.isUp || !peer.isUp || machine === peer || this.isCut(machine, peer)) return
     for (const record of peer.disk.records) machine.disk.records.add(record)
     const member = findDisk(machine.view, peer.disk)
     const wasComplete = member !== undefined && hasCopied(member)
@@ -184,6 +196,7 @@
 
   /// All machines that are not gone run and reach each other until nothing changes any more.
   run (): void {
+    this.heal()
     for (const machine of this.machines) this.start(machine)
     const running = this.machines.filter(machine => machine.isUp)
     for (let round = 0, calmRounds = 0; round < maxRounds && calmRounds < 2; round++) {
@@ -220,7 +233,7 @@
 
   private computeNext (machine: Machine, isLong: boolean): View {
     const { view, passes, listedVersion, stateVersion, name, disk } = machine
-    const present = this.machines.filter(({ isUp }) => isUp).map(other => other.disk.id)
+    const present = this.machines.filter(other => other.isUp && !this.isCut(machine, other)).map(other => other.disk.id)
     const presentDiskIds = new Set(present)
     const isListed = view.members.some(member => member.name === name)
     if (!isListed && !needsMember(view, presentDiskIds, this.toleratedLosses)) return view
@@ -253,7 +266,11 @@
   }
 
   private reaches (entry: Entry, machine: Machine): boolean {
-    return machine.isUp && entry.view.members.some(({ name }) => name === machine.name)
+    return machine.isUp && !this.isCut(entry, machine) && entry.view.members.some(({ name }) => name === machine.name)
+  }
+
+  private isCut (one: Machine | Entry, other: Machine): boolean {
+    return this.separated.has(one) !== this.separated.has(other)
   }
 
   private adoptReply (entry: Entry, machine: Machine): void {
--- a/process/membership/test/viewfaults.test.ts
+++ b/process/membership/test/viewfaults.test.ts
@@ -97,10 +97,33 @@
     for (const machine of [other, added]) model.send(model.entries[0]!, machine)
     // The first reply only makes the entry begin anew, under the view before the last.
     for (const machine of [retired, retired, silent]) model.ask(model.entries[1]!, machine, 0)
+  },
+  'a new member and another one are cut off from two that do not know that it is read: these do not deny a turn': model => {
+    const [other, unaware, stopped] = model.machines as [Machine, Machine, Machine]
+    const [entry, otherEntry] = model.entries as [Entry, Entry]
+    model.stop(stopped)
+    model.add()
+    const added = model.machines[3]!
+    decide(model, added)
+    for (const machine of [other, unaware]) {
+      model.adopt(machine)
+      model.copy(added, machine)
+    }
+    decide(model, added)
+    model.startWithoutStore(stopped)
+    model.split(other, added, entry)
+    model.adopt(other)
+    model.copy(added, other)
+    decide(model, added)
+    model.adopt(other)
+    for (const machine of [other, added]) model.send(entry, machine)
+    for (const machine of [unaware, unaware, stopped]) model.ask(otherEntry, machine, 0)
+    model.settle()
   }
 }
 
 type Machine = StorageModel['machines'][number]
+type Entry = StorageModel['entries'][number]
 
 function append (model: StorageModel, ...machines: readonly Machine[]): void {
   for (const machine of machines) model.send(model.entries[0]!, machine)
