A member that joined while an instance was down is no successor of a silent one

Cause: an instance that begins with the view on its disk, and reads the store later, took members that it hadn't known for ones that had joined since it last reached the silent one.

Change: members of the first view that is read from the store count as listed before.

--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -116,15 +116,16 @@
       onFailure: error => this.log.event(Events.diskFailed, { of: 'view', error: formatError(error) })
     }).catch((error: unknown) => { if (!signal.aborted) throw error })
     if (signal.aborted || revision <= this.revision) return
+    const isFirstRead = this.revision === 0
     this.revision = revision
     if (view.version <= this.view.version) return
-    this.followView(view)
+    this.followView(view, isFirstRead)
     this.log.event(Events.viewAdopted, { version: view.version, revision, members: view.members.map(describeMember) })
   }
 
-  private followView (view: View): void {
+  private followView (view: View, isFirstRead = false): void {
     this.view = view
-    this.peers.update(view)
+    this.peers.update(view, isFirstRead)
     if (this.options.isFirstStart && !this.peers.isListed) this.delayFormingWrite()
   }
 
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -61,10 +61,12 @@
     private readonly log: EventLog
   ) {}
 
-  update (view: View): void {
+  /// `isFirstRead` if it is the first view that this process has read from the platform's store: its members may have
+  /// joined before the start, also if the view that the process began with lacks them.
+  update (view: View, isFirstRead = false): void {
     this.recordOwnState(view)
     this.view = view
-    this.recordListing(performance.now())
+    this.recordListing(isFirstRead ? -Infinity : performance.now())
     const others = view.members.filter(member => member.diskId !== this.ledger.diskId)
     for (const [diskId, state] of this.peers) {
       if (others.some(member => member.diskId === diskId && member.address === state.member.address)) continue
@@ -138,10 +140,10 @@
     return view.members.find(member => member.diskId === this.ledger.diskId)
   }
 
-  private recordListing (nowMs: number): void {
+  private recordListing (listedAtMs: number): void {
     const names = this.view.members.map(member => member.name)
     for (const name of this.listedAtMs.keys()) if (!names.includes(name)) this.listedAtMs.delete(name)
-    for (const name of names) if (!this.listedAtMs.has(name)) this.listedAtMs.set(name, nowMs)
+    for (const name of names) if (!this.listedAtMs.has(name)) this.listedAtMs.set(name, listedAtMs)
   }
 
   /// The time in which this process was paused does not count as silence of the others.
--- a/process/storage/test/storagepeers.test.ts
+++ b/process/storage/test/storagepeers.test.ts
@@ -67,17 +67,18 @@
 
 // Guards against a removed member that a small system never evicts, and against the needless eviction of one that
 // is down for some seconds.
-test.each<[string, number, number, string[], boolean[]]>([
+test.each<[string, number, number, string[], boolean[], boolean?]>([
   ['not absent for long', 2, 3, ['d'], []],
   ['may be back, if no other has joined', 2, 20, [], [false, false, false]],
   ['may be back, if another joined when it had just been reached', 2, 20, ['d'], [false, false, false]],
   ['is replaced, if another has joined since', 8, 20, ['d'], [true, true, true]],
+  ['may be back, if another may have joined before the start of this process', 8, 20, ['d'], [false, false, false], true],
   ['is given up after 15 s', 2, 50, [], [true, true, true]]
-])('a silent member: %s', async (_, ticksUntilJoined, silentTicks, joined, expected) => {
+])('a silent member: %s', async (_, ticksUntilJoined, silentTicks, joined, expected, isFirstRead = false) => {
   await tick(10)
   isReachable = false
   await tick(ticksUntilJoined)
-  peers.update(createView('a', 'b', 'c', ...joined))
+  peers.update(createView('a', 'b', 'c', ...joined), isFirstRead)
   await tick(silentTicks - ticksUntilJoined)
   const absent = peers.findAbsent(performance.now()).filter(({ diskId }) => diskId !== 'd')
   expect(absent.map(({ isReplaced }) => isReplaced)).toEqual(expected)
