--- a/process/ledger/src/disk.ts
+++ b/process/ledger/src/disk.ts
@@ -1,4 +1,4 @@
-import { closeSync, fdatasync, fdatasyncSync, mkdirSync, readdirSync, unlinkSync, writeSync } from 'node:fs'
+import { closeSync, fdatasync, fdatasyncSync, readdirSync, unlinkSync, writeSync } from 'node:fs'
 import type { Dirent } from 'node:fs'
 import { join } from 'node:path'
 import type { LedgerRecord, View } from '#connection/rpc'
@@ -6,6 +6,7 @@
 import type { EventLog } from '#process/log'
 import { createBatch } from './batch.js'
 import type { Batch } from './batch.js'
+import { createFolder } from './createfolder.js'
 import { DiskClosedError } from './diskclosed.js'
 import { encodeFrame } from './frames.js'
 import { openIdentity, removeFirstStartMark } from './identity.js'
@@ -70,7 +71,7 @@
   static open (
     folder: string, log: EventLog, { nowMs = 0, isFirstStart = false }: DiskOpenOptions = {}
   ): { disk: Disk, contents: DiskContents } {
-    mkdirSync(folder, { recursive: true })
+    createFolder(folder)
     const entries = readdirSync(folder, { withFileTypes: true })
     const names = entries.map(({ name }) => name)
     const { diskId, isNew, isFromFirstStart } = openIdentity(folder, names, isFirstStart)
@@ -125,7 +126,7 @@
   /// Resolves once each start from this disk begins with this view or a newer one. Rejects with `DiskClosedError` if
   /// the disk is closed before. After another error it may be tried again.
   saveView (view: View): Promise<void> {
-    return this.viewFile.save(view, { isInThread: this.lastSyncMs >= slowSyncMs })
+    return this.viewFile.save(view)
   }
 
   /// Removes a segment whose records are in another segment or have expired.
