--- a/standin/soak/test/sending.test.ts
+++ b/standin/soak/test/sending.test.ts
@@ -80,6 +80,21 @@
   expect(response).toMatchObject({ isComplete: false, isLeft: true })
 })
 
+test('a caller that ends its sending half has sent a whole request before', async () => {
+  const echoed = new Promise<string>(resolve => withServer((request, response) => {
+    response.end = (text: unknown) => {
+      resolve(String(text))
+      return response
+    }
+    echo(request, response)
+  }, async address => {
+    const connection = await CallerConnection.open(address)
+    const leaving = { way: Leaving.halfEnd, afterMs: 0 }
+    await connection!.exchange([write('/one', SendingWay.pieces)], { ...options, leaving })
+  }))
+  expect(await echoed).toBe(`/one ${body}`)
+})
+
 test.each([
   ['a length', 'content-length: 3\r\n\r\nabcHTTP', { body: 'abc', isComplete: true, isLast: false }],
   ['a length, in part', 'content-length: 3\r\n\r\nab', { body: 'ab', isComplete: false }],
