What arrived during a stall isn't refused for its wait, unless connections go on coming

A wait counts since connections have come, or waited here, without a break: after a stall since its end.

--- a/connection/front/src/connectionqueue.ts
+++ b/connection/front/src/connectionqueue.ts
@@ -9,8 +9,9 @@
 
 export interface ConnectionQueueOptions {
   readonly serve: (socket: Socket) => void
-  /// Called in each iteration in which connections are accepted, or wait to be served.
-  readonly onIteration: () => void
+  /// Called in each iteration in which connections are accepted, or wait to be served, with the time since when that
+  /// is so without a break, on the monotonic clock of `performance.now()`.
+  readonly onIteration: (sinceMs: number) => void
 }
 
 /// Connections that were accepted and wait to be served. libuv accepts one connection in an iteration of the event
@@ -23,6 +24,7 @@
   /// How many iterations in a row have accepted a connection.
   private acceptingIterations = 0
   private isIterationCounted = false
+  private busySinceMs = 0
   private isClosed = false
 
   constructor (private readonly options: ConnectionQueueOptions) {}
@@ -30,9 +32,10 @@
   /// Serves a connection at once if the iteration before has accepted none.
   add (socket: Socket): void {
     this.hasAccepted = true
-    this.options.onIteration()
-    this.countIteration()
     const isFirst = this.acceptingIterations === 0 && this.waiting.length === 0
+    if (isFirst) this.busySinceMs = performance.now()
+    this.options.onIteration(this.busySinceMs)
+    this.countIteration()
     if (isFirst || this.isClosed) return this.options.serve(socket)
     socket.on('error', ignoreError)
     this.waiting.push(socket)
@@ -55,7 +58,7 @@
     this.acceptingIterations = this.hasAccepted ? this.acceptingIterations + 1 : 0
     this.hasAccepted = false
     if (!this.isAccepting) this.serveSome()
-    if (this.waiting.length > 0) this.options.onIteration()
+    if (this.waiting.length > 0) this.options.onIteration(this.busySinceMs)
     if (this.acceptingIterations > 0 || this.waiting.length > 0) this.countIteration()
   }
 
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -16,8 +16,9 @@
   readonly onMalformed: (code: string) => void
   /// How long an event that is handled now may have waited for the event loop.
   readonly getDelayMs: () => number
-  /// Called in each event loop iteration in which connections are accepted, or wait to be served.
-  readonly onConnection: () => void
+  /// Called in each event loop iteration in which connections are accepted, or wait to be served, with the time since
+  /// when that is so without a break, on the monotonic clock of `performance.now()`.
+  readonly onConnection: (sinceMs: number) => void
   /// Gets each connection that is accepted, and calls `serve` to have it served. Without it all are served.
   readonly offerConnection?: (socket: Socket, serve: ServeConnection) => void
   /// A client that has sent its end still gets the responses to its requests. Else it counts as disconnected.
--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -85,7 +85,8 @@
   private readonly queues: WaitingCall[][] = []
   private isIterationCounted = false
   private hasStarted = false
-  private hasAccepted = false
+  /// `Infinity` if no connection was accepted in this iteration, and none waits.
+  private acceptingSinceMs = Infinity
   private iterationsSinceStart = 0
   private lastStartAtMs = 0
   private startIntervalMs = initialStartIntervalMs
@@ -103,9 +104,10 @@
     return this.queues.reduce((sum, queue) => sum + queue.length, 0)
   }
 
-  /// Must be called in each event loop iteration in which connections are accepted, or wait to be served.
-  countConnection (): void {
-    this.hasAccepted = true
+  /// Must be called in each event loop iteration in which connections are accepted, or wait to be served, with the time
+  /// since when that is so without a break.
+  countConnection (sinceMs: number): void {
+    this.acceptingSinceMs = Math.min(this.acceptingSinceMs, sinceMs)
     this.countIteration()
   }
 
@@ -187,9 +189,15 @@
     return call.previousTurnId === null && call.program !== null && !this.programs.has(call.program.id)
   }
 
-  /// How long a new program's call has waited for its connection to be accepted and read, if more wait behind it.
+  /// How long a new program's call has waited for its connection to be accepted and read, while others did, too. A
+  /// stall before that doesn't count.
   private findPastWaitMs (call: Call): number {
-    return this.hasAccepted && this.isNewProgram(call) ? performance.now() - call.receivedAtMs : 0
+    if (!this.isAccepting || !this.isNewProgram(call)) return 0
+    return performance.now() - Math.max(call.receivedAtMs, this.acceptingSinceMs)
+  }
+
+  private get isAccepting (): boolean {
+    return this.acceptingSinceMs < Infinity
   }
 
   private countAhead (callClass: CallClass): number {
@@ -222,7 +230,7 @@
 
   private get mayStart (): boolean {
     if (this.hasStarted) return false
-    if (!this.hasAccepted) return true
+    if (!this.isAccepting) return true
     const isRunningWaiting = this.queues.slice(0, turnRank + 1).some(queue => queue.length > 0)
     const iterations = isRunningWaiting ? iterationsPerRunningStartWhileAccepting : iterationsPerStartWhileAccepting
     return this.iterationsSinceStart >= iterations
@@ -251,7 +259,8 @@
       if (this.mayStart) this.startNext()
       this.refuseExpired(0)
     }
-    this.isIterationCounted = this.hasStarted = this.hasAccepted = false
+    this.isIterationCounted = this.hasStarted = false
+    this.acceptingSinceMs = Infinity
     // An iteration that does not block, in which the next call starts.
     if (this.waiting > 0) this.countIteration()
   }
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -119,7 +119,7 @@
     const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
-      onConnection: () => admission.countConnection(),
+      onConnection: (sinceMs: number) => admission.countConnection(sinceMs),
       onMalformed: (code: string) => log.event(Events.requestMalformed, { code }),
       onDropped: (exchange: Exchange) => recordDropped(exchange, this.context)
     }
