--- a/process/storage/src/membership.ts
+++ b/process/storage/src/membership.ts
@@ -18,6 +18,8 @@
   /// Whether the disk was new in the first start of the system, and has got no records since.
   readonly isFirstStart: boolean
   readonly connect: (address: string) => LedgerPeer
+  /// Returns numbers in [0, 1), by which instances that start at the same time differ; `Math.random` if not given.
+  readonly random?: () => number
 }
 
 /// Replies of peers show sooner that the view has changed.
@@ -130,7 +132,8 @@
   }
 
   private delayFormingWrite (): void {
-    const delayMs = Math.random() * formingSpreadMs
+    const { random = Math.random } = this.options
+    const delayMs = random() * formingSpreadMs
     this.nextWriteMs = performance.now() + delayMs
     clearTimeout(this.formingTimer)
     this.formingTimer = setTimeout(() => this.reconcile(), Math.ceil(delayMs))
