A member that is cut off doesn't evict the others

Cause, traced: contacts with the members are up to 2 s apart and out of step. A member that is cut off misses the one that it reached first for 4.5 s while it has reached another one less than 4 s ago, and a new one counts as present from when it is listed; so it evicted healthy members, one after the other. These joined again, and it did, too.

Change: a member evicts another one only if it has reached each that counts as present since it first missed that one. When it first misses one it contacts the others at once, so that an eviction needn't wait for the ordinary course.

--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -36,7 +36,11 @@
   readonly peer: LedgerPeer
   readonly copier: PeerCopier
   lastPass: CompletedPass | null
+  /// When it was last reached, or listed if it has not been reached since.
   lastContactMs: number
+  reachedAtMs: number
+  /// When it was first found unreachable since it was last reached.
+  missedSinceMs: number
   isReachable: boolean
   isCopying: boolean
   nextCopyMs: number
@@ -96,10 +100,14 @@
     return new Map(passes)
   }
 
-  /// The members that could not be reached for so long that they may be evicted.
+  /// The members that could not be reached for so long that they may be evicted. Each that counts as present must have
+  /// been reached since they were missed: else this instance may itself be the one that is cut off.
   findAbsent (nowMs: number): AbsentMember[] {
+    const present = [...this.peers.values()].filter(state => isPresent(state, nowMs, presenceTimeoutMs))
+    const hasReachedPresentSince = (timeMs: number): boolean => present.every(state => state.reachedAtMs > timeMs)
     return [...this.peers]
       .filter(([, { lastContactMs }]) => nowMs - lastContactMs >= evictionTimeoutMs)
+      .filter(([, { missedSinceMs }]) => hasReachedPresentSince(missedSinceMs))
       .map(([diskId, { lastContactMs }]) => {
         // One that joined before the next contact was due may have joined beside it.
         const hasSuccessor = this.hasJoinedSince(lastContactMs + steadyCopyDelayMs)
@@ -109,7 +117,7 @@
 
   /// The disks that are present, this instance's own among them.
   getPresentDiskIds (nowMs: number, timeoutMs = presenceTimeoutMs): ReadonlySet<string> {
-    const presentPeers = [...this.peers.values()].filter(state => nowMs - state.lastContactMs < timeoutMs)
+    const presentPeers = [...this.peers.values()].filter(state => isPresent(state, nowMs, timeoutMs))
     return new Set([this.ledger.diskId, ...presentPeers.map(state => state.member.diskId)])
   }
 
@@ -162,6 +170,8 @@
       copier: new PeerCopier(peer, this.ledger),
       lastPass: null,
       lastContactMs: performance.now(),
+      reachedAtMs: -Infinity,
+      missedSinceMs: 0,
       isReachable: true,
       isCopying: false,
       nextCopyMs: 0
@@ -216,11 +226,19 @@
     this.options.onPeerView(viewVersion)
     if (!state.isReachable) this.log.event(Events.memberRegained, { member: state.member.name })
     state.isReachable = true
-    state.lastContactMs = performance.now()
+    state.lastContactMs = state.reachedAtMs = performance.now()
   }
 
   private recordUnreachable (state: PeerState): void {
-    if (state.isReachable) this.log.event(Events.memberLost, { member: state.member.name })
+    if (!state.isReachable) return
+    this.log.event(Events.memberLost, { member: state.member.name })
     state.isReachable = false
+    state.missedSinceMs = performance.now()
+    // Whether the others are still there is known before this one may be evicted.
+    for (const other of this.peers.values()) other.nextCopyMs = 0
   }
 }
+
+function isPresent ({ lastContactMs }: PeerState, nowMs: number, timeoutMs: number): boolean {
+  return nowMs - lastContactMs < timeoutMs
+}
