A reservation doesn't wait for the next view when this entry is cut off

Cause: the wait for the next view looked at the copying member only, and woke at changes only, while how long a start is waited for depends on the time.

Change: it ends as soon as too few members are up or starting, unless none is down; that state has a name of its own, as it stood three times.

--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -148,6 +148,11 @@
     return this.hasAppendQuorum(state => !state.isDown || (state.isMachineUp && state.downSinceMs > sinceMs))
   }
 
+  /// Whether too few members are up or starting.
+  get isCutOff (): boolean {
+    return !this.isAvailable && !this.isStarting
+  }
+
   /// Whether the machines of enough members are up, also if their processes have been down for long: another entry
   /// couldn't commit an append either.
   get areMachinesUp (): boolean {
@@ -163,7 +168,7 @@
   async waitForStart (deadlineMs: number): Promise<boolean> {
     while (!this.isAvailable && !this.isViewStale) {
       const remainingMs = deadlineMs - performance.now()
-      if (!this.isStarting || remainingMs <= 1) return false
+      if (this.isCutOff || remainingMs <= 1) return false
       await this.change.wait(Math.min(remainingMs, probeIntervalMs))
     }
     return true
@@ -190,16 +195,17 @@
     return [...this.peers].sort((a, b) => rank(a) - rank(b))
   }
 
-  /// Waits for a newer view than `version`, if one is due soon as a member still copies. Resolves to whether there is
-  /// one.
+  /// Waits for a newer view than `version`, if one is due soon as a member still copies and this process isn't cut off.
+  /// Resolves to whether there is one.
   async waitForView (version: number, deadlineMs: number): Promise<boolean> {
     this.viewWaiters++
     this.startProbing()
     try {
       while (this.view.version === version) {
         const remainingMs = deadlineMs - performance.now()
-        if (remainingMs <= 1 || this.view.members.every(hasCopied)) return false
-        await this.change.wait(remainingMs)
+        const isInVain = (this.isCutOff && !this.isViewStale) || this.view.members.every(hasCopied)
+        if (remainingMs <= 1 || isInVain) return false
+        await this.change.wait(Math.min(remainingMs, probeIntervalMs))
       }
       return true
     } finally {
@@ -244,7 +250,7 @@
   }
 
   private givesUp ({ failsFast }: RetryOptions): boolean {
-    return failsFast && !this.isAvailable && !this.isStarting
+    return failsFast && this.isCutOff
   }
 
   /// Resolves to the reply, or to null when the request has failed and may be sent again.
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -82,7 +82,7 @@
 
   /// Whether too few members are up or starting.
   get isCutOff (): boolean {
-    return !this.peers.isAvailable && !this.peers.isStarting
+    return this.peers.isCutOff
   }
 
   get retryAfterMs (): number {
--- a/process/quorum/test/startingstorage.test.ts
+++ b/process/quorum/test/startingstorage.test.ts
@@ -144,3 +144,18 @@
   expect(await reserved).toBe(isReserved)
   expect(performance.now() - beganAtMs < startMs / 2 + maxAnswerMs).toBe(isReserved)
 })
+
+test('a disk still copies, but too few others reply: a reservation is rejected at once', async () => {
+  const members = view.members.with(1, { ...view.members[1]!, state: 'joining', replacement: true })
+  const { diskId } = members[1]!
+  const reply = async (): Promise<unknown> => ({ standing: { diskId, viewVersion: view.version }, account: [] })
+  const fail = async (): Promise<never> => { throw silence }
+  quorum = createQuorum(address => {
+    const send = address === members[1]!.address ? reply : fail
+    return { open () {}, close () {}, digest: send, append: send } as unknown as LedgerPeer
+  })
+  quorum.adoptView({ ...view, members }, 'test')
+  const beganAtMs = performance.now()
+  await expect(quorum.reserve(createReservation(), timeoutMs)).rejects.toThrow('too few replies')
+  expect(performance.now() - beganAtMs).toBeLessThan(maxAnswerMs)
+})
