Connections that wait to be served hold a bounded amount of memory

A connection that waits has up to 64 KiB of its request read, which no limit of requests counts, and 1,024 may wait.

Cause: the queue of accepted connections is bound by their number only.

Change: while 4 MiB have been read on connections that wait, some are served in each iteration, as with 1,024 of them. The bound isn't firm: those that wait go on being read.

--- a/connection/front/src/connectionqueue.ts
+++ b/connection/front/src/connectionqueue.ts
@@ -4,8 +4,9 @@
 const servedPerIteration = 8
 /// After so many iterations that each accept a connection, some are served although more may wait.
 const maxAcceptingIterations = 32
-/// While so many wait here, the system's queue has to hold the others.
+/// While so many wait here, or so much has been read of their requests, the system's queue has to hold the others.
 const maxWaiting = 1024
+const maxWaitingBytes = 4 * 1024 * 1024
 
 export interface ConnectionQueueOptions {
   readonly serve: (socket: Socket) => void
@@ -61,7 +62,13 @@
 
   /// Whether accepting goes first.
   private get isAccepting (): boolean {
-    return this.acceptingIterations % maxAcceptingIterations > 0 && this.waiting.length < maxWaiting
+    return this.acceptingIterations % maxAcceptingIterations > 0 && this.waiting.length < maxWaiting &&
+      this.waitingBytes < maxWaitingBytes
+  }
+
+  /// What has been read on connections that wait. It doesn't count in the memory of any request yet.
+  private get waitingBytes (): number {
+    return this.waiting.reduce((sum, { readableLength }) => sum + readableLength, 0)
   }
 
   /// The last one is the newest: if the others have waited for too long to be served, that one has not.
--- a/connection/front/test/acceptqueue.test.ts
+++ b/connection/front/test/acceptqueue.test.ts
@@ -1,6 +1,10 @@
+import { EventEmitter } from 'node:events'
+import type { Socket } from 'node:net'
+import { setImmediate } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { FrontServer } from '#connection/front'
 import type { Exchange } from '#connection/front'
+import { ConnectionQueue } from '../src/connectionqueue.js'
 import { RawClient } from './rawclient.js'
 
 const clientCount = 40
@@ -53,3 +57,20 @@
   expect(arrivedAtMs.length).toBe(clientCount)
   expect(Math.max(...arrivedAtMs) - Math.min(...arrivedAtMs)).toBeLessThan(clientCount * serveMs / 2)
 })
+
+// Guards against memory of requests that no limit knows of, since they wait to be served.
+test.each([
+  ['nothing', 0, 23],
+  ['much', 1024 * 1024, 4]
+])('%s has been read on each connection that waits: a bounded amount waits', async (_, readableLength, expected) => {
+  let served = 0
+  const queue = new ConnectionQueue({ serve: () => { served++ }, onIteration: () => {} })
+  let maxWaiting = 0
+  for (let added = 1; added <= 24; added++) {
+    queue.add(Object.assign(new EventEmitter(), { readableLength }) as Socket)
+    maxWaiting = Math.max(maxWaiting, added - served)
+    await setImmediate()
+  }
+  queue.close()
+  expect([maxWaiting, served]).toEqual([expected, 24])
+})
