Stalls of the event loop that come again and again count

Cause: what counts is the delay that two checks in a row have in common, so as to leave out single stalls.

Change: a delay counts as far as one of the four checks before had it, too; a single stall still doesn't count.

--- a/process/clock/src/loopmonitor.ts
+++ b/process/clock/src/loopmonitor.ts
@@ -5,6 +5,8 @@
 /// The load is reported only if a timer was at least this late, or the event loop at least this busy.
 const minReportedDelayMs = 100
 const minReportedUtilization = 0.1
+/// A stall counts if another one was so few checks before.
+const checksBetweenStalls = 4
 /// Time constant of the mean delay.
 const meanWindowMs = 300
 
@@ -39,7 +41,8 @@
 /// Measures how far the event loop is behind: how late a timer fires that is due every 50 ms.
 export class LoopMonitor implements LoopBacklog {
   meanDelayMs = 0
-  private lastDelayMs = 0
+  /// The latest first.
+  private recentDelaysMs: readonly number[] = [0]
   private checkedAtMs = performance.now()
   private reportedAtMs = performance.now()
   private reportedCpuMs = readCpuMs()
@@ -53,7 +56,7 @@
   /// The delay of the last check, and the time by which the next one is overdue. 0 once the monitor is stopped.
   get currentDelayMs (): number {
     if (this.isStopped) return 0
-    return this.lastDelayMs + Math.max(0, performance.now() - this.checkedAtMs - checkIntervalMs)
+    return this.recentDelaysMs[0]! + Math.max(0, performance.now() - this.checkedAtMs - checkIntervalMs)
   }
 
   stop (): void {
@@ -65,9 +68,9 @@
     const nowMs = performance.now()
     const elapsedMs = nowMs - this.checkedAtMs
     const delayMs = Math.max(0, elapsedMs - checkIntervalMs)
-    const repeatedDelayMs = Math.min(delayMs, this.lastDelayMs)
+    const repeatedDelayMs = Math.min(delayMs, Math.max(...this.recentDelaysMs))
     this.checkedAtMs = nowMs
-    this.lastDelayMs = delayMs
+    this.recentDelaysMs = [delayMs, ...this.recentDelaysMs].slice(0, checksBetweenStalls)
     this.meanDelayMs += (repeatedDelayMs - this.meanDelayMs) * (1 - Math.exp(-elapsedMs / meanWindowMs))
     this.maxDelayMs = Math.max(this.maxDelayMs, delayMs)
     this.options.onDelay(delayMs)
