A reservation that was never sent isn't settled

Each turn with a budget that had been refused in the last 12 s or more wrote a settlement to each disk at that moment, though its reservation had never been sent: a storm that grows with the entries and the retries, and whose records stay for twice their retention.

Cause: any rejected reservation was settled, as it might be stored; one that is refused before it is sent can't be.

Change: the error says whether anything was sent (`LedgerError`, which `QuorumError` extends); what wasn't sent counts as settled.

Of the two new cases of tokenreservation.test.ts, "was not sent" guards this. The units of quorum, clock, request/turn, budget.test.ts and acceptqueue.test.ts: 65 passed (load average 6).

--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,4 +1,5 @@
 import type { AccountEntry, AppendReply, FindChainReply, LedgerRecord, View } from '#connection/rpc'
+import { LedgerError } from '#request/turn'
 import type { Commit, ReservedAccount } from '#request/turn'
 import { sleep } from '#process/clock'
 import { mergeAccountEntries } from '#process/ledger'
@@ -9,7 +10,7 @@
 import type { LedgerPeersOptions, PeerState } from './ledgerpeers.js'
 
 /// Too few storage instances are reachable, or too few of them replied in time.
-export class QuorumError extends Error {
+export class QuorumError extends LedgerError {
   override readonly name = 'QuorumError'
 }
 
@@ -312,7 +313,7 @@
 
   private async waitUntilAvailable (deadlineMs: number): Promise<void> {
     const mayBeAvailable = await this.peers.waitForStart(deadlineMs)
-    if (!mayBeAvailable) throw new QuorumError('too few storage instances are up to commit an append')
+    if (!mayBeAvailable) throw new QuorumError('too few storage instances are up to commit an append', false)
   }
 }
 
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -2,8 +2,15 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import { formatError } from '#process/log'
 
-/// The ledger operations that turns need; `LedgerQuorum` implements them. They reject if too few
-/// storage instances reply in time.
+/// An operation of the ledger failed. Its records may be stored all the same, unless they were never sent.
+export class LedgerError extends Error {
+  constructor (message: string, readonly wasSent = true) {
+    super(message)
+  }
+}
+
+/// The ledger operations that turns need; `LedgerQuorum` implements them. They reject with `LedgerError`
+/// if too few storage instances reply in time.
 export interface TurnLedger {
   /// After which time the caller of a turn that was refused for a rejection should come back.
   readonly retryAfterMs: number
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -6,7 +6,7 @@
 import { sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
-import { createLedgerRefusal, createRecord } from './ledger.js'
+import { LedgerError, createLedgerRefusal, createRecord } from './ledger.js'
 import type { ReservedAccount, TurnLedger } from './ledger.js'
 
 /// Assumed maximum of turns of one program that reserve within one round trip and so may miss each other's records.
@@ -114,7 +114,11 @@
       ...createRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
       tokens: maxTokens
     }
-    return await this.refuseOnError(this.ledger.reserve(record, this.timeoutMs))
+    const account = this.ledger.reserve(record, this.timeoutMs).catch((error: unknown) => {
+      if (error instanceof LedgerError && !error.wasSent) this.isSettled = true
+      throw error
+    })
+    return await this.refuseOnError(account)
   }
 
   /// Counts the tokens of other turns again once this turn's reservation is stored.
--- a/request/turn/test/tokenreservation.test.ts
+++ b/request/turn/test/tokenreservation.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import type { AccountEntry } from '#connection/rpc'
-import { TokenReservation } from '#request/turn'
+import { LedgerError, TokenReservation } from '#request/turn'
 import type { TurnLedger } from '#request/turn'
 import type { Route } from '#version/configuration'
 import { noopLog } from '#process/log'
@@ -14,6 +14,8 @@
   return { id, reserved: maxTurnTokens, spent, settled: true }
 }
 
+const call = createCall('c', { program: { id: 'p', sessionId: 's', remainingMs: 4000, tokenBudget } })
+
 /// Reserves for a turn whose program has spent `spent` tokens. Resolves to how often its account was read again.
 async function countReads (spent: number, allReplied: boolean): Promise<number> {
   const entries = [settled('earlier', spent)]
@@ -29,7 +31,6 @@
     },
     findChain: async () => null
   }
-  const call = createCall('c', { program: { id: 'p', sessionId: 's', remainingMs: 4000, tokenBudget } })
   await TokenReservation.acquire(call, route, { maxTokens: maxTurnTokens, timeoutMs: 900 }, ledger, noopLog)
   return reads
 }
@@ -41,3 +42,19 @@
 ])('the account is read again only if it may lack a concurrent turn: %s', async (_, spent, allReplied, expected) => {
   expect(await countReads(spent, allReplied)).toBe(expected)
 })
+
+// Guards against an outage of the storage that ends with a record for each turn that was refused meanwhile.
+test.each([
+  ['was sent: it is settled', true, 1],
+  ['was not sent: nothing is stored', false, 0]
+])('a reservation that fails %s', async (_, wasSent, expected) => {
+  let appends = 0
+  const ledger = {
+    retryAfterMs: 250,
+    append: async () => { appends++ },
+    reserve: async () => { throw new LedgerError('too few storage instances', wasSent) }
+  } as unknown as TurnLedger
+  const limits = { maxTokens: maxTurnTokens, timeoutMs: 900 }
+  await expect(TokenReservation.acquire(call, route, limits, ledger, noopLog)).rejects.toThrow('too few')
+  expect(appends).toBe(expected)
+})
