A reservation isn't sent for a caller that has gone

Cause: what waits for the storage didn't know of the call's end.

Change: the reservation has the signal of its call, and isn't sent once that is aborted.

The two new cases of startingstorage.test.ts failed before; process/quorum, request, budget, serve and slowstorage pass (109 tests, load average 12).

--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -39,6 +39,8 @@
   readonly deadlineMs: number
   /// Gives up as soon as the member is down, and too few members are up or starting.
   readonly failsFast: boolean
+  /// Nothing is sent once it is aborted.
+  readonly signal?: AbortSignal | undefined
 }
 
 /// Sends a request to a member, with a timeout in milliseconds.
@@ -232,7 +234,8 @@
       if (isRepeated) await this.waitForRetry(state, options)
       if (late.reply !== null) return late.reply
       const remainingMs = deadlineMs - performance.now()
-      if (remainingMs <= 1 || (state.isDown && this.givesUp(options))) return null
+      const isAborted = options.signal?.aborted ?? false
+      if (isAborted || remainingMs <= 1 || (state.isDown && this.givesUp(options))) return null
       const attempt = this.sendOnce(state, send(state.peer, remainingMs, wait))
       const reply = await (isRepeated ? Promise.race([attempt, late.wait()]) : attempt)
       if (reply !== null) return reply
@@ -249,8 +252,8 @@
     }
   }
 
-  private givesUp ({ failsFast }: RetryOptions): boolean {
-    return failsFast && this.isCutOff
+  private givesUp ({ failsFast, signal }: RetryOptions): boolean {
+    return signal?.aborted === true || (failsFast && this.isCutOff)
   }
 
   /// Resolves to the reply, or to null when the request has failed and may be sent again.
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -123,9 +123,9 @@
   }
 
   /// Appends a reservation and resolves, once it is committed, to the program's account.
-  async reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount> {
+  async reserve (reservation: LedgerRecord, timeoutMs: number, signal?: AbortSignal): Promise<ReservedAccount> {
     const { replies, askAll, viewVersion: version } =
-      await this.appendAndReadAccount([reservation], reservation.programId, timeoutMs)
+      await this.appendAndReadAccount([reservation], reservation.programId, timeoutMs, signal)
     return {
       entries: mergeAccounts(replies),
       readComplete: async maxWaitMs => {
@@ -148,12 +148,14 @@
   private async appendAndReadAccount (
     records: readonly LedgerRecord[],
     programId: string,
-    timeoutMs: number
+    timeoutMs: number,
+    signal?: AbortSignal
   ): Promise<Collection> {
     const deadlineMs = performance.now() + timeoutMs
     await this.waitUntilAvailable(deadlineMs)
+    if (signal?.aborted === true) throw new QuorumError('the call was aborted before anything was sent', false)
     while (true) {
-      const collection = this.collectAccount(records, programId, deadlineMs - performance.now())
+      const collection = this.collectAccount(records, programId, deadlineMs - performance.now(), signal)
       try {
         await collection.quorum
         return collection
@@ -164,13 +166,18 @@
     }
   }
 
-  private collectAccount (records: readonly LedgerRecord[], programId: string, timeoutMs: number): Collection {
+  private collectAccount (
+    records: readonly LedgerRecord[],
+    programId: string,
+    timeoutMs: number,
+    signal?: AbortSignal
+  ): Collection {
     return this.collect(records, programId, timeoutMs, (replies, completeDiskIds) => {
       const { appendVoters, appendQuorum } = this.peers.quorums
       const requiredAppends = records.length > 0 ? appendQuorum : 0
       return countVoters(replies.keys(), appendVoters) >= requiredAppends &&
         countVoters(completeDiskIds, this.peers.quorums.readVoters) >= this.peers.quorums.accountQuorum
-    })
+    }, signal)
   }
 
   /// Resolves to a turn's complete chain, oldest first, or to null once a quorum
@@ -268,9 +275,11 @@
     records: readonly LedgerRecord[],
     accountOf: string,
     timeoutMs: number,
-    hasQuorum: (replies: ReadonlyMap<string, AppendReply>, completeDiskIds: ReadonlySet<string>) => boolean
+    hasQuorum: (replies: ReadonlyMap<string, AppendReply>, completeDiskIds: ReadonlySet<string>) => boolean,
+    signal?: AbortSignal
   ): Collection {
     const deadlineMs = performance.now() + timeoutMs
+    const options = { deadlineMs, failsFast: accountOf !== '', signal }
     const replies = new Map<string, AppendReply>()
     // Those that were complete when they were sent the request.
     const completeDiskIds = new Set<string>()
@@ -290,7 +299,7 @@
       send: async state => {
         const voterDiskId = this.findReadVoter(state)
         const reply = await this.peers.sendWithRetry<AppendReply>(
-          state, (peer, limitMs, wait) => peer.append(request, limitMs, wait), { deadlineMs, failsFast: accountOf !== '' }
+          state, (peer, limitMs, wait) => peer.append(request, limitMs, wait), options
         )
         if (reply === null) return
         replies.set(reply.standing!.diskId, reply)
--- a/process/quorum/test/startingstorage.test.ts
+++ b/process/quorum/test/startingstorage.test.ts
@@ -96,6 +96,21 @@
   expect(await Promise.all(endings)).toEqual([[null, true], [null, true], [null, true]])
 })
 
+// Guards against a reservation of a caller that has gone, which takes the tokens of its retry.
+test.each([
+  ['known', false],
+  ['not known yet', true]
+])('the call is aborted while the storage starts, which is %s: nothing is stored', async (_, wasSent) => {
+  quorum.adoptView(view, 'test')
+  if (!wasSent) await quorum.findChain('t1', startMs / 2).catch(() => {})
+  const controller = new AbortController()
+  const reserved = quorum.reserve(createReservation(), timeoutMs, controller.signal).catch(error => error.wasSent)
+  await sleep(startMs / 2)
+  controller.abort()
+  await startStorage()
+  expect([await reserved, ledgers[0]!.records.count]).toEqual([wasSent, 0])
+})
+
 const silence = new PeerError('request timed out', true, true)
 const refusal = new PeerError('connection refused', true, false, true)
 
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -59,11 +59,11 @@
   maxTokens: number,
   context: ForwardContext
 ): Promise<[readonly LedgerRecord[], TokenReservation | null]> {
-  const { call, route } = routed
+  const { call, route, signal } = routed
   const timeoutMs = (routed.lastDeadlineMs - performance.now()) * maxStorageWaitShare
   const [history, reservation] = await Promise.allSettled([
     route.keepsHistory ? readHistory(call, context.ledger, context.cache, timeoutMs) : [],
-    TokenReservation.acquire(call, route, { maxTokens, timeoutMs }, context.ledger, context.log)
+    TokenReservation.acquire(call, route, { maxTokens, timeoutMs, signal }, context.ledger, context.log)
   ])
   if (history.status === 'rejected') {
     if (reservation.status === 'fulfilled') reservation.value?.settle(0)
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -18,8 +18,9 @@
   append (records: readonly LedgerRecord[], timeoutMs: number): Promise<Commit>
   /// Appends the record a little later, together with others, and resolves once it is committed.
   appendSoon (record: LedgerRecord): Promise<void>
-  /// Resolves, once the reservation is committed, to the account of its program.
-  reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount>
+  /// Resolves, once the reservation is committed, to the account of its program. It isn't sent any more once the signal
+  /// is aborted.
+  reserve (reservation: LedgerRecord, timeoutMs: number, signal?: AbortSignal): Promise<ReservedAccount>
   /// Resolves to all reservations and settlements that were stored before the read began.
   readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]>
   /// Resolves to the turn's chain, oldest first; null if the turn is certainly not stored.
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -28,6 +28,8 @@
   readonly maxTokens: number
   /// How long storage is waited for.
   readonly timeoutMs: number
+  /// Of the call. A reservation of one that was aborted would take tokens from its retry.
+  readonly signal?: AbortSignal
 }
 
 type AppendRecord = (record: LedgerRecord) => Promise<unknown>
@@ -54,7 +56,7 @@
   static async acquire (
     call: Call,
     route: Route,
-    { maxTokens, timeoutMs }: ReservationLimits,
+    { maxTokens, timeoutMs, signal }: ReservationLimits,
     ledger: TurnLedger,
     log: EventLog
   ): Promise<TokenReservation | null> {
@@ -62,7 +64,7 @@
     if (call.program === null || budget === null) return null
     const retentionMs = Math.max(route.retentionMs, minAccountRetentionMs)
     const reservation = new TokenReservation(ledger, log, call.id, call.program.id, retentionMs, timeoutMs)
-    const account = await reservation.reserve(maxTokens)
+    const account = await reservation.reserve(maxTokens, signal)
     const { entries } = account
     const otherSpentTokens = countTokens(entries.filter(entry => entry.settled), call.id)
     let otherTokens = countTokens(entries, call.id)
@@ -109,12 +111,12 @@
     this.isSettled = true
   }
 
-  private async reserve (maxTokens: number): Promise<ReservedAccount> {
+  private async reserve (maxTokens: number, signal?: AbortSignal): Promise<ReservedAccount> {
     const record = {
       ...createRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
       tokens: maxTokens
     }
-    const account = this.ledger.reserve(record, this.timeoutMs).catch((error: unknown) => {
+    const account = this.ledger.reserve(record, this.timeoutMs, signal).catch((error: unknown) => {
       if (error instanceof LedgerError && !error.wasSent) this.isSettled = true
       throw error
     })
