--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -2,8 +2,15 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import { formatError } from '#process/log'
 
-/// The ledger operations that turns need; `LedgerQuorum` implements them. They reject if too few
-/// storage instances reply in time.
+/// An operation of the ledger failed. Its records may be stored all the same, unless they were never sent.
+export class LedgerError extends Error {
+  constructor (message: string, readonly wasSent = true) {
+    super(message)
+  }
+}
+
+/// The ledger operations that turns need; `LedgerQuorum` implements them. They reject with `LedgerError`
+/// if too few storage instances reply in time.
 export interface TurnLedger {
   /// After which time the caller of a turn that was refused for a rejection should come back.
   readonly retryAfterMs: number
@@ -11,8 +18,9 @@
   append (records: readonly LedgerRecord[], timeoutMs: number): Promise<Commit>
   /// Appends the record a little later, together with others, and resolves once it is committed.
   appendSoon (record: LedgerRecord): Promise<void>
-  /// Resolves, once the reservation is committed, to the account of its program.
-  reserve (reservation: LedgerRecord, timeoutMs: number): Promise<ReservedAccount>
+  /// Resolves, once the reservation is committed, to the account of its program. It isn't sent any more once the signal
+  /// is aborted.
+  reserve (reservation: LedgerRecord, timeoutMs: number, signal?: AbortSignal): Promise<ReservedAccount>
   /// Resolves to all reservations and settlements that were stored before the read began.
   readAccount (programId: string, timeoutMs: number): Promise<AccountEntry[]>
   /// Resolves to the turn's chain, oldest first; null if the turn is certainly not stored.
