--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -18,7 +18,7 @@
   readonly getDelayMs: () => number
   /// Called in each event loop iteration in which connections are accepted, or wait to be served, with the time since
   /// when that is so without a break, on the monotonic clock of `performance.now()`.
-  readonly onConnection: (sinceMs: number) => void
+  readonly onAccepting: (sinceMs: number) => void
   /// Gets each connection that is accepted, and calls `serve` to have it served. Without it all are served.
   readonly offerConnection?: (socket: Socket, serve: ServeConnection) => void
   /// A client that has sent its end still gets the responses to its requests. Else it counts as disconnected.
@@ -114,7 +114,7 @@
       if (options.offerConnection === undefined) serveHere(false)
       else options.offerConnection(socket, serveHere)
     }
-    const queue = new ConnectionQueue({ serve: serveSocket, onIteration: options.onConnection })
+    const queue = new ConnectionQueue({ serve: serveSocket, onIteration: options.onAccepting })
     server.on('connection', (socket: Socket) => {
       this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
       this.acceptedCount++
--- a/connection/front/test/acceptqueue.test.ts
+++ b/connection/front/test/acceptqueue.test.ts
@@ -22,7 +22,7 @@
     },
     onMalformed: () => {},
     onDropped: () => {},
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0
   })
 }
--- a/connection/front/test/announce.test.ts
+++ b/connection/front/test/announce.test.ts
@@ -21,7 +21,7 @@
     serve: async exchange => { exchanges.push(exchange) },
     onMalformed: () => {},
     onDropped: () => {},
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0
   })
   client = await RawClient.open(Number(new URL(await front.listen('127.0.0.1:0')).port))
--- a/connection/front/test/brokenrest.test.ts
+++ b/connection/front/test/brokenrest.test.ts
@@ -13,7 +13,7 @@
   { name: 'what is no request', first: 'no request\r\n', status: '400' }
 ])('the rest of $name does not reset the connection of its response', async ({ first, status }) => {
   const server = new FrontServer({
-    serve: async () => {}, onMalformed: () => {}, onDropped: () => {}, getDelayMs: () => 0, onConnection: () => {}
+    serve: async () => {}, onMalformed: () => {}, onDropped: () => {}, getDelayMs: () => 0, onAccepting: () => {}
   })
   const { port } = new URL(await server.listen('127.0.0.1:0'))
   const socket = connect({ host: '127.0.0.1', port: Number(port), allowHalfOpen: true, noDelay: true })
--- a/connection/front/test/close.test.ts
+++ b/connection/front/test/close.test.ts
@@ -15,7 +15,7 @@
     serve: async exchange => exchange.respond(200, {}, Buffer.from('ok'), false),
     onMalformed: () => {},
     onDropped: () => {},
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0
   })
   port = Number(new URL(await server.listen('127.0.0.1:0')).port)
--- a/connection/front/test/gonewhilepaused.test.ts
+++ b/connection/front/test/gonewhilepaused.test.ts
@@ -21,7 +21,7 @@
     onMalformed: () => {},
     onDropped: () => {},
     getDelayMs: () => 0,
-    onConnection: () => {}
+    onAccepting: () => {}
   })
 })
 
--- a/connection/front/test/leavesidleopen.test.ts
+++ b/connection/front/test/leavesidleopen.test.ts
@@ -37,7 +37,7 @@
     serve: async exchange => exchange.respond(200, {}, Buffer.from('ok'), false),
     onMalformed: () => {},
     onDropped: () => {},
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0,
     offerConnection: (socket, serveHere) => {
       accepted.push(socket)
--- a/connection/front/test/orderlyclose.test.ts
+++ b/connection/front/test/orderlyclose.test.ts
@@ -32,7 +32,7 @@
     },
     onMalformed: () => {},
     onDropped: exchange => dropped.push(exchange.head.path),
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0,
     offerConnection: (socket, serveHere) => {
       serverSocket = socket
--- a/connection/front/test/pipelining.test.ts
+++ b/connection/front/test/pipelining.test.ts
@@ -22,7 +22,7 @@
     serve: async exchange => serve(exchange),
     onMalformed: code => malformed.push(code),
     onDropped: exchange => dropped.push(exchange.head.path),
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0
   })
   client = await RawClient.open(Number(new URL(await front.listen('127.0.0.1:0')).port))
--- a/connection/front/test/server.test.ts
+++ b/connection/front/test/server.test.ts
@@ -27,7 +27,7 @@
     onMalformed: () => {},
     onDropped: () => {},
     getDelayMs: () => 0,
-    onConnection: () => {}
+    onAccepting: () => {}
   })
   const bound = (await front.listen('127.0.0.1:0')).replace('http://', '')
   address = [bound.split(':')[0]!, Number(bound.split(':')[1])]
--- a/connection/front/test/stalledsend.test.ts
+++ b/connection/front/test/stalledsend.test.ts
@@ -23,7 +23,7 @@
     },
     onMalformed: () => {},
     onDropped: () => {},
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0
   })
   client = await RawClient.open(Number(new URL(await front.listen('127.0.0.1:0')).port))
--- a/connection/front/test/waitingbodies.test.ts
+++ b/connection/front/test/waitingbodies.test.ts
@@ -27,7 +27,7 @@
     },
     onMalformed: () => {},
     onDropped: () => {},
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0,
     offerConnection: (socket, serveHere) => {
       accepted = socket
--- a/connection/front/test/withouthost.test.ts
+++ b/connection/front/test/withouthost.test.ts
@@ -21,7 +21,7 @@
     },
     onMalformed: code => malformed.push(code),
     onDropped: exchange => dropped.push(exchange.head.path),
-    onConnection: () => {},
+    onAccepting: () => {},
     getDelayMs: () => 0
   })
   client = await RawClient.open(Number(new URL(await front.listen('127.0.0.1:0')).port))
--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -106,7 +106,7 @@
 
   /// Must be called in each event loop iteration in which connections are accepted, or wait to be served, with the time
   /// since when that is so without a break.
-  countConnection (sinceMs: number): void {
+  countAccepting (sinceMs: number): void {
     this.acceptingSinceMs = Math.min(this.acceptingSinceMs, sinceMs)
     this.countIteration()
   }
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -83,7 +83,7 @@
     admit(`call ${i}`, { programId: `p${i}`, ...previousTurnId === null ? {} : { previousTurnId } })
   }
   for (let i = 0; i < 20; i++) {
-    admission.countConnection(performance.now())
+    admission.countAccepting(performance.now())
     await nextIteration()
   }
   expect(started.length).toBeGreaterThanOrEqual(atLeast)
@@ -97,7 +97,7 @@
   ['as after a stall, when others have come for a moment only, a new program starts', 50, {}, 'started'],
   ['when no others come, a new program starts', null, {}, 'started']
 ])('a call that has waited for longer than its target latency: %s', async (_, acceptingMs, options, outcome) => {
-  if (acceptingMs !== null) admission.countConnection(performance.now() - acceptingMs)
+  if (acceptingMs !== null) admission.countAccepting(performance.now() - acceptingMs)
   admit('call', { programId: 'p', targetLatencyMs: 200, pastWaitMs: 250, ...options })
   await iterate(2)
   expect([started.length, refused.length]).toEqual(outcome === 'started' ? [1, 0] : [0, 1])
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -119,7 +119,7 @@
     const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
-      onConnection: (sinceMs: number) => admission.countConnection(sinceMs),
+      onAccepting: (sinceMs: number) => admission.countAccepting(sinceMs),
       onMalformed: (code: string) => log.event(Events.requestMalformed, { code }),
       onDropped: (exchange: Exchange) => recordDropped(exchange, this.context)
     }
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -169,7 +169,7 @@
     const options = {
       serve,
       getDelayMs: () => this.delayMs,
-      onConnection: () => {},
+      onAccepting: () => {},
       onMalformed: () => {},
       onDropped: (exchange: Exchange) => recordDropped(exchange, context)
     }
