--- a/connection/front/src/connectionqueue.ts
+++ b/connection/front/src/connectionqueue.ts
@@ -4,7 +4,8 @@
 const servedPerIteration = 8
 /// After so many iterations that each accept a connection, some are served although more may wait.
 const maxAcceptingIterations = 32
-/// While so many wait here, or so much has been read of their requests, the system's queue has to hold the others.
+/// While so many wait here, or so much has been read of their requests, some are served in each iteration, and others
+/// wait in the system's queue.
 const maxWaiting = 1024
 const maxWaitingBytes = 4 * 1024 * 1024
 
--- a/process/clock/src/loopmonitor.ts
+++ b/process/clock/src/loopmonitor.ts
@@ -5,7 +5,7 @@
 /// The load is reported only if a timer was at least this late, or the event loop at least this busy.
 const minReportedDelayMs = 100
 const minReportedUtilization = 0.1
-/// A stall counts if another one was so few checks before.
+/// A delay counts as far as one of so many checks before had it, too.
 const checksBetweenStalls = 4
 /// Time constant of the mean delay.
 const meanWindowMs = 300
