--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -130,6 +130,7 @@
       usage: parseUsage(firstValue(headers[names.usage])),
       prefix: parsePrefix(firstValue(headers[names.prefix])),
       affinityKey: findCookie(firstValue(headers.cookie), names.affinityCookie),
+      bearerKey: parseBearerKey(firstValue(headers.authorization)),
       lastEventId: parsePositive(firstValue(headers[names.lastEventId])) ??
         (firstValue(headers[names.lastEventId]) === '0' ? 0 : -1)
     }
@@ -224,6 +225,11 @@
   return null
 }
 
+/// Returns the token of the Bearer scheme (RFC 6750, section 2.1), null for other credentials.
+function parseBearerKey (authorization: string | null): string | null {
+  return /^bearer +(\S+) *$/i.exec(authorization ?? '')?.[1] ?? null
+}
+
 function limitCallerTimeout (text: string | null): number {
   return Math.min(parsePositive(text) ?? defaultCallerTimeoutMs, maxCallerTimeoutMs)
 }
--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -119,6 +119,7 @@
       priority: program.priority,
       targetLatencyMs,
       excluded: new Set(),
+      workspace: null,
       affinityKey: null,
       previousInstanceId: null,
       isContinuing,
--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -11,6 +11,10 @@
 export interface AdmissionRequest {
   readonly call: Call
   readonly route: Route
+  /// 0 is the most urgent.
+  readonly priority: number
+  /// Name of the workspace that the call counts for; null without one.
+  readonly workspace: string | null
   /// On the monotonic clock of `performance.now()`.
   readonly deadlineMs: number
   /// The call gives up its place when it is aborted.
@@ -119,7 +123,7 @@
     if (remainingMs <= 0) {
       return Promise.reject(createTimedOutError('the deadline had passed when the call was read'))
     }
-    const callClass = this.classify(call, route, remainingMs)
+    const callClass = this.classify(request, remainingMs)
     const { rank, maxWaitMs } = callClass
     const comingWaitMs = this.countAhead(callClass) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
@@ -133,7 +137,7 @@
       const retryAfterMs = this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)
       return Promise.reject(createBusyError(`would wait for ${Math.round(expectedWaitMs)} ms, ${reason}`, retryAfterMs))
     }
-    if (rank > turnRank && this.shedding.isShed(call.program!.id, route.priority)) {
+    if (rank > turnRank && this.shedding.isShed(call.program!.id, request.priority)) {
       return Promise.reject(createShedError(this.shedShare))
     }
     this.countIteration()
@@ -145,8 +149,8 @@
   }
 
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
-  /// new programs by the priority of their routes.
-  private classify (call: Call, route: Route, remainingMs: number): CallClass {
+  /// new programs by their priority.
+  private classify ({ call, route, priority }: AdmissionRequest, remainingMs: number): CallClass {
     const maxWaitMs = remainingMs * maxWaitShare
     const nowMs = performance.now()
     if (route.kind !== RouteKind.streaming) return { rank: 0, maxWaitMs, sinceMs: nowMs, isRetry: false }
@@ -154,7 +158,7 @@
       const refusedSinceMs = this.refusedTurns.take(call.previousTurnId)
       return { rank: turnRank, maxWaitMs, sinceMs: refusedSinceMs ?? nowMs, isRetry: refusedSinceMs !== null }
     }
-    const rank = turnRank + 1 + Math.max(0, Math.floor(route.priority))
+    const rank = turnRank + 1 + Math.max(0, Math.floor(priority))
     return { rank, maxWaitMs: Math.min(maxWaitMs, route.targetLatencyMs), sinceMs: nowMs, isRetry: false }
   }
 
--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -44,7 +44,7 @@
   // Calls that a test leaves in the queue must not be recorded in the next one.
   const [ownStarted, ownRefused] = [started, refused]
   const deadlineMs = performance.now() + remainingMs
-  admission.admit({ call, route, deadlineMs, signal: controller.signal, isRelayed })
+  admission.admit({ call, route, priority, workspace: null, deadlineMs, signal: controller.signal, isRelayed })
     .then(() => ownStarted.push(id), (error: RefusedError) => ownRefused.push(error))
 }
 
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -61,8 +61,16 @@
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
-    const { route, deadlineMs } = routing
-    await context.admission.admit({ call, route, deadlineMs, signal: controller.signal, isRelayed: origin !== null })
+    const { route, priority, deadlineMs } = routing
+    await context.admission.admit({
+      call,
+      route,
+      priority,
+      workspace: routing.workspace?.name ?? null,
+      deadlineMs,
+      signal: controller.signal,
+      isRelayed: origin !== null
+    })
     context.serviceTime.countCall(CallCost.served)
     const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
@@ -109,6 +117,8 @@
     route,
     serviceName,
     service: routes.configuration.services.get(serviceName) ?? null,
+    workspace: null,
+    priority: route.priority,
     configVersion: routes.configuration.version,
     deadlineMs: call.receivedAtMs + timeoutMs,
     lastDeadlineMs: Math.max(call.receivedAtMs, readAtMs) + timeoutMs,
--- a/process/entry/test/calltimeout.test.ts
+++ b/process/entry/test/calltimeout.test.ts
@@ -16,10 +16,11 @@
   keepsHistory: false,
   retentionMs: 0,
   isSticky: false,
-  resumable: false
+  resumable: false,
+  isPublic: false
 }
 const callerLimits = { maxBodyBytes: 1, maxHeaderBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits })
+const routes = new RouteTable({ version: 1, routes: [route], services: new Map(), callerLimits, workspaces: null })
 
 // Guards against relayed requests without an answer in time: a route's timeout may be shorter than the caller's.
 test.each<[string, string, RouteTable | null, number]>([
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -8,6 +8,8 @@
 export interface PlacementRequest {
   readonly call: Call
   readonly service: string
+  /// Name of the workspace that the call counts for; null without one.
+  readonly workspace: string | null
   readonly engine: Engine | null
   /// 0 is the most urgent.
   readonly priority: number
--- a/process/placement/test/affinity.test.ts
+++ b/process/placement/test/affinity.test.ts
@@ -43,6 +43,7 @@
     engine: null,
     priority: 1,
     targetLatencyMs: 500,
+    workspace: null,
     affinityKey,
     excluded: new Set(),
     previousInstanceId: null,
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -36,6 +36,7 @@
     engine: null,
     priority: 1,
     targetLatencyMs: 1000,
+    workspace: null,
     affinityKey: null,
     excluded: new Set(),
     previousInstanceId: null,
--- a/process/storage/test/budget.test.ts
+++ b/process/storage/test/budget.test.ts
@@ -26,7 +26,8 @@
   keepsHistory: true,
   retentionMs: 60_000,
   isSticky: false,
-  resumable: false
+  resumable: false,
+  isPublic: false
 }
 
 let cluster: Cluster
--- a/request/call/src/call.ts
+++ b/request/call/src/call.ts
@@ -19,6 +19,8 @@
   readonly prefix: readonly PrefixPart[]
   /// The object that the call concerns; null if the caller names none.
   readonly affinityKey: string | null
+  /// The key that the caller authenticates with; null without one.
+  readonly bearerKey: string | null
   /// Id of the last event that the caller has received, -1 for none.
   readonly lastEventId: number
 }
--- a/request/forward/src/context.ts
+++ b/request/forward/src/context.ts
@@ -1,7 +1,7 @@
 import type { ResponseHead, HeaderCodec } from '#connection/header'
 import type { Call, RequestMemory } from '#request/call'
 import type { ChainCache, Commit, TurnLedger } from '#request/turn'
-import type { Route, Service } from '#version/configuration'
+import type { Route, Service, Workspace } from '#version/configuration'
 import type { Admission } from '#process/admission'
 import type { EventLog } from '#process/log'
 import type { MemoryBudget } from '#process/memory'
@@ -34,6 +34,10 @@
   /// Null if the configuration doesn't describe the service.
   readonly service: Service | null
   readonly serviceName: string
+  /// The workspace that the call counts for; null without one.
+  readonly workspace: Workspace | null
+  /// The workspace's, or else the route's; 0 is the most urgent.
+  readonly priority: number
   readonly configVersion: number
   readonly body: Buffer
   /// What the call's body and prompt take of the memory for requests.
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -56,12 +56,13 @@
   }
 
   private requestLease (options: LeaseOptions, excluded: ReadonlySet<string>): Promise<InstanceLease> {
-    const { call, serviceName, service, route, deadlineMs, signal } = this.routed
+    const { call, serviceName, service, route, workspace, priority, deadlineMs, signal } = this.routed
     return this.context.placement.acquire({
       call,
       service: serviceName,
+      workspace: workspace?.name ?? null,
       engine: service?.engine ?? null,
-      priority: route.priority,
+      priority,
       targetLatencyMs: route.targetLatencyMs,
       affinityKey: this.affinityKey,
       excluded,
--- a/standin/call/src/call.ts
+++ b/standin/call/src/call.ts
@@ -17,6 +17,7 @@
     usage: null,
     prefix: [],
     affinityKey: null,
+    bearerKey: null,
     lastEventId: -1,
     ...fields
   }
--- a/version/configuration/src/configuration.ts
+++ b/version/configuration/src/configuration.ts
@@ -1,9 +1,13 @@
+import type { Workspaces } from './workspaces.js'
+
 /// One version of the operator's configuration. Immutable; a newer version replaces all of it.
 export interface Configuration {
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, Service>
   readonly callerLimits: CallerLimits
+  /// The workspaces that may call routes that aren't public; null if calls need no key.
+  readonly workspaces: Workspaces | null
 }
 
 /// How calls to a host and path prefix are served.
@@ -26,6 +30,8 @@
   readonly isSticky: boolean
   /// True if a broken stream may be resumed after its last event.
   readonly resumable: boolean
+  /// True if calls need no key, also if there are workspaces.
+  readonly isPublic: boolean
 }
 
 export const RouteKind = {
@@ -66,3 +72,21 @@
   readonly headerTimeoutMs: number
   readonly idleTimeoutMs: number
 }
+
+/// A group of callers who share keys, a priority and a quota.
+export interface Workspace {
+  readonly name: string
+  /// Callers authenticate with any of them.
+  readonly keys: readonly string[]
+  /// Goes before the priority of a route; 0 is the most urgent. Null if the route's holds.
+  readonly priority: number | null
+  /// Null for no limit.
+  readonly quota: Quota | null
+}
+
+/// How many requests of a workspace may run, at all entries together.
+export interface Quota {
+  readonly ratePerS: number
+  /// Requests beyond the rate that may run at once.
+  readonly burst: number
+}
