--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -67,7 +67,8 @@
 const defaultMaxConnections = 32
 /// Fraction of an instance's connections that one entry may use.
 const connectionShare = 0.25
-const closeTimeoutMs = 50
+/// A busy process closes its listeners late; the rest of the grace period is theirs, and this much in any case.
+const minCloseTimeoutMs = 50
 /// For the settlements of the last calls.
 const flushTimeoutMs = 300
 
@@ -212,7 +213,8 @@
     await drain.waitForEnd(() => peers.relay.count)
     await Promise.race([closing, sleep(drain.remainingMs)])
     for (const stop of this.stopCallbacks) stop()
-    await Promise.race([Promise.all(this.closeCallbacks.map(close => close())), sleep(closeTimeoutMs)])
+    const closed = Promise.all(this.closeCallbacks.map(close => close()))
+    await Promise.race([closed, sleep(Math.max(minCloseTimeoutMs, drain.remainingMs))])
     await Promise.race([this.quorum.flush(), sleep(flushTimeoutMs)])
     this.quorum.close()
   }
