An entry tells whether its state of the store may be out of date

Cause: a 401 ends a program, so an entry must not refuse a key that is only new to it. It knew whether its own watch is up, not whether others know later changes or the store has been silent. Change: RevisionGossip.mayBeBehind. True if the watch has lost the store, if another entry named a later change within 5 s, or if no response of the store is known from the last 6 s (3 s for an entry on its own). A first bound of 3 s for all failed its test: in a calm fleet of 48 entries some held themselves for behind.

--- a/process/revisions/src/revisiongossip.ts
+++ b/process/revisions/src/revisiongossip.ts
@@ -54,9 +54,22 @@
 /// All entries together retry about this often while the store is unavailable.
 const sharedRetryMs = 50
 const maxRetryMs = 3000
+/// The store's last response to any entry may be this old before an entry takes its own state for out of date: waits
+/// end some seconds apart in all, and digests take a second for each of the four steps in which they reach 380 entries.
+const maxSharedAgeMs = 6000
+/// The same for an entry on its own, whose waits end after `loneWaitMs`.
+const maxLoneAgeMs = 3000
+/// What another entry knew this long ago doesn't count any more: entries repeat it each second.
+const claimValidMs = 5000
 /// The store is up if it responded to any entry within this time.
 const maxUpAgeMs = 2500
 
+/// The latest revision of a kind that other entries have named.
+interface RevisionClaim {
+  readonly revision: number
+  readonly heardAtMs: number
+}
+
 /// Entries tell one another which changes of the store they know, so that each can wait long for the next one: one that
 /// is behind asks the store itself. What others say is never taken for the store's contents. A watch whose connection
 /// has gone silent is noticed by what others know; if all have, by the first wait that ends.
@@ -64,6 +77,8 @@
   private readonly watches = new Map<string, FollowedKind>()
   private readonly refreshedAtMs = new Map<string, number>()
   private readonly graceTimers = new Map<string, ReturnType<typeof setTimeout>>()
+  /// By kind.
+  private readonly claims = new Map<string, RevisionClaim>()
   private orderedPeers: readonly GossipPeer[] | null = null
   private ring: readonly GossipPeer[] = []
   private silentTicks = maxSilentTicks
@@ -91,6 +106,16 @@
     return Math.min(maxRetryMs, Math.max(loneMaxRetryMs, this.entryCount * sharedRetryMs))
   }
 
+  /// Whether there may be a change of this kind that this entry should know and doesn't: its watch has lost the store,
+  /// another entry knows a later change, or the store has not responded for long, as far as is known.
+  mayBeBehind (kind: string): boolean {
+    const watch = this.watches.get(kind)
+    if (watch === undefined || !watch.isUp) return true
+    if (this.getClaimedRevision(kind) > watch.knownRevision) return true
+    if (this.isInformed) return this.storeUpAgeMs > maxSharedAgeMs
+    return performance.now() - watch.respondedAtMs > maxLoneAgeMs
+  }
+
   /// Must be called each `gossipTickMs`.
   tick (): void {
     const wasInformed = this.isInformed
@@ -121,6 +146,7 @@
     this.silentTicks = 0
     if (upAgeMs !== null) this.storeUpAtMs = Math.max(this.storeUpAtMs, performance.now() - upAgeMs)
     for (const watch of this.watches.values()) {
+      this.recordClaim(watch.kind, revisions[watch.kind] ?? 0)
       if (!watch.isUp) {
         if (this.isStoreUp) this.retrySoon(watch)
       } else if ((revisions[watch.kind] ?? 0) > watch.knownRevision) {
@@ -134,6 +160,15 @@
     this.graceTimers.clear()
   }
 
+  private recordClaim (kind: string, revision: number): void {
+    if (revision >= this.getClaimedRevision(kind)) this.claims.set(kind, { revision, heardAtMs: performance.now() })
+  }
+
+  private getClaimedRevision (kind: string): number {
+    const claim = this.claims.get(kind)
+    return claim !== undefined && performance.now() - claim.heardAtMs < claimValidMs ? claim.revision : 0
+  }
+
   private get isInformed (): boolean {
     return this.silentTicks < maxSilentTicks
   }
--- a/process/revisions/test/revisiongossip.test.ts
+++ b/process/revisions/test/revisiongossip.test.ts
@@ -11,6 +11,10 @@
 const maxNewsMs = 4000
 /// In which entries must be back after an outage of the store.
 const maxReturnMs = 2000
+/// After which a request that waits for changes has ended.
+const maxWaitMs = 31_000
+/// In which an entry that hears of nothing knows that it may be behind: three digests and three seconds.
+const maxNoticeMs = 7000
 
 let store: CountingStore
 let fleet: FollowingEntry[]
@@ -94,6 +98,46 @@
     expect(knows('new')(fleet[0]!)).toBe(true)
   })
 
+  // Guards against a 401 for a new key, at an entry that can't know it yet.
+  describe('an entry may be behind', () => {
+    const mayBeBehind = ({ gossip }: FollowingEntry): boolean => gossip.mayBeBehind(kind)
+    const namesBehind = (): string[] => fleet.filter(mayBeBehind).map(({ name }) => name)
+
+    test('never while the store responds and nothing changes', async () => {
+      for (let i = 0; i < 600; i++) {
+        await vi.advanceTimersByTimeAsync(100)
+        expect(namesBehind()).toEqual([])
+      }
+    })
+
+    test('while it has lost the store, and not after that', async () => {
+      store.refused.add('entry-0')
+      await vi.advanceTimersByTimeAsync(maxWaitMs)
+      expect(namesBehind()).toEqual(['entry-0'])
+      store.refused.clear()
+      await vi.advanceTimersByTimeAsync(maxNewsMs)
+      expect(namesBehind()).toEqual([])
+    })
+
+    test('once it hears of a change that it does not know', async () => {
+      store.silence(entry => entry === 'entry-0')
+      store.refused.add('entry-0')
+      store.put('new')
+      await vi.advanceTimersByTimeAsync(2500)
+      expect(namesBehind()).toEqual(['entry-0'])
+    })
+
+    test('when it has heard neither of the store nor of the other entries for some seconds', async () => {
+      fleet[0]!.isIsolated = true
+      store.silence(entry => entry === 'entry-0')
+      store.refused.add('entry-0')
+      for (let atMs = 0; atMs < 20_000; atMs += 100) {
+        await vi.advanceTimersByTimeAsync(100)
+        if (atMs > maxNoticeMs) expect(namesBehind()).toEqual(['entry-0'])
+      }
+    })
+  })
+
   test('after an outage of the store all are back in time, and together make few calls', async () => {
     const outageMs = 6000
     for (const { name } of fleet) store.refused.add(name)
