Calls are authenticated by the key of their workspace

Cause: configurations have workspaces with keys, but every call was served, and instances got the key. Change: authentication after routing (process/entry/src/authentication.ts): 401 for an unknown or missing key, 503 for an unknown one while the configuration may be out of date; checked again when a call that has waited gets its instance. Instances get the workspace and no credentials. Turns hold their workspace, and those of another one are unknown. Token accounts are named by workspace and program: two workspaces with the same program id shared one.

--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -20,6 +20,8 @@
   readonly requestLimit: string
   readonly leaving: string
   readonly expectedInstance: string
+  /// Name of the caller's workspace. Set only by the system; that of a caller is dropped.
+  readonly workspace: string
   /// Name of the cookie that identifies the object that a request concerns.
   readonly affinityCookie: string
   readonly reserved: readonly string[]
@@ -69,6 +71,10 @@
   readonly remainingMs: number
   /// The last event that the caller has received, -1 for none.
   readonly lastEventId: number
+  /// Name of the workspace that the call counts for; null without one.
+  readonly workspace: string | null
+  /// Whether the system itself authenticates callers, so that their credentials aren't forwarded.
+  readonly hidesCredentials: boolean
 }
 
 // The hop-by-hop headers of RFC 9110, section 7.6.1, and those that Node's HTTP stack sets itself.
@@ -77,6 +83,7 @@
 const maxCallerTimeoutMs = 600_000
 const defaultCallerTimeoutMs = 30_000
 const maxCookieLength = 200
+const credentialsField = 'authorization'
 
 /// Reads and writes the system's header fields, under the names that it is given.
 export class HeaderCodec {
@@ -89,6 +96,7 @@
       ...neverForwarded,
       ...names.reserved,
       names.expectedInstance,
+      names.workspace,
       names.callerTimeoutMs,
       names.lastEventId
     ])
@@ -130,7 +138,7 @@
       usage: parseUsage(firstValue(headers[names.usage])),
       prefix: parsePrefix(firstValue(headers[names.prefix])),
       affinityKey: findCookie(firstValue(headers.cookie), names.affinityCookie),
-      bearerKey: parseBearerKey(firstValue(headers.authorization)),
+      bearerKey: parseBearerKey(firstValue(headers[credentialsField])),
       lastEventId: parsePositive(firstValue(headers[names.lastEventId])) ??
         (firstValue(headers[names.lastEventId]) === '0' ? 0 : -1)
     }
@@ -157,10 +165,12 @@
   /// Returns the headers to send upstream, names and values alternating.
   createRequestHeaders (call: Call, dispatch: Dispatch): string[] {
     const { names } = this
-    const { instanceId, remainingMs, lastEventId } = dispatch
-    const headers = ['host', call.host, ...call.forwardedHeaders,
+    const { instanceId, remainingMs, lastEventId, workspace, hidesCredentials } = dispatch
+    const forwarded = hidesCredentials ? removeField(call.forwardedHeaders, credentialsField) : call.forwardedHeaders
+    const headers = ['host', call.host, ...forwarded,
       names.callerTimeoutMs, String(Math.max(1, Math.floor(remainingMs))), names.expectedInstance, instanceId]
     if (lastEventId >= 0) headers.push(names.lastEventId, String(lastEventId))
+    if (workspace !== null) headers.push(names.workspace, workspace)
     return headers
   }
 
@@ -204,6 +214,11 @@
   }
 }
 
+/// Returns the fields of other names than `removed`, which is in lower case; names and values alternating.
+function removeField (fields: readonly string[], removed: string): string[] {
+  return fields.filter((_, i) => fields[i - i % 2]!.toLowerCase() !== removed)
+}
+
 function firstValue (value: string | string[] | undefined): string | null {
   if (value === undefined) return null
   return Array.isArray(value) ? value[0] ?? null : value
--- a/connection/header/src/headcheck.ts
+++ b/connection/header/src/headcheck.ts
@@ -12,6 +12,9 @@
 const minStatus = 100
 const maxStatus = 599
 
+/// RFC 9110, section 5.5, without the bytes from 0x80 on, which the two ends may decode differently.
+const portableValuePattern = /^[\x21-\x7e]([\t\x20-\x7e]*[\x21-\x7e])?$/
+
 /// The parts of a request's head that decide where it ends and whom it is for.
 export interface ReceivedRequest {
   readonly httpVersion: string
@@ -64,6 +67,12 @@
   return lengths + codings > 1 ? 'more than one content length or transfer encoding' : null
 }
 
+/// Whether a header field can hold the text so that its receiver reads the same: printable ASCII, without white space
+/// at either end.
+export function isPortableFieldValue (text: string): boolean {
+  return portableValuePattern.test(text)
+}
+
 function pairUp (rawHeaders: readonly string[]): [string, string][] {
   const fields: [string, string][] = []
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) fields.push([rawHeaders[i]!, rawHeaders[i + 1]!])
--- a/connection/header/src/index.ts
+++ b/connection/header/src/index.ts
@@ -1,6 +1,6 @@
 export { HeaderCodec } from './codec.js'
 export type { ResponseFields, ResponseHead, Dispatch, HeaderNames, RequestHead, UpstreamLoad } from './codec.js'
-export { findRequestProblem, findResponseHeadProblem } from './headcheck.js'
+export { findRequestProblem, findResponseHeadProblem, isPortableFieldValue } from './headcheck.js'
 export type { ReceivedRequest } from './headcheck.js'
 export { nativeHeaders } from './native.js'
 export { findRequestTarget } from './requesttarget.js'
--- a/connection/header/src/native.ts
+++ b/connection/header/src/native.ts
@@ -18,6 +18,7 @@
   requestLimit: 'chicorynotch-request-limit',
   leaving: 'chicorynotch-leaving',
   expectedInstance: 'chicorynotch-expected-instance',
+  workspace: 'chicorynotch-workspace',
   affinityCookie: 'chicorynotch-object',
   reserved: []
 })
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -226,6 +226,10 @@
     return this.configuration.routes
   }
 
+  get mayBeOutdated (): boolean {
+    return this.peers.gossip.mayBeBehind(ObjectKind.configuration)
+  }
+
   /// Callers reconnect to another entry if this one can't serve them, or to have their new connection relayed.
   shouldCloseConnection (origin: RelayOrigin | null): boolean {
     if (this.drain.isStopping || this.quorum.isCutOff) return true
--- a/process/entry/src/exchangeresponse.ts
+++ b/process/entry/src/exchangeresponse.ts
@@ -135,6 +135,7 @@
     const headers: Record<string, string> = {
       'content-type': 'application/json',
       ...(call === null ? {} : this.codec.createCallIdHeader(call.id)),
+      ...(refused.refusal === Refusal.unauthorized ? { 'www-authenticate': 'Bearer' } : {}),
       ...(refused.retryAfterMs > 0 ? { 'retry-after': String(refused.retryAfterMs / 1000) } : {})
     }
     const body = JSON.stringify({
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -9,6 +9,7 @@
 import { Events, formatError } from '#process/log'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
+import { assertSameWorkspace, findWorkspace } from './authentication.js'
 import type { CallDrain } from './calldrain.js'
 import { ExchangeResponse } from './exchangeresponse.js'
 
@@ -16,6 +17,8 @@
 export interface EntryState {
   /// Null until the first configuration has been applied.
   readonly routes: RouteTable | null
+  /// Whether there may be a newer configuration than the one in force.
+  readonly mayBeOutdated: boolean
   readonly drain: Pick<CallDrain, 'assertMayStart'>
   /// Whether a response closes its connection, so that the caller reconnects. `origin` is the entry that relays it.
   shouldCloseConnection (origin: RelayOrigin | null): boolean
@@ -110,6 +113,9 @@
   }
   const route = routes.find(call.host, call.path)
   if (route === null) throw new RefusedError(Refusal.noRoute, Verdict.notRun, `no route in configuration version ${routes.configuration.version} matches the host and path`)
+  const { workspaces } = routes.configuration
+  const credentials = { key: call.bearerKey, isPublic: route.isPublic }
+  const workspace = findWorkspace({ ...credentials, workspaces, mayBeOutdated: state.mayBeOutdated })
   const serviceName = pickTarget(route, call.program?.id ?? call.id)
   const timeoutMs = Math.min(call.callerTimeoutMs, route.timeoutMs)
   return {
@@ -117,8 +123,14 @@
     route,
     serviceName,
     service: routes.configuration.services.get(serviceName) ?? null,
-    workspace: null,
-    priority: route.priority,
+    workspace,
+    hasWorkspaces: workspaces !== null,
+    assertAuthorized: () => {
+      if (workspace === null || state.routes === null) return
+      const { workspaces: current } = state.routes.configuration
+      assertSameWorkspace(workspace, { ...credentials, workspaces: current, mayBeOutdated: state.mayBeOutdated })
+    },
+    priority: workspace?.priority ?? route.priority,
     configVersion: routes.configuration.version,
     deadlineMs: call.receivedAtMs + timeoutMs,
     lastDeadlineMs: Math.max(call.receivedAtMs, readAtMs) + timeoutMs,
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -10,6 +10,7 @@
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
 import { CallDrain, recordDropped, serveExchange } from '#process/entry'
+import type { EntryState } from '#process/entry'
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
@@ -90,6 +91,12 @@
   readonly body: string
 }
 
+/// The fields of the stand-ins' configuration that tests change.
+export interface TestConfiguration {
+  readonly routes: readonly { readonly name: string }[]
+  readonly tenants?: readonly unknown[]
+}
+
 /// An instance in the harness's list of upstream instances. Its id has the form SERVICE-NUMBER.
 export interface ListedInstance {
   readonly id: string
@@ -127,6 +134,9 @@
   /// For connections that another entry relays.
   relayAddress = ''
   configVersion = 1
+  /// Set by tests, to change the configuration of the stand-ins.
+  adaptConfiguration: (spec: TestConfiguration) => TestConfiguration = spec => spec
+  mayBeOutdated = false
   readonly placement: Placement
   private readonly front: FrontServer
   private readonly relayFront: FrontServer
@@ -161,9 +171,9 @@
       this.onExchange(exchange)
       const origin = this.origins.get(exchange.connection) ?? null
       const shouldCloseConnection = (): boolean => origin === null && this.relay.prefersNewConnections
-      const { routes, drain } = this
-      return drain.run(controller => {
-        return serveExchange({ exchange, origin, controller }, { routes, drain, shouldCloseConnection }, context)
+      const state = this.createState(shouldCloseConnection)
+      return this.drain.run(controller => {
+        return serveExchange({ exchange, origin, controller }, state, context)
       })
     }
     const options = {
@@ -205,8 +215,21 @@
     this.relayFront.setLimits({ headerTimeoutMs: 60_000, idleTimeoutMs })
   }
 
+  /// Follows the configuration while a call is served.
+  private createState (shouldCloseConnection: () => boolean): EntryState {
+    const { drain } = this
+    const getRoutes = (): RouteTable => this.routes
+    const getMayBeOutdated = (): boolean => this.mayBeOutdated
+    return {
+      drain,
+      shouldCloseConnection,
+      get routes () { return getRoutes() },
+      get mayBeOutdated () { return getMayBeOutdated() }
+    }
+  }
+
   private get routes (): RouteTable {
-    const spec = createConfiguration(this.configVersion)
+    const spec = this.adaptConfiguration(createConfiguration(this.configVersion) as TestConfiguration)
     return new RouteTable(parseConfiguration({ name: 'main', revision: 1, spec, status: null }))
   }
 
--- a/process/ledger/src/accounts.ts
+++ b/process/ledger/src/accounts.ts
@@ -48,7 +48,7 @@
 export function toAccountRecord (record: LedgerRecord): LedgerRecord {
   if (record.input === noBytes) return record
   const kind = record.kind === RecordKind.turn ? RecordKind.settlement : record.kind
-  return { ...record, kind, previousId: '', input: noBytes, output: noBytes, instanceId: '' }
+  return { ...record, kind, previousId: '', input: noBytes, output: noBytes, instanceId: '', workspace: undefined }
 }
 
 /// Shared by all records, since an account may keep many.
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -1,4 +1,4 @@
-import type { ResponseFields, ResponseHead, HeaderCodec } from '#connection/header'
+import type { Dispatch, ResponseFields, ResponseHead, HeaderCodec } from '#connection/header'
 import { UpstreamError } from '#connection/upstream'
 import type { ResponseHandler, InFlightRequest } from '#connection/upstream'
 import type { Call } from '#request/call'
@@ -35,6 +35,8 @@
 export interface AttemptRequest {
   readonly call: Call
   readonly instance: Instance
+  /// What the instance is told of the caller.
+  readonly identity: Pick<Dispatch, 'workspace' | 'hidesCredentials'>
   readonly codec: HeaderCodec
   readonly limits: RequestLimits
   readonly body: Buffer
@@ -85,9 +87,10 @@
   }
 
   start (): void {
-    const { call, codec, instance, remainingMs, lastEventId, body, signal } = this.request
+    const { call, codec, instance, identity, remainingMs, lastEventId, body, signal } = this.request
     if (signal.aborted) return this.finish({ kind: 'unsent', reason: String(signal.reason) })
-    const headers = codec.createRequestHeaders(call, { instanceId: instance.description.id, remainingMs, lastEventId })
+    const instanceId = instance.description.id
+    const headers = codec.createRequestHeaders(call, { instanceId, remainingMs, lastEventId, ...identity })
     signal.addEventListener('abort', this.onAbort, { once: true })
     this.restartIdleTimer()
     try {
--- a/request/forward/src/context.ts
+++ b/request/forward/src/context.ts
@@ -36,6 +36,10 @@
   readonly serviceName: string
   /// The workspace that the call counts for; null without one.
   readonly workspace: Workspace | null
+  /// Whether the configuration has workspaces. If not, callers aren't authenticated, and turns are open to all of them.
+  readonly hasWorkspaces: boolean
+  /// Throws `RefusedError` if the key of the call is no longer that of its workspace.
+  readonly assertAuthorized: () => void
   /// The workspace's, or else the route's; 0 is the most urgent.
   readonly priority: number
   readonly configVersion: number
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -42,11 +42,25 @@
 
   constructor (private readonly routed: RoutedCall, private readonly context: ForwardContext) {}
 
-  /// Rejects with `RefusedError` if no instance can take the call in time.
-  acquireLease (options: LeaseOptions): Promise<InstanceLease> {
+  /// Rejects with `RefusedError` if no instance can take the call in time, or if its key was removed while it waited.
+  async acquireLease (options: LeaseOptions): Promise<InstanceLease> {
     const { alternative } = this
     this.alternative = null
-    return alternative === null ? this.requestLease(options, this.usedInstanceIds) : Promise.resolve(alternative)
+    if (alternative !== null) return alternative
+    const lease = await this.requestLease(options, this.usedInstanceIds)
+    this.checkAuthorized(lease)
+    return lease
+  }
+
+  /// A call that has been sent to an instance may go on after its key was removed.
+  private checkAuthorized (lease: InstanceLease): void {
+    if (this.sentCount > 0) return
+    try {
+      this.routed.assertAuthorized()
+    } catch (error) {
+      lease.release()
+      throw error
+    }
   }
 
   /// Must be called when the call has ended.
@@ -80,11 +94,13 @@
     const remainingMs = routed.deadlineMs - nowMs
     if (remainingMs <= 0) return this.giveUp(lease)
     this.logDispatch(lease, details, nowMs)
-    const { call, signal } = routed
+    const { call, signal, hasWorkspaces, workspace } = routed
     const { codec, limits, log, responseMemory } = context
     const findAlternative = (isIdle: () => boolean): Promise<boolean> => this.findAlternative(lease, isIdle)
     const services = { codec, limits, log, responseMemory }
-    const result = await attempt({ call, instance, ...services, remainingMs, signal, findAlternative, ...rest })
+    const identity = { workspace: workspace?.name ?? null, hidesCredentials: hasWorkspaces }
+    const sent = { call, instance, identity, remainingMs, signal, findAlternative }
+    const result = await attempt({ ...sent, ...services, ...rest })
     context.metrics.observeMs('instance', performance.now() - nowMs)
     if (isHandled(result)) this.recordHandling(lease)
     lease.release()
@@ -168,11 +184,12 @@
 
   /// Logs the dispatch with the data that the choice of the instance was based on.
   private logDispatch ({ instance }: InstanceLease, details: AttemptOptions['details'], nowMs: number): void {
-    const { call, route, configVersion } = this.routed
+    const { call, route, workspace, configVersion } = this.routed
     this.context.log.event(Events.callDispatched, {
       callId: call.id,
       programId: call.program?.id,
       route: route.name,
+      workspace: workspace?.name,
       configVersion,
       instanceId: instance.description.id,
       running: instance.running,
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -59,11 +59,13 @@
   maxTokens: number,
   context: ForwardContext
 ): Promise<[readonly LedgerRecord[], TokenReservation | null]> {
-  const { call, route, signal } = routed
+  const { call, route, hasWorkspaces, signal } = routed
+  const workspace = routed.workspace?.name ?? null
+  const access = { workspace, isRestricted: hasWorkspaces }
   const timeoutMs = (routed.lastDeadlineMs - performance.now()) * maxStorageWaitShare
   const [history, reservation] = await Promise.allSettled([
-    route.keepsHistory ? readHistory(call, context.ledger, context.cache, timeoutMs) : [],
-    TokenReservation.acquire(call, route, { maxTokens, timeoutMs, signal }, context.ledger, context.log)
+    route.keepsHistory ? readHistory(call, access, context, timeoutMs) : [],
+    TokenReservation.acquire(call, route, { maxTokens, workspace, timeoutMs, signal }, context.ledger, context.log)
   ])
   if (history.status === 'rejected') {
     if (reservation.status === 'fulfilled') reservation.value?.settle(0)
@@ -143,6 +145,7 @@
     const record = createTurnRecord(
       routed.call,
       routed.route,
+      routed.workspace?.name ?? null,
       routed.body,
       output,
       this.deliveredTokens,
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -6,6 +6,7 @@
 import { sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
+import { createAccountId } from './access.js'
 import { LedgerError, createLedgerRefusal, createRecord } from './ledger.js'
 import type { ReservedAccount, TurnLedger } from './ledger.js'
 
@@ -26,12 +27,22 @@
 export interface ReservationLimits {
   /// The most that the turn may generate.
   readonly maxTokens: number
+  /// Of the call; null without one. Each has accounts of its own.
+  readonly workspace: string | null
   /// How long storage is waited for.
   readonly timeoutMs: number
   /// Of the call. A reservation of one that was aborted would take tokens from its retry.
   readonly signal?: AbortSignal
 }
 
+/// What a reservation belongs to.
+interface ReservationNames {
+  readonly callId: string
+  readonly programId: string
+  /// In place of the program's id in records.
+  readonly accountId: string
+}
+
 type AppendRecord = (record: LedgerRecord) => Promise<unknown>
 
 /// The tokens that a turn has reserved from its program's budget.
@@ -43,8 +54,7 @@
   private constructor (
     private readonly ledger: TurnLedger,
     private readonly log: EventLog,
-    private readonly callId: string,
-    private readonly programId: string,
+    private readonly names: ReservationNames,
     private readonly retentionMs: number,
     private readonly timeoutMs: number
   ) {}
@@ -56,14 +66,16 @@
   static async acquire (
     call: Call,
     route: Route,
-    { maxTokens, timeoutMs, signal }: ReservationLimits,
+    { maxTokens, workspace, timeoutMs, signal }: ReservationLimits,
     ledger: TurnLedger,
     log: EventLog
   ): Promise<TokenReservation | null> {
     const budget = call.program?.tokenBudget ?? null
     if (call.program === null || budget === null) return null
     const retentionMs = Math.max(route.retentionMs, minAccountRetentionMs)
-    const reservation = new TokenReservation(ledger, log, call.id, call.program.id, retentionMs, timeoutMs)
+    const { id: programId } = call.program
+    const names = { callId: call.id, programId, accountId: createAccountId(programId, workspace) }
+    const reservation = new TokenReservation(ledger, log, names, retentionMs, timeoutMs)
     const account = await reservation.reserve(maxTokens, signal)
     const { entries } = account
     const otherSpentTokens = countTokens(entries.filter(entry => entry.settled), call.id)
@@ -97,9 +109,10 @@
     if (this.isSettled) return
     this.isSettled = true
     this.writeSettlement(tokens, append).catch((error: unknown) => {
+      const { callId, programId } = this.names
       this.log.event(Events.settleAbandoned, {
-        callId: this.callId,
-        programId: this.programId,
+        callId,
+        programId,
         tokens,
         error: formatError(error)
       })
@@ -112,8 +125,9 @@
   }
 
   private async reserve (maxTokens: number, signal?: AbortSignal): Promise<ReservedAccount> {
+    const { callId, accountId } = this.names
     const record = {
-      ...createRecord(RecordKind.reservation, this.callId, this.programId, this.retentionMs),
+      ...createRecord(RecordKind.reservation, callId, accountId, this.retentionMs),
       tokens: maxTokens
     }
     const account = this.ledger.reserve(record, this.timeoutMs, signal).catch((error: unknown) => {
@@ -130,20 +144,21 @@
   /// sees all others. If they exceed the budget together, those with the highest
   /// ids are given up.
   private async recountOthers (account: ReservedAccount, budget: number): Promise<number> {
+    const { callId } = this.names
     const complete = await account.readComplete(maxStragglerWaitMs)
-    const completeTokens = complete === null ? budget : countTokens(complete, this.callId)
+    const completeTokens = complete === null ? budget : countTokens(complete, callId)
     if (completeTokens < budget) return completeTokens
     for (let reads = 1; ; reads++) {
       const entries = await this.readAccount()
-      const otherTokens = countTokens(entries, this.callId)
-      const precedingTokens = countTokens(entries.filter(entry => entry.settled || entry.id < this.callId), this.callId)
+      const otherTokens = countTokens(entries, callId)
+      const precedingTokens = countTokens(entries.filter(entry => entry.settled || entry.id < callId), callId)
       if (otherTokens < budget || precedingTokens >= budget || reads === maxReads) return otherTokens
       await sleep(rereadIntervalMs)
     }
   }
 
   private async readAccount (): Promise<AccountEntry[]> {
-    return await this.refuseOnError(this.ledger.readAccount(this.programId, this.timeoutMs))
+    return await this.refuseOnError(this.ledger.readAccount(this.names.accountId, this.timeoutMs))
   }
 
   private async refuseOnError<Account> (account: Promise<Account>): Promise<Account> {
@@ -156,7 +171,8 @@
   }
 
   private async writeSettlement (tokens: number, append: AppendRecord): Promise<void> {
-    const record = { ...createRecord(RecordKind.settlement, this.callId, this.programId, this.retentionMs), tokens }
+    const { callId, accountId } = this.names
+    const record = { ...createRecord(RecordKind.settlement, callId, accountId, this.retentionMs), tokens }
     for (let attempts = 1; ; attempts++) {
       try {
         await append(record)
--- a/request/turn/test/tokenreservation.test.ts
+++ b/request/turn/test/tokenreservation.test.ts
@@ -31,7 +31,8 @@
     },
     findChain: async () => null
   }
-  await TokenReservation.acquire(call, route, { maxTokens: maxTurnTokens, timeoutMs: 900 }, ledger, noopLog)
+  const limits = { maxTokens: maxTurnTokens, workspace: null, timeoutMs: 900 }
+  await TokenReservation.acquire(call, route, limits, ledger, noopLog)
   return reads
 }
 
@@ -54,7 +55,7 @@
     append: async () => { appends++ },
     reserve: async () => { throw new LedgerError('too few storage instances', wasSent) }
   } as unknown as TurnLedger
-  const limits = { maxTokens: maxTurnTokens, timeoutMs: 900 }
+  const limits = { maxTokens: maxTurnTokens, workspace: null, timeoutMs: 900 }
   await expect(TokenReservation.acquire(call, route, limits, ledger, noopLog)).rejects.toThrow('too few')
   expect(appends).toBe(expected)
 })
