chicorynotch check configuration validates a configuration before it is sent

Cause: mistakes of a configuration, such as a hidden route or a key held by two workspaces, were found by callers. Keys are counted, never printed; text that is no JSON isn't quoted.

--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -1,5 +1,8 @@
 import { readFileSync } from 'node:fs'
 import yargs from 'yargs'
+import { findDifferences, findProblems } from '#version/configuration'
+import type { Configuration } from '#version/configuration'
+import { errorMessage } from '#process/log'
 import { SettingsError, parseSettings } from '#process/settings'
 import { formatLine, formatTimeline, findRelatedLines, parseLogLines, buildTimeline } from './lines.js'
 import type { LogLine, TimelineCall } from './lines.js'
@@ -14,6 +17,8 @@
   readonly write: (text: string) => void
   /// Rejects if the response status is not a success.
   readonly fetchText: (url: string) => Promise<string>
+  /// Throws if the text is no valid configuration; the message contains no key.
+  readonly parseConfiguration: (text: string) => Configuration
 }
 
 /// 0: success. 1: nothing was found, or a check or request failed. 2: invalid arguments.
@@ -31,8 +36,12 @@
   }
   const parser = yargs([...argv]).scriptName('chicorynotch').version(false).strict().demandCommand(1, 'a command is required')
     .option('json', { type: 'boolean', default: false, describe: 'print JSON' })
-    .command('check <file>', 'validate a settings file', builder => builder.positional('file', { type: 'string', demandOption: true }),
-      args => run(() => check(args.file, args.json, io)))
+    .command('check <file>', 'validate a settings file', builder => builder.positional('file', { type: 'string', demandOption: true })
+      .command('configuration <file>', 'validate a configuration before it is written to the store',
+        inner => inner.positional('file', { type: 'string', demandOption: true })
+          .option('in-force', { type: 'string', describe: 'file with the version in force, to print what differs' }),
+        args => run(() => checkConfiguration(args.file, args.inForce, args.json, io))),
+    args => run(() => check(args.file, args.json, io)))
     .command('explain <id>', 'print the log lines of a call or program from logs on standard input',
       builder => builder.positional('id', { type: 'string', demandOption: true })
         .option('around-ms', { type: 'number', default: defaultAroundMs, describe: "include state changes of the call's processes within this time before and after" }),
@@ -73,6 +82,28 @@
   }
 }
 
+function checkConfiguration (
+  file: string, inForceFile: string | undefined, isJson: boolean, { write, parseConfiguration }: CliIo
+): ExitCode {
+  const faults: string[] = []
+  const parse = (path: string): Configuration | null => {
+    try {
+      return parseConfiguration(readFileSync(path, 'utf8'))
+    } catch (error) {
+      faults.push(`${path}: ${errorMessage(error)}`)
+      return null
+    }
+  }
+  const configuration = parse(file)
+  const inForce = inForceFile === undefined ? null : parse(inForceFile)
+  if (configuration !== null) faults.push(...findProblems(configuration).map(problem => `${file}: ${problem}`))
+  const differences = configuration === null || inForce === null ? [] : findDifferences(inForce, configuration)
+  const summary = faults.length > 0 ? [] : [`${file}: valid, version ${configuration!.version}`]
+  const lines = [...faults, ...differences.map(difference => `differs: ${difference}`), ...summary]
+  write(isJson ? toJsonLine({ file, faults, differences }) : lines.map(line => `${line}\n`).join(''))
+  return faults.length === 0 ? 0 : 1
+}
+
 async function status (addresses: readonly string[], isJson: boolean, io: CliIo): Promise<ExitCode> {
   const statuses = await fetchStatuses(addresses, io.fetchText)
   io.write(isJson ? toJsonLine(statuses) : `${formatStatuses(statuses)}\n`)
--- a/process/cli/src/main.ts
+++ b/process/cli/src/main.ts
@@ -1,4 +1,5 @@
 import { text } from 'node:stream/consumers'
+import { parseConfigurationText } from '#platform'
 import { runCli } from './cli.js'
 
 const fetchTimeoutMs = 2000
@@ -17,6 +18,7 @@
     if (!response.ok) throw new Error(`HTTP status ${response.status}`)
     return await response.text()
   },
+  parseConfiguration: parseConfigurationText,
   write: output => { process.stdout.write(output) }
 }).then(code => { process.exitCode = code }, (error: unknown) => {
   process.stderr.write(`chicorynotch: ${String(error)}\n`)
--- a/process/cli/test/cli.test.ts
+++ b/process/cli/test/cli.test.ts
@@ -3,6 +3,8 @@
 import { join } from 'node:path'
 import { expect, test } from 'vitest'
 import { runCli } from '#process/cli'
+import { parseConfigurationText } from '#platform'
+import { createConfiguration } from '#standin/system'
 
 const log = [
   '   0.5 e1 {"level":30,"time":100,"node":"e1","event":500,"callId":"c1","programId":"p","instanceId":"i","msg":"call-dispatched"}',
@@ -31,7 +33,9 @@
 
 async function run (...args: string[]): Promise<{ code: number, output: string }> {
   let output = ''
-  const code = await runCli(args, { readInput: () => log, write: text => { output += text }, fetchText })
+  const write = (text: string): void => { output += text }
+  const io = { readInput: () => log, write, fetchText, parseConfiguration: parseConfigurationText }
+  const code = await runCli(args, io)
   return { code, output }
 }
 
@@ -66,7 +70,10 @@
   [['timeline', 'nobody'], 1],
   [['dance'], 2],
   [[], 2],
-  [['check', '/nonexistent'], 1]
+  [['check', '/nonexistent'], 1],
+  [['check'], 2],
+  [['check', 'configuration'], 2],
+  [['check', 'configuration', '/nonexistent'], 1]
 ])('exit code of %j is %i', async (args, code) => {
   expect((await run(...args)).code).toBe(code)
 })
@@ -108,6 +115,28 @@
   expect(result.output).toContain(expected)
 })
 
+const configuration = createConfiguration(2) as { routes: object[] }
+
+test.each<[string, string, string | null, number, string]>([
+  ['a valid file', JSON.stringify(configuration), null, 0, 'c.json: valid, version 2\n'],
+  ['an object of the store', JSON.stringify({ metadata: {}, spec: configuration }), null, 0, 'c.json: valid, version 2\n'],
+  ['what differs', JSON.stringify(configuration), JSON.stringify({ ...configuration, version: 1, routes: configuration.routes.slice(1) }), 0, 'differs: route chat: added\n'],
+  ['a problem', JSON.stringify({ ...configuration, routes: [] }), null, 1, 'c.json: service models: no route names it\n'],
+  ['an error', JSON.stringify({ ...configuration, routes: 1 }), null, 1, 'c.json: routes is not an array\n'],
+  ['no JSON, without the text', '{"api_keys":["secret",}', null, 1, 'c.json: the file is not JSON\n'],
+  ['an error in the version in force', JSON.stringify(configuration), '{', 1, 'f.json: the file is not JSON\n']
+])('check configuration: %s', async (_, text, inForce, code, expected) => {
+  const folder = mkdtempSync(join(tmpdir(), 'cli-'))
+  writeFileSync(join(folder, 'c.json'), text)
+  if (inForce !== null) writeFileSync(join(folder, 'f.json'), inForce)
+  const options = inForce === null ? [] : ['--in-force', join(folder, 'f.json')]
+  const result = await run('check', 'configuration', join(folder, 'c.json'), ...options)
+  rmSync(folder, { recursive: true })
+  expect(result.code).toBe(code)
+  expect(result.output).toContain(expected)
+  expect(result.output).not.toContain('secret')
+})
+
 test('status prints the metrics of each process and returns 1 if one does not respond', async () => {
   const { code, output } = await run('status', 'up:1', 'gone:1')
   expect(code).toBe(1)
--- a/process/cli/test/runs.test.ts
+++ b/process/cli/test/runs.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { findRuns, parseLogLines, runCli } from '#process/cli'
+import { parseConfigurationText } from '#platform'
 
 /// A log of one process: event names with their fields, each 100 ms after the one before.
 type Log = readonly (readonly [string, object?])[]
@@ -44,7 +45,8 @@
 
 async function runEnds (input: string, ...args: string[]): Promise<{ code: number, output: string }> {
   let output = ''
-  const io = { readInput: () => input, write: (text: string) => { output += text }, fetchText: async () => '' }
+  const write = (text: string): void => { output += text }
+  const io = { readInput: () => input, write, fetchText: async () => '', parseConfiguration: parseConfigurationText }
   return { code: await runCli(['ends', ...args], io), output }
 }
 
--- a/version/configuration/src/workspaces.ts
+++ b/version/configuration/src/workspaces.ts
@@ -5,9 +5,9 @@
   private readonly byName = new Map<string, Workspace>()
   private readonly byKey = new Map<string, Workspace>()
 
-  /// Of two workspaces with the same key, the first holds it.
-  constructor (workspaces: readonly Workspace[]) {
-    for (const workspace of workspaces) {
+  /// `listed` is kept as it is. Of two workspaces with the same key, the first holds it.
+  constructor (readonly listed: readonly Workspace[]) {
+    for (const workspace of listed) {
       this.byName.set(workspace.name, workspace)
       for (const key of workspace.keys) if (!this.byKey.has(key)) this.byKey.set(key, workspace)
     }
