A refused call doesn't begin after its key was removed

Cause: the key was checked again only before the first attempt. A call that an instance had refused as not run could wait for another one and run long after its key was removed, and so could one with a lease taken in advance. Change: the key is checked until the call may have run. The new test failed before (200 in place of 401). vitest run of refusedkey, keys, authentication, relayedkeys, repeatedrefusal and stalledstream: 67 passed.

--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -36,6 +36,7 @@
   sentCount = 0
   mayHaveRun = false
   private unsentCount = 0
+  private hasAnswer = false
   private readonly usedInstanceIds = new Set<string>()
   /// Leased while the call is in flight at an instance that makes no progress, for its next attempt.
   private alternative: InstanceLease | null = null
@@ -46,15 +47,14 @@
   async acquireLease (options: LeaseOptions): Promise<InstanceLease> {
     const { alternative } = this
     this.alternative = null
-    if (alternative !== null) return alternative
-    const lease = await this.requestLease(options, this.usedInstanceIds)
+    const lease = alternative ?? await this.requestLease(options, this.usedInstanceIds)
     this.checkAuthorized(lease)
     return lease
   }
 
-  /// A call that has been sent to an instance may go on after its key was removed.
+  /// A call that may have run may go on after its key was removed. One that all instances have refused has not begun.
   private checkAuthorized (lease: InstanceLease): void {
-    if (this.sentCount > 0) return
+    if (this.mayHaveRun || this.hasAnswer) return
     try {
       this.routed.assertAuthorized()
     } catch (error) {
@@ -108,6 +108,7 @@
     if (result.kind === 'unsent') this.unsentCount++
     else this.sentCount++
     if (result.kind === 'broken') this.mayHaveRun = true
+    if (result.kind === 'answer') this.hasAnswer = true
     return result
   }
 
