Whether the configuration may be out of date is found out only for an unknown key

Cause: it was computed for each call, also without workspaces, and twice for a call with a known key. Change: the authentication reads it when it needs it.

--- a/process/entry/src/authentication.ts
+++ b/process/entry/src/authentication.ts
@@ -9,7 +9,8 @@
   readonly isPublic: boolean
   /// Of the configuration in force; null if calls need no key.
   readonly workspaces: Workspaces | null
-  /// Whether there may be a newer configuration than the one in force.
+  /// Whether there may be a newer configuration than the one in force. Read only for an unknown key, since finding it
+  /// out takes time.
   readonly mayBeOutdated: boolean
 }
 
@@ -26,12 +27,12 @@
 
 /// Finds the workspace that a call counts for. The key of a call on a public route is not looked at.
 export function authenticate (request: AuthenticationRequest): AuthenticationOutcome {
-  const { key, isPublic, workspaces, mayBeOutdated } = request
+  const { key, isPublic, workspaces } = request
   if (workspaces === null || isPublic) return { kind: 'accepted', workspace: null }
   if (key === null) return { kind: 'missing-key' }
   const workspace = workspaces.findByKey(key)
   if (workspace !== null) return { kind: 'accepted', workspace }
-  return { kind: mayBeOutdated ? 'undecided' : 'unknown-key' }
+  return { kind: request.mayBeOutdated ? 'undecided' : 'unknown-key' }
 }
 
 /// Returns the workspace of a call, null if it needs none. Throws `RefusedError`; its message doesn't contain the key.
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -5,11 +5,12 @@
 import type { Exchange } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
 import { RouteKind, pickTarget } from '#version/configuration'
-import type { RouteTable } from '#version/configuration'
+import type { RouteTable, Workspaces } from '#version/configuration'
 import { Events, formatError } from '#process/log'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import { assertSameWorkspace, findWorkspace } from './authentication.js'
+import type { AuthenticationRequest } from './authentication.js'
 import type { CallDrain } from './calldrain.js'
 import { ExchangeResponse } from './exchangeresponse.js'
 
@@ -114,8 +115,13 @@
   const route = routes.find(call.host, call.path)
   if (route === null) throw new RefusedError(Refusal.noRoute, Verdict.notRun, `no route in configuration version ${routes.configuration.version} matches the host and path`)
   const { workspaces } = routes.configuration
-  const credentials = { key: call.bearerKey, isPublic: route.isPublic }
-  const workspace = findWorkspace({ ...credentials, workspaces, mayBeOutdated: state.mayBeOutdated })
+  const createRequest = (current: Workspaces | null): AuthenticationRequest => ({
+    key: call.bearerKey,
+    isPublic: route.isPublic,
+    workspaces: current,
+    get mayBeOutdated () { return state.mayBeOutdated }
+  })
+  const workspace = findWorkspace(createRequest(workspaces))
   const serviceName = pickTarget(route, call.program?.id ?? call.id)
   const timeoutMs = Math.min(call.callerTimeoutMs, route.timeoutMs)
   return {
@@ -127,8 +133,7 @@
     hasWorkspaces: workspaces !== null,
     assertAuthorized: () => {
       if (workspace === null || state.routes === null) return
-      const { workspaces: current } = state.routes.configuration
-      assertSameWorkspace(workspace, { ...credentials, workspaces: current, mayBeOutdated: state.mayBeOutdated })
+      assertSameWorkspace(workspace, createRequest(state.routes.configuration.workspaces))
     },
     priority: workspace?.priority ?? route.priority,
     configVersion: routes.configuration.version,
--- a/process/entry/test/keys.test.ts
+++ b/process/entry/test/keys.test.ts
@@ -77,6 +77,18 @@
   expect(JSON.parse(body).error).toMatchObject({ code: 'unauthorized', verdict: 'not-run' })
 })
 
+// Guards against work for each call that only unknown keys need.
+test.each<[string, boolean, Record<string, string>, number, number]>([
+  ['there are no workspaces', false, red, 200, 0],
+  ['the key is known', true, red, 200, 0],
+  ['the key is unknown', true, stranger, 401, 1]
+])('whether the configuration may be out of date is found out only for an unknown key: %s', async (_, has, headers, status, count) => {
+  if (!has) entry.adaptConfiguration = spec => spec
+  const getMayBeOutdated = vi.spyOn(entry, 'mayBeOutdated', 'get')
+  expect(await call('/charge/1', headers)).toBe(status)
+  expect(getMayBeOutdated).toHaveBeenCalledTimes(count)
+})
+
 test('without workspaces credentials are forwarded, a workspace is not', async () => {
   entry.adaptConfiguration = spec => spec
   expect(await call('/charge/1', { authorization: 'Basic x', tenant: 'red' })).toBe(200)
