chicorynotch check configuration reports what a configuration leaves out of its file

Cause: a service that is listed twice, and a burst without a rate, are not part of the parsed configuration, so their check could not see them. A route without a service wasn't reported either; its calls fail. Change: parsing a file also returns what is left out; the check reports both, and a route without a service.

--- a/process/cli/src/cli.ts
+++ b/process/cli/src/cli.ts
@@ -11,6 +11,12 @@
 import { findRuns, formatRuns } from './runs.js'
 import { formatStatuses, fetchStatuses } from './status.js'
 
+/// A configuration, and what it leaves out of the file that it was read from; one sentence each.
+export interface ConfigurationFile {
+  readonly configuration: Configuration
+  readonly omissions: readonly string[]
+}
+
 /// Input and output of the commands. Tests substitute a fake.
 export interface CliIo {
   readonly readInput: () => string | Promise<string>
@@ -18,7 +24,7 @@
   /// Rejects if the response status is not a success.
   readonly fetchText: (url: string) => Promise<string>
   /// Throws if the text is no valid configuration; the message contains no key.
-  readonly parseConfiguration: (text: string) => Configuration
+  readonly parseConfiguration: (text: string) => ConfigurationFile
 }
 
 /// 0: success. 1: nothing was found, or a check or request failed. 2: invalid arguments.
@@ -86,7 +92,7 @@
   file: string, inForceFile: string | undefined, isJson: boolean, { write, parseConfiguration }: CliIo
 ): ExitCode {
   const faults: string[] = []
-  const parse = (path: string): Configuration | null => {
+  const parse = (path: string): ConfigurationFile | null => {
     try {
       return parseConfiguration(readFileSync(path, 'utf8'))
     } catch (error) {
@@ -94,11 +100,13 @@
       return null
     }
   }
-  const configuration = parse(file)
+  const next = parse(file)
   const inForce = inForceFile === undefined ? null : parse(inForceFile)
-  if (configuration !== null) faults.push(...findProblems(configuration).map(problem => `${file}: ${problem}`))
-  const differences = configuration === null || inForce === null ? [] : findDifferences(inForce, configuration)
-  const summary = faults.length > 0 ? [] : [`${file}: valid, version ${configuration!.version}`]
+  const problems = next === null ? [] : [...next.omissions, ...findProblems(next.configuration)]
+  faults.push(...problems.map(problem => `${file}: ${problem}`))
+  const isCompared = next !== null && inForce !== null
+  const differences = isCompared ? findDifferences(inForce.configuration, next.configuration) : []
+  const summary = faults.length > 0 ? [] : [`${file}: valid, version ${next!.configuration.version}`]
   const lines = [...faults, ...differences.map(difference => `differs: ${difference}`), ...summary]
   write(isJson ? toJsonLine({ file, faults, differences }) : lines.map(line => `${line}\n`).join(''))
   return faults.length === 0 ? 0 : 1
--- a/process/cli/test/cli.test.ts
+++ b/process/cli/test/cli.test.ts
@@ -115,13 +115,16 @@
   expect(result.output).toContain(expected)
 })
 
-const configuration = createConfiguration(2) as { routes: object[] }
+const configuration = createConfiguration(2) as { routes: object[], services: object[] }
 
 test.each<[string, string, string | null, number, string]>([
   ['a valid file', JSON.stringify(configuration), null, 0, 'c.json: valid, version 2\n'],
   ['an object of the store', JSON.stringify({ metadata: {}, spec: configuration }), null, 0, 'c.json: valid, version 2\n'],
   ['what differs', JSON.stringify(configuration), JSON.stringify({ ...configuration, version: 1, routes: configuration.routes.slice(1) }), 0, 'differs: route chat: added\n'],
   ['a problem', JSON.stringify({ ...configuration, routes: [] }), null, 1, 'c.json: service models: no route names it\n'],
+  ['a service that is listed twice', JSON.stringify({ ...configuration, services: [...configuration.services, ...configuration.services.slice(0, 1)] }), null, 1, 'c.json: service models: is listed more than once, the last one counts\n'],
+  ['a burst without a rate', JSON.stringify({ ...configuration, tenants: [{ name: 'red', api_keys: ['secret'], burst: 4 }] }), null, 1, 'c.json: workspace red: has a burst but no rate, so it has no quota\n'],
+  ['a rate without a burst', JSON.stringify({ ...configuration, tenants: [{ name: 'red', api_keys: ['secret'], rate_per_s: 4 }] }), null, 1, 'c.json: workspace red: has a quota of 4 requests per second and no burst\n'],
   ['an error', JSON.stringify({ ...configuration, routes: 1 }), null, 1, 'c.json: routes is not an array\n'],
   ['no JSON, without the text', '{"api_keys":["secret",}', null, 1, 'c.json: the file is not JSON\n'],
   ['an error in the version in force', JSON.stringify(configuration), '{', 1, 'f.json: the file is not JSON\n']
--- a/version/configuration/src/problems.ts
+++ b/version/configuration/src/problems.ts
@@ -32,6 +32,7 @@
     if (route.keepsHistory) report('keeps a history, but is not a streaming route')
     if (route.resumable) report('is resumable, but not a streaming route')
   }
+  if (route.targets.length === 0) report('has no service')
   for (const { service, weight } of route.targets) {
     if (!services.has(service)) report(`service ${service} is not described`)
     if (weight === 0) report(`service ${service} has the weight 0`)
--- a/version/configuration/test/check.test.ts
+++ b/version/configuration/test/check.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { findDifferences, findProblems } from '#version/configuration'
+import type { Configuration } from '#version/configuration'
 import { parseConfigurationText } from '#platform'
 import { createConfiguration } from '#standin/system'
 
@@ -9,7 +10,7 @@
 const red = { name: 'red', api_keys: ['secret-1'], rate_per_s: 4, burst: 4 }
 const blue = { name: 'blue', api_keys: ['secret-2'] }
 const create = (): Spec => ({ ...createConfiguration(2) as Spec, tenants: [red, blue] })
-const parse = (spec: unknown): ReturnType<typeof parseConfigurationText> => parseConfigurationText(JSON.stringify(spec))
+const parse = (spec: unknown): Configuration => parseConfigurationText(JSON.stringify(spec)).configuration
 
 /// Changes the first route, which is `chat`.
 const withRoute = (fields: Item) => (spec: Spec): Spec => {
@@ -32,6 +33,7 @@
   ['a history of another kind of route', withRoute({ route_kind: 'idempotent' }),
     ['route chat: keeps a history, but is not a streaming route']],
   ['a service that is not described', withRoute({ service: 'none' }), ['route chat: service none is not described']],
+  ['a route without a service', withRoute({ service: undefined, backends: [] }), ['route chat: has no service']],
   ['a service without a route', spec => ({ ...spec, services: [...spec.services, { name: 'spare' }] }),
     ['service spare: no route names it']],
   ['a limit of 0', spec => ({ ...spec, limits: { ...spec.limits, max_body_bytes: 0 } }), ['limits: maxBodyBytes is 0']],
