After a pause an entry counts as out of date until it has asked the store

Cause: an entry that hears of others took its state for current until 6 s after the store's last response, also after a pause of some seconds, and refused a key that was added meanwhile with 401 before it had read what it missed. Change: it counts as out of date while its tick is overdue, and for 1 s after a pause.

--- a/process/revisions/src/revisiongossip.ts
+++ b/process/revisions/src/revisiongossip.ts
@@ -61,6 +61,8 @@
 const maxLoneAgeMs = 3000
 /// What another entry knew this long ago doesn't count any more: entries repeat it each second.
 const claimValidMs = 5000
+/// After a pause, all watches ask the store at once. It responds within this time if there are changes, and only then.
+const catchUpMs = 1000
 /// The store is up if it responded to any entry within this time.
 const maxUpAgeMs = 2500
 
@@ -86,6 +88,7 @@
   private storeUpAtMs = -Infinity
   private tickedAtMs = performance.now()
   private tickedAtUnixMs = Date.now()
+  private resumedAtMs = -Infinity
 
   constructor (private readonly options: GossipOptions) {}
 
@@ -107,20 +110,28 @@
   }
 
   /// Whether there may be a change of this kind that this entry should know and doesn't: its watch has lost the store,
-  /// another entry knows a later change, or the store has not responded for long, as far as is known.
+  /// another entry knows a later change, the process was paused just now, or the store has not responded for long, as
+  /// far as is known.
   mayBeBehind (kind: string): boolean {
     const watch = this.watches.get(kind)
-    if (watch === undefined || !watch.isUp) return true
+    if (watch === undefined || !watch.isUp || this.isCatchingUp) return true
     if (this.getClaimedRevision(kind) > watch.knownRevision) return true
     if (this.isInformed) return this.storeUpAgeMs > maxSharedAgeMs
     return performance.now() - watch.respondedAtMs > maxLoneAgeMs
   }
 
+  /// Digests and responses that came during a pause may not have been read yet.
+  private get isCatchingUp (): boolean {
+    const nowMs = performance.now()
+    return nowMs - this.tickedAtMs > gossipTickMs + pauseThresholdMs || nowMs - this.resumedAtMs < catchUpMs
+  }
+
   /// Must be called each `gossipTickMs`.
   tick (): void {
     const wasInformed = this.isInformed
     this.silentTicks++
     const isBackFromPause = this.checkPause()
+    if (isBackFromPause) this.resumedAtMs = performance.now()
     // The waits that are under way are too long for an entry on its own.
     if (isBackFromPause || (wasInformed && !this.isInformed)) this.refreshAll()
     this.sendDigest(drawnCount)
--- a/process/revisions/test/revisiongossip.test.ts
+++ b/process/revisions/test/revisiongossip.test.ts
@@ -127,6 +127,22 @@
       expect(namesBehind()).toEqual(['entry-0'])
     })
 
+    test('after a pause, until it has asked the store', async () => {
+      const [paused] = fleet
+      // Time passes without its timers.
+      vi.setSystemTime(Date.now() + 5000)
+      paused!.gossip.tick()
+      expect(mayBeBehind(paused!)).toBe(true)
+      await vi.advanceTimersByTimeAsync(1000)
+      expect(mayBeBehind(paused!)).toBe(false)
+    })
+
+    test('after a pause, before its first digest', () => {
+      const nowMs = performance.now()
+      vi.spyOn(performance, 'now').mockReturnValue(nowMs + 4000)
+      expect(mayBeBehind(fleet[0]!)).toBe(true)
+    })
+
     test('when it has heard neither of the store nor of the other entries for some seconds', async () => {
       fleet[0]!.isIsolated = true
       store.silence(entry => entry === 'entry-0')
