The emulator's programs name the time that they have left, and honour Retry-After

All calls of the emulator named the caller timeout as the time left of their program, so that the order by deadlines was the order of arrival. They now name what is left of the program's latency target, 0 once it is over. A refused call comes back after the time that the refusal names, 250 ms at least, a third of its timeout at most.

--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -1,4 +1,5 @@
 import { sleep } from '#process/clock'
+import { RefusedError } from '#request/call'
 import type { Call } from '#request/call'
 import { InstanceRegistry, recordCachedParts, recordLoad } from '#process/instances'
 import type { Instance } from '#process/instances'
@@ -37,6 +38,13 @@
   readonly weightedGoodput: number
 }
 
+interface StartedProgram {
+  readonly program: TracedProgram
+  readonly previousTurnIds: readonly string[]
+  /// When it should be completed, on the monotonic clock of `performance.now()`.
+  readonly dueMs: number
+}
+
 const service = 'models'
 const sharedPromptTokens = 12_600
 const callerTimeoutMs = 4000
@@ -48,6 +56,8 @@
 const lateCutoffFactor = 2
 const maxTurnAttempts = 3
 const retryDelayMs = 250
+/// A caller honours the time that a refusal names, up to this share of its timeout.
+const maxRetryAfterShare = 1 / 3
 const networkDelayMs = 25
 
 /// Runs a trace against emulated engines. Each entry has its own policy, which sees only
@@ -82,7 +92,8 @@
     const targetMs = this.estimateUnloadedMs(program) * targetFactor + targetLatencyMs
     const previousTurnIds: string[] = []
     for (const [i, turn] of program.turns.entries()) {
-      if (!await this.runTurn(program, turn, i, previousTurnIds)) return { outcome: 'failed', value: program.value }
+      const started = { program, previousTurnIds, dueMs: startedAtMs + targetMs }
+      if (!await this.runTurn(started, turn, i)) return { outcome: 'failed', value: program.value }
       previousTurnIds.push(`${program.id}/${i}`)
       await sleep(turn.thinkMs)
     }
@@ -92,17 +103,17 @@
   }
 
   /// Returns false if all attempts at the turn failed.
-  private async runTurn (
-    program: TracedProgram,
-    turn: TracedTurn,
-    index: number,
-    previousTurnIds: readonly string[]
-  ): Promise<boolean> {
+  private async runTurn (started: StartedProgram, turn: TracedTurn, index: number): Promise<boolean> {
+    let delayMs = 0
     for (let attempts = 0; attempts < maxTurnAttempts; attempts++) {
-      if (attempts > 0) await sleep(retryDelayMs)
-      const call = createTurnCall(program, turn, index, previousTurnIds)
-      const lease = await this.acquireLease(program, call, index).catch(() => null)
-      if (lease === null) continue
+      await sleep(delayMs)
+      delayMs = retryDelayMs
+      const call = createTurnCall(started, turn, index)
+      const lease = await this.acquireLease(started.program, call, index).catch(toRefusal)
+      if (lease instanceof RefusedError) {
+        delayMs = Math.max(retryDelayMs, Math.min(lease.retryAfterMs, callerTimeoutMs * maxRetryAfterShare))
+        continue
+      }
       const isWithinTimeout = await this.execute(lease, call, turn)
       lease.release()
       if (isWithinTimeout) return true
@@ -168,16 +179,21 @@
   }
 }
 
-function createTurnCall (
-  program: TracedProgram,
-  turn: TracedTurn,
-  index: number,
-  previousTurnIds: readonly string[]
-): Call {
+function toRefusal (error: unknown): RefusedError {
+  if (error instanceof RefusedError) return error
+  throw error
+}
+
+function createTurnCall ({ program, previousTurnIds, dueMs }: StartedProgram, turn: TracedTurn, index: number): Call {
   const conversation = [...previousTurnIds, `${program.id}/${index}`].map(id => ({ id, tokens: turn.inputTokens }))
   return createCall(`${program.id}/${index}`, {
     callerTimeoutMs,
-    program: { id: program.id, sessionId: program.id, remainingMs: callerTimeoutMs, tokenBudget: null },
+    program: {
+      id: program.id,
+      sessionId: program.id,
+      remainingMs: Math.max(0, dueMs - performance.now()),
+      tokenBudget: null
+    },
     prefix: [{ id: program.sharedPromptId, tokens: sharedPromptTokens }, ...conversation]
   })
 }
