Queue for instances: programs in time before late ones

Overdue programs had the earliest deadlines, so they went first and made the others late. The order is now a module of its own: aged rank, then turns of running programs before new programs, then programs in time before late ones, then the earliest deadline. A program that names no time was taken for overdue; it now counts as in time with the deadline of its call, and one that names 0 or a negative time as late. Whether a program can still end within twice its target isn't known to an entry, since it doesn't know when the program began; that class is left out.

--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -198,7 +198,7 @@
     return {
       id,
       sessionId: firstValue(headers[names.sessionId]) ?? id,
-      remainingMs: parsePositive(firstValue(headers[names.programRemainingMs])) ?? 0,
+      remainingMs: parseRemaining(firstValue(headers[names.programRemainingMs])),
       tokenBudget: parseCount(firstValue(headers[names.tokenBudget]))
     }
   }
@@ -239,6 +239,11 @@
   return value !== null && value > 0 ? value : null
 }
 
+/// Returns the time left, 0 for a negative one, null for none or a malformed one.
+function parseRemaining (text: string | null): number | null {
+  return text !== null && /^-\d{1,12}(\.\d{1,9})?$/.test(text) ? 0 : parseNumber(text)
+}
+
 function parseNumber (text: string | null): number | null {
   return text !== null && /^\d{1,12}(\.\d{1,9})?$/.test(text) ? Number(text) : null
 }
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -5,6 +5,8 @@
 import type { Instance, InstanceRegistry } from '#process/instances'
 import { chooseInstance, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
+import { compareCalls } from './queueorder.js'
+import type { QueuedCall } from './queueorder.js'
 
 /// The right to run one call on an instance, held until it is released.
 export interface InstanceLease {
@@ -13,9 +15,7 @@
   release (): void
 }
 
-interface QueueEntry {
-  readonly request: PlacementRequest
-  readonly queuedAtMs: number
+interface QueueEntry extends QueuedCall {
   resolve (lease: InstanceLease): void
   reject (error: RefusedError): void
 }
@@ -27,11 +27,6 @@
 const maxQueueLength = 400
 /// The longest time after which a caller is told to come back.
 const maxRetryAfterMs = 1000
-/// Aging: the rank of a queued call falls by one for each such interval that it has waited; the lowest is placed first.
-const agingIntervalMs = 400
-/// Added to the rank of a program's first turn: a program has value only when it completes, so those that have
-/// started are completed first.
-const newProgramRankPenalty = 1
 /// New programs start only on instances that use less than this share of their slots, and whose calls delay a turn by
 /// less than this share of its latency target. The rest is reserved for turns of programs that are running.
 const newProgramSlotShare = 0.75
@@ -85,8 +80,7 @@
   /// have waited for too long and those without an instance left to try.
   processQueue (): void {
     const nowMs = performance.now()
-    this.queue.sort((a, b) => getAgedRank(a, nowMs) - getAgedRank(b, nowMs) ||
-      getDeadlineMs(a.request) - getDeadlineMs(b.request))
+    this.queue.sort((a, b) => compareCalls(a, b, nowMs))
     // Instances get no free capacity within a pass, so further calls of the same kind need not be tried.
     const withoutCapacity = new Set<string>()
     for (const entry of [...this.queue]) this.processEntry(entry, nowMs, withoutCapacity)
@@ -98,8 +92,9 @@
 
   /// How many waiting calls are placed before this one.
   private countAhead (request: PlacementRequest, nowMs: number): number {
+    const arriving = { request, queuedAtMs: nowMs }
     return this.queue.filter(entry => {
-      return entry.request.service === request.service && getAgedRank(entry, nowMs) <= getBaseRank(request)
+      return entry.request.service === request.service && compareCalls(entry, arriving, nowMs) <= 0
     }).length
   }
 
@@ -220,21 +215,6 @@
   return (ahead + 1) / requestsPerS * 1000
 }
 
-function getAgedRank (entry: QueueEntry, nowMs: number): number {
-  return getBaseRank(entry.request) - Math.floor((nowMs - entry.queuedAtMs) / agingIntervalMs)
-}
-
-function getBaseRank (request: PlacementRequest): number {
-  return request.priority + (request.isContinuing ? 0 : newProgramRankPenalty)
-}
-
-/// The deadline of the call's program, or of the call itself if it belongs to none.
-function getDeadlineMs (request: PlacementRequest): number {
-  return request.call.program === null
-    ? request.deadlineMs
-    : request.call.receivedAtMs + request.call.program.remainingMs
-}
-
 function createNoInstanceError (service: string): RefusedError {
   return new RefusedError(
     Refusal.noInstance,
--- a/request/call/src/call.ts
+++ b/request/call/src/call.ts
@@ -29,8 +29,8 @@
 export interface ProgramRef {
   readonly id: string
   readonly sessionId: string
-  /// Time from the call's arrival until the program should be completed.
-  readonly remainingMs: number
+  /// Time from the call's arrival until the program should be completed: 0 if it is over, null if none is named.
+  readonly remainingMs: number | null
   /// Limit on the tokens that all turns of the program generate together; null for no limit.
   readonly tokenBudget: number | null
 }
