Fair shares of workspaces in the queue for instances and at the start of calls

A workspace that sent many times its usual load crowded out the others: calls of equal rank were served by deadline or in order of arrival, the queue of 400 refused whoever came last, and programs were shed by a hash alone.

process/fairness keeps decaying accounts of what each workspace asks for and receives. A workspace's weight is its usual demand (60 s), or a quarter of its demand of the moment if that is more. At equal rank and timeliness, calls are ordered by how far they exceed the fair share of their workspace, in doublings, then by deadline. In a full queue the last call of the workspace with the most waiting calls for its weight gives up its place. New programs of workspaces whose demand has grown are shed first, up to three quarters of them. Without workspaces no account is kept, and all orders are as before.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from '#version/configuration'
 import type { Route } from '#version/configuration'
 import type { LoopBacklog } from '#process/clock'
+import { FairShares } from '#process/fairness'
 import { RecentPrograms } from './recentprograms.js'
 import { RefusedTurns } from './refusedturns.js'
 import { Shedding } from './shedding.js'
@@ -36,6 +37,7 @@
 
 interface WaitingCall {
   readonly call: Call
+  readonly workspace: string | null
   readonly sinceMs: number
   readonly queuedAtMs: number
   readonly maxWaitMs: number
@@ -85,7 +87,9 @@
   private readonly programs = new RecentPrograms()
   private readonly shedding = new Shedding()
   private readonly refusedTurns = new RefusedTurns()
-  /// By rank, the most urgent first; each by when callers have first tried.
+  private readonly shares = new FairShares()
+  /// By rank, the most urgent first; each by when callers have first tried. Of one rank, calls of workspaces within
+  /// their fair share start first.
   private readonly queues: WaitingCall[][] = []
   private isIterationCounted = false
   private hasStarted = false
@@ -123,9 +127,10 @@
     if (remainingMs <= 0) {
       return Promise.reject(createTimedOutError('the deadline had passed when the call was read'))
     }
+    this.shares.recordDemand(request.workspace, performance.now())
     const callClass = this.classify(request, remainingMs)
     const { rank, maxWaitMs } = callClass
-    const comingWaitMs = this.countAhead(callClass) * this.startIntervalMs +
+    const comingWaitMs = this.countAhead(callClass, request.workspace) * this.startIntervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (rank >= turnRank) this.shedding.observe(comingWaitMs, route.targetLatencyMs)
     const expectedWaitMs = this.findPastWaitMs(call) + comingWaitMs
@@ -137,12 +142,13 @@
       const retryAfterMs = this.findRetryAfterMs(request, maxWaitMs, expectedWaitMs)
       return Promise.reject(createBusyError(`would wait for ${Math.round(expectedWaitMs)} ms, ${reason}`, retryAfterMs))
     }
-    if (rank > turnRank && this.shedding.isShed(call.program!.id, request.priority)) {
+    const standing = this.shares.getStanding(request.workspace, performance.now())
+    if (rank > turnRank && this.shedding.isShed(call.program!.id, request.priority, standing)) {
       return Promise.reject(createShedError(this.shedShare))
     }
     this.countIteration()
     if (this.mayStart && this.waiting === 0) {
-      this.recordStart(call)
+      this.recordStart(request)
       return Promise.resolve()
     }
     return this.enqueue(request, callClass)
@@ -204,12 +210,26 @@
     return this.acceptingSinceMs < Infinity
   }
 
-  private countAhead (callClass: CallClass): number {
-    let count = this.findPlace(callClass)
+  private countAhead (callClass: CallClass, workspace: string | null): number {
+    let count = this.shares.isActive ? this.countLevelsAhead(callClass, workspace) : this.findPlace(callClass)
     for (let rank = 0; rank < callClass.rank; rank++) count += this.queues[rank]?.length ?? 0
     return count
   }
 
+  /// How many calls of the same rank exceed their workspace's fair share by less, or as much and have tried for longer.
+  private countLevelsAhead ({ rank, sinceMs }: CallClass, workspace: string | null): number {
+    const queue = this.queues[rank] ?? []
+    const nowMs = performance.now()
+    const counts = new Map<string | null, number>()
+    const levels = queue.map((waiting, i) => {
+      const ownAhead = counts.get(waiting.workspace) ?? 0
+      counts.set(waiting.workspace, ownAhead + 1)
+      return this.shares.getLevel(waiting.workspace, ownAhead, i, nowMs)
+    })
+    const ownLevel = this.shares.getLevel(workspace, counts.get(workspace) ?? 0, queue.length, nowMs)
+    return levels.filter((level, i) => level < ownLevel || (level === ownLevel && queue[i]!.sinceMs <= sinceMs)).length
+  }
+
   /// How many calls of the same rank have tried for longer.
   private findPlace ({ rank, sinceMs }: CallClass): number {
     const queue = this.queues[rank] ?? []
@@ -218,13 +238,13 @@
     return place
   }
 
-  private enqueue ({ call, signal }: AdmissionRequest, callClass: CallClass): Promise<void> {
+  private enqueue ({ call, workspace, signal }: AdmissionRequest, callClass: CallClass): Promise<void> {
     const { rank, maxWaitMs, sinceMs } = callClass
     return new Promise((resolve, reject) => {
       while (this.queues.length <= rank) this.queues.push([])
       const queuedAtMs = performance.now()
       const isAborted = (): boolean => signal.aborted
-      const waiting = { call, sinceMs, queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted }
+      const waiting = { call, workspace, sinceMs, queuedAtMs, maxWaitMs, start: resolve, refuse: reject, isAborted }
       this.queues[rank]!.splice(this.findPlace(callClass), 0, waiting)
       signal.addEventListener('abort', () => {
         reject(createTimedOutError('caller disconnected or deadline passed before the call started'))
@@ -240,8 +260,9 @@
     return this.iterationsSinceStart >= iterations
   }
 
-  private recordStart ({ program }: Call): void {
-    if (program !== null) this.programs.add(program.id)
+  private recordStart ({ call, workspace }: Pick<AdmissionRequest, 'call' | 'workspace'>): void {
+    if (call.program !== null) this.programs.add(call.program.id)
+    this.shares.recordService(workspace, performance.now())
     this.hasStarted = true
     this.iterationsSinceStart = 0
     this.lastStartAtMs = performance.now()
@@ -274,7 +295,7 @@
     if (next === undefined) return
     const intervalMs = performance.now() - Math.max(this.lastStartAtMs, next.queuedAtMs)
     this.startIntervalMs += (intervalMs - this.startIntervalMs) * meanWeight
-    this.recordStart(next.call)
+    this.recordStart(next)
     next.start()
   }
 
@@ -296,12 +317,27 @@
   private dequeue (): WaitingCall | undefined {
     for (const queue of this.queues) {
       while (queue.length > 0) {
-        const next = queue.shift()!
+        const next = queue.splice(this.findNext(queue), 1)[0]!
         if (!next.isAborted()) return next
       }
     }
     return undefined
   }
+
+  /// The place of the first call whose workspace exceeds its fair share by least.
+  private findNext (queue: readonly WaitingCall[]): number {
+    if (!this.shares.isActive) return 0
+    const nowMs = performance.now()
+    const levels = new Map<string | null, number>()
+    let next = 0
+    for (const [i, { workspace }] of queue.entries()) {
+      if (levels.has(workspace)) continue
+      levels.set(workspace, this.shares.getLevel(workspace, 0, 0, nowMs))
+      if (levels.get(workspace)! < levels.get(queue[next]!.workspace)!) next = i
+      if (levels.get(workspace) === 0) break
+    }
+    return next
+  }
 }
 
 function createTimedOutError (message: string): RefusedError {
--- /dev/null
+++ b/process/fairness/src/index.ts
@@ -0,0 +1,2 @@
+export { DecayingCount } from './decayingcount.js'
+export { FairShares, Standing } from './fairshares.js'
--- /dev/null
+++ b/process/placement/src/fairqueue.ts
@@ -0,0 +1,93 @@
+import { FairShares } from '#process/fairness'
+import type { PlacementRequest } from './choice.js'
+import { compareCalls, compareClasses } from './queueorder.js'
+import type { QueuedCall } from './queueorder.js'
+
+interface LeveledCall<T> {
+  readonly call: T
+  readonly level: number
+}
+
+/// The fair shares of workspaces in each service, and the order that follows for a queue. Without workspaces it is
+/// that of `compareCalls`.
+export class FairQueue {
+  private readonly sharesByService = new Map<string, FairShares>()
+
+  recordDemand ({ service, workspace }: PlacementRequest, nowMs: number): void {
+    this.getShares(service).recordDemand(workspace, nowMs)
+  }
+
+  recordService ({ service, workspace }: PlacementRequest, nowMs: number): void {
+    this.getShares(service).recordService(workspace, nowMs)
+  }
+
+  /// Calls of equal rank and timeliness are ordered by how far they exceed the fair share of their workspace, then by
+  /// the earliest deadline.
+  order<T extends QueuedCall> (calls: readonly T[], nowMs: number): T[] {
+    const ordered = [...calls].sort((a, b) => compareCalls(a, b, nowMs))
+    if (!this.isActive) return ordered
+    return this.addLevels(ordered, nowMs)
+      .sort((a, b) => compareClasses(a.call, b.call, nowMs) || a.level - b.level || compareCalls(a.call, b.call, nowMs))
+      .map(({ call }) => call)
+  }
+
+  /// How many of the waiting calls go before an arriving one.
+  countAhead (waiting: readonly QueuedCall[], arriving: QueuedCall, nowMs: number): number {
+    if (!this.isActive) return waiting.filter(call => compareCalls(call, arriving, nowMs) <= 0).length
+    return this.order([...waiting, arriving], nowMs).indexOf(arriving)
+  }
+
+  /// Returns the waiting call that gives up its place in a full queue to an arriving one: the last of the workspace
+  /// with the most waiting calls for its weight. Null if the arriving call's workspace has as many.
+  findEvicted<T extends QueuedCall> (waiting: readonly T[], arriving: PlacementRequest, nowMs: number): T | null {
+    if (!this.isActive) return null
+    const counts = new Map<string, number>()
+    for (const { request } of waiting) counts.set(getKey(request), (counts.get(getKey(request)) ?? 0) + 1)
+    const getLoad = (request: PlacementRequest, more: number): number => {
+      const weight = this.getShares(request.service).getWeight(request.workspace, nowMs)
+      return ((counts.get(getKey(request)) ?? 0) + more) / weight
+    }
+    let evicted: T | null = null
+    let maxLoad = getLoad(arriving, 1)
+    for (const call of this.order(waiting, nowMs)) {
+      const load = getLoad(call.request, 0)
+      if (load < maxLoad || (load === maxLoad && evicted === null)) continue
+      evicted = call
+      maxLoad = load
+    }
+    return evicted
+  }
+
+  private get isActive (): boolean {
+    for (const shares of this.sharesByService.values()) if (shares.isActive) return true
+    return false
+  }
+
+  private addLevels<T extends QueuedCall> (ordered: readonly T[], nowMs: number): LeveledCall<T>[] {
+    const counts = new Map<string, number>()
+    const count = (key: string): number => {
+      const earlier = counts.get(key) ?? 0
+      counts.set(key, earlier + 1)
+      return earlier
+    }
+    return ordered.map(call => {
+      const { request, request: { service, workspace } } = call
+      const ownAhead = count(getKey(request))
+      return { call, level: this.getShares(service).getLevel(workspace, ownAhead, count(service), nowMs) }
+    })
+  }
+
+  private getShares (service: string): FairShares {
+    let shares = this.sharesByService.get(service)
+    if (shares === undefined) {
+      shares = new FairShares()
+      this.sharesByService.set(service, shares)
+    }
+    return shares
+  }
+}
+
+/// Contains a character that no name has, so it differs from the name of a service.
+function getKey ({ service, workspace }: PlacementRequest): string {
+  return `${service}\n${workspace ?? ''}`
+}
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -5,7 +5,7 @@
 import type { Instance, InstanceRegistry } from '#process/instances'
 import { chooseInstance, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
-import { compareCalls } from './queueorder.js'
+import { FairQueue } from './fairqueue.js'
 import type { QueuedCall } from './queueorder.js'
 
 /// The right to run one call on an instance, held until it is released.
@@ -39,7 +39,9 @@
 /// Assigns calls to instances: immediately if one has capacity, otherwise in
 /// order of urgency as capacity becomes free.
 export class Placement {
-  private readonly queue: QueueEntry[] = []
+  /// In the order of the last pass, then of arrival.
+  private queue: QueueEntry[] = []
+  private readonly fairQueue = new FairQueue()
   private timer: ReturnType<typeof setInterval> | null = null
   private isPassDue = false
 
@@ -58,13 +60,14 @@
   /// call has waited for `maxWaitMs`, or when `signal` is aborted meanwhile.
   acquire (request: PlacementRequest, signal: AbortSignal): Promise<InstanceLease> {
     const nowMs = performance.now()
+    this.fairQueue.recordDemand(request, nowMs)
     const ahead = this.countAhead(request, nowMs)
     const candidates = this.findCandidates(request)
     const lease = ahead > 0 ? null : this.tryAcquire(candidates, request, nowMs)
     if (lease !== null) return Promise.resolve(lease)
     if (candidates.length === 0) return Promise.reject(createNoInstanceError(request.service))
     const waitMs = estimateLimitedWaitMs(candidates, ahead)
-    if (this.queue.length >= maxQueueLength || waitMs > request.maxWaitMs) {
+    if (waitMs > request.maxWaitMs || !this.makeRoom(request, nowMs)) {
       return Promise.reject(createOverloadedError(request.service, waitMs))
     }
     return this.enqueue(request, nowMs, signal)
@@ -80,7 +83,7 @@
   /// have waited for too long and those without an instance left to try.
   processQueue (): void {
     const nowMs = performance.now()
-    this.queue.sort((a, b) => compareCalls(a, b, nowMs))
+    this.queue = this.fairQueue.order(this.queue, nowMs)
     // Instances get no free capacity within a pass, so further calls of the same kind need not be tried.
     const withoutCapacity = new Set<string>()
     for (const entry of [...this.queue]) this.processEntry(entry, nowMs, withoutCapacity)
@@ -92,10 +95,18 @@
 
   /// How many waiting calls are placed before this one.
   private countAhead (request: PlacementRequest, nowMs: number): number {
-    const arriving = { request, queuedAtMs: nowMs }
-    return this.queue.filter(entry => {
-      return entry.request.service === request.service && compareCalls(entry, arriving, nowMs) <= 0
-    }).length
+    const waiting = this.queue.filter(entry => entry.request.service === request.service)
+    return waiting.length === 0 ? 0 : this.fairQueue.countAhead(waiting, { request, queuedAtMs: nowMs }, nowMs)
+  }
+
+  /// Whether there is room in the queue for a call. A workspace with many waiting calls makes room for others.
+  private makeRoom (request: PlacementRequest, nowMs: number): boolean {
+    if (this.queue.length < maxQueueLength) return true
+    const evicted = this.fairQueue.findEvicted(this.queue, request, nowMs)
+    if (evicted === null) return false
+    this.dequeue(evicted)
+    evicted.reject(createOverloadedError(evicted.request.service))
+    return true
   }
 
   private enqueue (request: PlacementRequest, nowMs: number, signal: AbortSignal): Promise<InstanceLease> {
@@ -153,7 +164,9 @@
     const available = (request.isContinuing ? usable : preferUnlimited(usable, nowMs))
       .filter(instance => hasCapacity(instance, request, estimateLoad(instance), nowMs))
     const instance = chooseInstance(available, request, this.zone, estimateLoad)
-    return instance === null ? null : this.grantLease(instance, nowMs)
+    if (instance === null) return null
+    this.fairQueue.recordService(request, nowMs)
+    return this.grantLease(instance, nowMs)
   }
 
   private findCandidates (request: PlacementRequest): Instance[] {
--- a/process/placement/src/queueorder.ts
+++ b/process/placement/src/queueorder.ts
@@ -22,10 +22,14 @@
 /// as well. Entries don't know when a program began, hence not whether it can still end within twice its latency
 /// target.
 export function compareCalls (a: QueuedCall, b: QueuedCall, nowMs: number): number {
+  return compareClasses(a, b, nowMs) || getDeadlineMs(a.request) - getDeadlineMs(b.request)
+}
+
+/// The same without the deadlines.
+export function compareClasses (a: QueuedCall, b: QueuedCall, nowMs: number): number {
   return getRank(a, nowMs) - getRank(b, nowMs) ||
     Number(b.request.isContinuing) - Number(a.request.isContinuing) ||
-    getTimeliness(a.request, nowMs) - getTimeliness(b.request, nowMs) ||
-    getDeadlineMs(a.request) - getDeadlineMs(b.request)
+    getTimeliness(a.request, nowMs) - getTimeliness(b.request, nowMs)
 }
 
 /// 0 is the most urgent; negative for calls that have waited.
