An entry that starts holds calls until it has its first configuration

Calls of callers that disconnect are dropped. calls_held and calls_held_total count them. Relayed connections are held, too, before their versions are compared.

--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -24,6 +24,7 @@
 import type { RelayOrigin } from '#process/relay'
 import { ActiveConfiguration } from './activeconfiguration.js'
 import { CallDrain } from './calldrain.js'
+import { ConfigurationWait } from './configurationwait.js'
 import { findCallTimeoutMs } from './calltimeout.js'
 import { EntryPeers } from './entrypeers.js'
 import { recordDropped, serveExchange } from './serve.js'
@@ -82,6 +83,7 @@
   private readonly front: FrontServer
   private readonly peers: EntryPeers
   readonly drain: CallDrain
+  readonly configurationWait = new ConfigurationWait()
   private readonly context: ForwardContext
   private stopped: Promise<void> | null = null
   /// Aborted when the entry stops.
@@ -246,6 +248,7 @@
     this.peers.setLimits(callerLimits)
     // The other entries serve their calls under the older version.
     this.peers.relay.drain()
+    this.configurationWait.end()
   }
 
   private createClient (description: InstanceDescription): InstanceClient {
@@ -265,6 +268,7 @@
     metrics.addGauge('instances_limited', () => this.registry.limitedCount)
     metrics.addGauge('request_memory_bytes', () => requestMemory.usedBytes)
     metrics.addGauge('response_memory_bytes', () => responseMemory.usedBytes)
+    metrics.addGauge('calls_held', () => this.configurationWait.count)
     metrics.addGauge('calls_waiting', () => placement.queueLength)
   }
 }
--- a/process/entry/src/index.ts
+++ b/process/entry/src/index.ts
@@ -1,6 +1,7 @@
 export { Entry } from './entry.js'
 export type { EntryOptions, EntryPlatform, ReloadableOptions } from './entry.js'
 export { ViewReader } from './viewreader.js'
+export { ConfigurationWait } from './configurationwait.js'
 export { CallDrain } from './calldrain.js'
 export { recordDropped, serveExchange } from './serve.js'
 export type { EntryState, ServedExchange } from './serve.js'
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -10,12 +10,15 @@
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import type { CallDrain } from './calldrain.js'
+import { createNoConfigurationError } from './configurationwait.js'
+import type { ConfigurationWait } from './configurationwait.js'
 import { ExchangeResponse } from './exchangeresponse.js'
 
 /// The state of the entry that each exchange reads.
 export interface EntryState {
   /// Null until the first configuration has been applied.
   readonly routes: RouteTable | null
+  readonly configurationWait: Pick<ConfigurationWait, 'wait'>
   readonly drain: Pick<CallDrain, 'assertMayStart'>
   /// Whether a response closes its connection, so that the caller reconnects. `origin` is the entry that relays it.
   shouldCloseConnection (origin: RelayOrigin | null): boolean
@@ -41,7 +44,6 @@
 type Routing = Omit<RoutedCall, 'body' | 'memory'>
 
 const defaultMaxBodyBytes = 1024 * 1024
-const noConfigurationRetryMs = 300
 const otherVersionRetryMs = 20
 
 /// Serves one exchange until its response has ended. Never rejects.
@@ -56,6 +58,7 @@
   let cancelDeadline = (): void => {}
   try {
     call = response.call = parseCall(exchange, context.codec, receivedAtMs)
+    if (state.routes === null) await waitForConfiguration(call, state, controller.signal, context)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
     if (origin !== null) assertSameVersion(origin, state)
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
@@ -103,11 +106,16 @@
   }
 }
 
+async function waitForConfiguration (
+  call: Call, { configurationWait }: EntryState, signal: AbortSignal, { metrics }: ForwardContext
+): Promise<void> {
+  metrics.increment('calls_held_total')
+  await configurationWait.wait(call, signal)
+}
+
 function routeCall (call: Call, readAtMs: number, state: EntryState, signal: AbortSignal): Routing {
   const { routes } = state
-  if (routes === null) {
-    throw new RefusedError(Refusal.noConfiguration, Verdict.notRun, 'no configuration has been loaded yet', noConfigurationRetryMs)
-  }
+  if (routes === null) throw createNoConfigurationError()
   const route = routes.find(call.host, call.path)
   if (route === null) throw new RefusedError(Refusal.noRoute, Verdict.notRun, `no route in configuration version ${routes.configuration.version} matches the host and path`)
   const serviceName = pickTarget(route, call.program?.id ?? call.id)
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -9,7 +9,8 @@
 import type { Commit, ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
-import { CallDrain, recordDropped, serveExchange } from '#process/entry'
+import { CallDrain, ConfigurationWait, recordDropped, serveExchange } from '#process/entry'
+import type { EntryState } from '#process/entry'
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
 import { noopLog } from '#process/log'
@@ -127,6 +128,8 @@
   /// For connections that another entry relays.
   relayAddress = ''
   configVersion = 1
+  /// Set by tests to an entry that has no configuration until its end.
+  configurationWait: ConfigurationWait | null = null
   readonly placement: Placement
   private readonly front: FrontServer
   private readonly relayFront: FrontServer
@@ -161,9 +164,8 @@
       this.onExchange(exchange)
       const origin = this.origins.get(exchange.connection) ?? null
       const shouldCloseConnection = (): boolean => origin === null && this.relay.prefersNewConnections
-      const { routes, drain } = this
-      return drain.run(controller => {
-        return serveExchange({ exchange, origin, controller }, { routes, drain, shouldCloseConnection }, context)
+      return this.drain.run(controller => {
+        return serveExchange({ exchange, origin, controller }, this.createState(shouldCloseConnection), context)
       })
     }
     const options = {
@@ -205,6 +207,20 @@
     this.relayFront.setLimits({ headerTimeoutMs: 60_000, idleTimeoutMs })
   }
 
+  /// Brings the first configuration into force.
+  applyConfiguration (): void {
+    const { configurationWait } = this
+    this.configurationWait = null
+    configurationWait?.end()
+  }
+
+  private createState (shouldCloseConnection: EntryState['shouldCloseConnection']): EntryState {
+    const getRoutes = (): RouteTable | null => this.configurationWait === null ? this.routes : null
+    const { drain } = this
+    const configurationWait = this.configurationWait ?? new ConfigurationWait()
+    return { get routes () { return getRoutes() }, configurationWait, drain, shouldCloseConnection }
+  }
+
   private get routes (): RouteTable {
     const spec = createConfiguration(this.configVersion)
     return new RouteTable(parseConfiguration({ name: 'main', revision: 1, spec, status: null }))
