Turns aren't refused for the delays of a process's own start

By reading, two causes: one stall between two starts of calls counted for a tenth, so 500 ms added 50 ms for each call that waited; and the delays of loading, compiling and connecting were multiplied by the loop passes of a call, although they end soon.

An interval between two starts now counts only as far as one of the four before had it, too, as the event loop's delay does. In the first 3 s after the first call of a process, or 100 starts, calls of running programs are not refused for an expected wait or another entry; they are once they have waited for half of their time. New programs are refused as before.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -7,6 +7,8 @@
 import { RecentPrograms } from './recentprograms.js'
 import { RefusedTurns } from './refusedturns.js'
 import { Shedding } from './shedding.js'
+import { StartPace } from './startpace.js'
+import type { StartupPhase } from './startupphase.js'
 
 /// A call that asks for its start.
 export interface AdmissionRequest {
@@ -61,9 +63,6 @@
 /// belongs to a running program.
 const iterationsPerStartWhileAccepting = 8
 const iterationsPerRunningStartWhileAccepting = 3
-/// Weight of the latest interval in the mean interval between two starts.
-const meanWeight = 0.1
-const initialStartIntervalMs = 1
 /// The shortest time after which a refused caller comes back. It may reach another entry.
 const busyRetryAfterMs = 120
 /// Callers wait for so much of the time that they have left, at most, before they try again.
@@ -97,11 +96,16 @@
   private acceptingSinceMs = Infinity
   private iterationsSinceStart = 0
   private lastStartAtMs = 0
-  private startIntervalMs = initialStartIntervalMs
+  private readonly pace = new StartPace()
 
   /// `getBetterShare` returns how long a call takes at other entries that are known to serve it sooner, as a share of
-  /// the time that it takes here; `Infinity` if there are none.
-  constructor (private readonly backlog: LoopBacklog, private readonly getBetterShare: () => number = () => Infinity) {}
+  /// the time that it takes here; `Infinity` if there are none. During `startup` calls of running programs wait as long
+  /// as they may, whatever the expected wait is; null for a process that has been running for long.
+  constructor (
+    private readonly backlog: LoopBacklog,
+    private readonly getBetterShare: () => number = () => Infinity,
+    private readonly startup: StartupPhase | null = null
+  ) {}
 
   /// Share of the programs that are refused at their start.
   get shedShare (): number {
@@ -130,11 +134,12 @@
     this.shares.recordDemand(request.workspace, performance.now())
     const callClass = this.classify(request, remainingMs)
     const { rank, maxWaitMs } = callClass
-    const comingWaitMs = this.countAhead(callClass, request.workspace) * this.startIntervalMs +
+    const comingWaitMs = this.countAhead(callClass, request.workspace) * this.pace.intervalMs +
       loopPassesByKind[route.kind] * this.backlog.meanDelayMs
     if (rank >= turnRank) this.shedding.observe(comingWaitMs, route.targetLatencyMs)
     const expectedWaitMs = this.findPastWaitMs(call) + comingWaitMs
-    if (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs)) {
+    const isHeld = rank <= turnRank && this.isStartingUp()
+    if (!isHeld && (expectedWaitMs > maxWaitMs || this.isForOtherEntry(request, callClass, expectedWaitMs))) {
       this.refusedTurns.add(call.previousTurnId, callClass.sinceMs)
       const reason = expectedWaitMs > maxWaitMs
         ? `it may wait for ${Math.round(maxWaitMs)} ms`
@@ -154,6 +159,13 @@
     return this.enqueue(request, callClass)
   }
 
+  /// Whether expected waits are those of a process that is starting, which get shorter soon.
+  private isStartingUp (): boolean {
+    const nowMs = performance.now()
+    this.startup?.recordCall(nowMs)
+    return this.startup !== null && !this.startup.isOver(nowMs)
+  }
+
   /// Other calls of a running program come first, since callers repeat them less often than turns; then its turns, then
   /// new programs by their priority.
   private classify ({ call, route, priority }: AdmissionRequest, remainingMs: number): CallClass {
@@ -263,6 +275,7 @@
   private recordStart ({ call, workspace }: Pick<AdmissionRequest, 'call' | 'workspace'>): void {
     if (call.program !== null) this.programs.add(call.program.id)
     this.shares.recordService(workspace, performance.now())
+    this.startup?.recordStart()
     this.hasStarted = true
     this.iterationsSinceStart = 0
     this.lastStartAtMs = performance.now()
@@ -293,8 +306,7 @@
   private startNext (): void {
     const next = this.dequeue()
     if (next === undefined) return
-    const intervalMs = performance.now() - Math.max(this.lastStartAtMs, next.queuedAtMs)
-    this.startIntervalMs += (intervalMs - this.startIntervalMs) * meanWeight
+    this.pace.record(performance.now() - Math.max(this.lastStartAtMs, next.queuedAtMs))
     this.recordStart(next)
     next.start()
   }
--- a/process/admission/src/index.ts
+++ b/process/admission/src/index.ts
@@ -1,1 +1,2 @@
 export { Admission } from './admission.js'
+export { StartupPhase } from './startupphase.js'
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -9,7 +9,7 @@
 import type { ObjectStore, StoredObject } from '#connection/store'
 import { InstanceClient } from '#connection/upstream'
 import type { Configuration, RouteTable } from '#version/configuration'
-import { Admission } from '#process/admission'
+import { Admission, StartupPhase } from '#process/admission'
 import { sleep } from '#process/clock'
 import type { LoopBacklog } from '#process/clock'
 import { InstanceRegistry } from '#process/instances'
@@ -117,7 +117,7 @@
       onStaleView: () => this.viewReader.read()
     }, log)
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
-    const admission = new Admission(backlog, () => this.peers.relay.betterShare)
+    const admission = new Admission(backlog, () => this.peers.relay.betterShare, new StartupPhase())
     const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
