Calls that would wait too long for an instance are refused at once

A call waited for its whole maxWaitMs although the queue showed that it would not be served, and all refused calls were told to come back after 150 ms. Each kind of calls (service; running or new programs) now has an estimate of its wait, from the leases granted while calls of the kind waited, decaying over 2 s. Grants while none waited show the demand and don't count; neither do slots that other entries take. A call is refused at once if it is improbable, by two standard deviations of the rate and of chance, that it gets a lease in time; not with fewer than 10 recent grants. Retry-After is when it could be served in its time, spread by 0.4, at most 1 s and a third of the time left. Refusals for limits of requests per second keep their exact times.

--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -1,4 +1,5 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
+import { unitHash } from '#version/configuration'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
@@ -7,6 +8,7 @@
 import type { PlacementRequest } from './choice.js'
 import { FairQueue } from './fairqueue.js'
 import type { QueuedCall } from './queueorder.js'
+import { WaitEstimate } from './waitestimate.js'
 
 /// The right to run one call on an instance, held until it is released.
 export interface InstanceLease {
@@ -25,8 +27,11 @@
 const overloadedRetryAfterMs = 150
 /// Calls that don't fit into the queue are refused immediately.
 const maxQueueLength = 400
-/// The longest time after which a caller is told to come back.
+/// The longest time after which a caller is told to come back, also as a share of the time that it has left.
 const maxRetryAfterMs = 1000
+const maxRetryAfterShare = 1 / 3
+/// Callers that are refused at the same time come back spread over this share of the delay.
+const retryJitter = 0.4
 /// New programs start only on instances that use less than this share of their slots, and whose calls delay a turn by
 /// less than this share of its latency target. The rest is reserved for turns of programs that are running.
 const newProgramSlotShare = 0.75
@@ -42,6 +47,8 @@
   /// In the order of the last pass, then of arrival.
   private queue: QueueEntry[] = []
   private readonly fairQueue = new FairQueue()
+  /// By kind of call.
+  private readonly waitEstimates = new Map<string, WaitEstimate>()
   private timer: ReturnType<typeof setInterval> | null = null
   private isPassDue = false
 
@@ -67,9 +74,12 @@
     if (lease !== null) return Promise.resolve(lease)
     if (candidates.length === 0) return Promise.reject(createNoInstanceError(request.service))
     const waitMs = estimateLimitedWaitMs(candidates, ahead)
-    if (waitMs > request.maxWaitMs || !this.makeRoom(request, nowMs)) {
-      return Promise.reject(createOverloadedError(request.service, waitMs))
+    if (waitMs > request.maxWaitMs) return Promise.reject(createLimitedError(request.service, waitMs))
+    const aheadOfKind = this.countAhead(request, nowMs, getKind)
+    if (this.getWaitEstimate(request).isTooLong(aheadOfKind, request.maxWaitMs, nowMs)) {
+      return Promise.reject(this.createOverloadedError(request, aheadOfKind, nowMs))
     }
+    if (!this.makeRoom(request, nowMs)) return Promise.reject(this.createOverloadedError(request, aheadOfKind, nowMs))
     return this.enqueue(request, nowMs, signal)
   }
 
@@ -93,9 +103,9 @@
     }
   }
 
-  /// How many waiting calls are placed before this one.
-  private countAhead (request: PlacementRequest, nowMs: number): number {
-    const waiting = this.queue.filter(entry => entry.request.service === request.service)
+  /// How many waiting calls of the service, or that have the same `getGroup`, are placed before this one.
+  private countAhead (request: PlacementRequest, nowMs: number, getGroup = getService): number {
+    const waiting = this.queue.filter(entry => getGroup(entry.request) === getGroup(request))
     return waiting.length === 0 ? 0 : this.fairQueue.countAhead(waiting, { request, queuedAtMs: nowMs }, nowMs)
   }
 
@@ -105,7 +115,8 @@
     const evicted = this.fairQueue.findEvicted(this.queue, request, nowMs)
     if (evicted === null) return false
     this.dequeue(evicted)
-    evicted.reject(createOverloadedError(evicted.request.service))
+    const reason = ': its place in the queue goes to a workspace that has fewer calls waiting'
+    evicted.reject(this.createOverloadedError(evicted.request, 0, nowMs, reason))
     return true
   }
 
@@ -119,6 +130,7 @@
       if (signal.aborted) return reject(createAbortedError())
       const entry = { request, queuedAtMs: nowMs, resolve, reject }
       this.queue.push(entry)
+      this.getWaitEstimate(request).countWaiting(1, nowMs)
       signal.addEventListener('abort', () => {
         if (this.dequeue(entry)) reject(createAbortedError())
       }, { once: true })
@@ -128,7 +140,7 @@
 
   private processEntry (entry: QueueEntry, nowMs: number, withoutCapacity: Set<string>): void {
     const { request } = entry
-    const kind = `${request.service} ${request.isContinuing}`
+    const kind = getKind(request)
     if (request.excluded.size === 0 && withoutCapacity.has(kind)) return this.refuseIfExpired(entry, nowMs)
     const candidates = this.findCandidates(request)
     const lease = this.tryAcquire(candidates, request, nowMs)
@@ -147,13 +159,15 @@
   private refuseIfExpired (entry: QueueEntry, nowMs: number): void {
     if (nowMs - entry.queuedAtMs <= entry.request.maxWaitMs) return
     this.dequeue(entry)
-    entry.reject(createOverloadedError(entry.request.service))
+    entry.reject(this.createOverloadedError(entry.request, 0, nowMs))
   }
 
   private dequeue (entry: QueueEntry): boolean {
     const index = this.queue.indexOf(entry)
-    if (index >= 0) this.queue.splice(index, 1)
-    return index >= 0
+    if (index < 0) return false
+    this.queue.splice(index, 1)
+    this.getWaitEstimate(entry.request).countWaiting(-1, performance.now())
+    return true
   }
 
   private tryAcquire (candidates: readonly Instance[], request: PlacementRequest, nowMs: number): InstanceLease | null {
@@ -166,9 +180,33 @@
     const instance = chooseInstance(available, request, this.zone, estimateLoad)
     if (instance === null) return null
     this.fairQueue.recordService(request, nowMs)
+    this.getWaitEstimate(request).recordGrant(nowMs)
     return this.grantLease(instance, nowMs)
   }
 
+  private getWaitEstimate (request: PlacementRequest): WaitEstimate {
+    const kind = getKind(request)
+    let estimate = this.waitEstimates.get(kind)
+    if (estimate === undefined) {
+      estimate = new WaitEstimate()
+      this.waitEstimates.set(kind, estimate)
+    }
+    return estimate
+  }
+
+  /// Asks the caller to come back when the call could get a lease within its time.
+  private createOverloadedError (
+    request: PlacementRequest, ahead: number, nowMs: number, reason = ''
+  ): RefusedError {
+    const expectedMs = this.getWaitEstimate(request).getExpectedMs(ahead, nowMs)
+    const dueMs = Math.max(overloadedRetryAfterMs, (expectedMs ?? 0) - request.maxWaitMs)
+    const spreadMs = dueMs * (1 + unitHash(`retry/${request.call.id}`) * retryJitter)
+    const latestMs = Math.min(maxRetryAfterMs, (request.deadlineMs - nowMs) * maxRetryAfterShare)
+    const retryAfterMs = Math.max(overloadedRetryAfterMs, Math.min(spreadMs, latestMs))
+    const details = expectedMs === null ? reason : ` within ${Math.round(expectedMs)} ms${reason}`
+    return createOverloadedError(request.service, retryAfterMs, details)
+  }
+
   private findCandidates (request: PlacementRequest): Instance[] {
     return [...this.registry.readyInstances(request.service)]
       .filter(instance => !request.excluded.has(instance.description.id))
@@ -237,12 +275,25 @@
   )
 }
 
-/// `waitMs` is how long the call is expected to wait for capacity, 0 if that is not known.
-function createOverloadedError (service: string, waitMs = 0): RefusedError {
+/// `waitMs` is how long the call is expected to wait for a share of its instances' limits.
+function createLimitedError (service: string, waitMs: number): RefusedError {
+  return createOverloadedError(service, Math.min(Math.max(overloadedRetryAfterMs, waitMs), maxRetryAfterMs))
+}
+
+function createOverloadedError (service: string, retryAfterMs: number, details = ''): RefusedError {
   return new RefusedError(
     Refusal.overloaded,
     Verdict.notRun,
-    `no instance of service ${service} has capacity for the call`,
-    Math.round(Math.min(Math.max(overloadedRetryAfterMs, waitMs), maxRetryAfterMs))
+    `no instance of service ${service} has capacity for the call${details}`,
+    Math.round(retryAfterMs)
   )
 }
+
+/// Calls of one kind compete for the same slots: new programs don't get all of them.
+function getKind ({ service, isContinuing }: PlacementRequest): string {
+  return `${service} ${isContinuing}`
+}
+
+function getService ({ service }: PlacementRequest): string {
+  return service
+}
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -260,3 +260,33 @@
   for (const id of ['a', 'b']) instance(id).limit = new RequestLimit(10, 10, performance.now() - 200)
   await expect(placement.acquire(createRequest('x', { isContinuing: false }), signal)).resolves.toBeDefined()
 })
+
+/// Keeps calls waiting for 2 s while each of the 4 leases is released after 200 ms, so that 20 are granted a second.
+async function keepQueueBusy (): Promise<void> {
+  const acquire = (id: string): void => {
+    placement.acquire(createRequest(id, { maxWaitMs: Infinity }), signal)
+      .then(lease => setTimeout(() => lease.release(), 200), () => {})
+  }
+  for (let i = 0; i < 100; i++) {
+    acquire(`busy ${i}`)
+    if (i >= 20) await vi.advanceTimersByTimeAsync(50)
+  }
+}
+
+// Guards against calls that wait in vain, and against callers that all come back at once.
+test('a call that would wait longer than it may is refused at once, and told when there is capacity', async () => {
+  await keepQueueBusy()
+  const refused = await Promise.all(['a', 'b', 'c'].map(async id => {
+    return await placement.acquire(createRequest(id, { maxWaitMs: 200 }), signal).catch((error: unknown) => error)
+  })) as { retryAfterMs: number }[]
+  for (const error of refused) {
+    expect(error).toMatchObject({ refusal: Refusal.overloaded, verdict: Verdict.notRun })
+    const { retryAfterMs } = error
+    expect(retryAfterMs).toBeGreaterThan(400)
+    expect(retryAfterMs).toBeLessThanOrEqual(1000)
+  }
+  expect(new Set(refused.map(({ retryAfterMs }) => retryAfterMs)).size).toBeGreaterThan(1)
+  const waits = placement.acquire(createRequest('waits', { maxWaitMs: 3000 }), signal)
+  await vi.advanceTimersByTimeAsync(2000)
+  await expect(waits).resolves.toBeDefined()
+})
