--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -9,7 +9,7 @@
 import type { ObjectStore, StoredObject } from '#connection/store'
 import { InstanceClient } from '#connection/upstream'
 import type { Configuration, RouteTable } from '#version/configuration'
-import { Admission } from '#process/admission'
+import { Admission, StartupPhase } from '#process/admission'
 import { sleep } from '#process/clock'
 import type { LoopBacklog } from '#process/clock'
 import { InstanceRegistry } from '#process/instances'
@@ -24,6 +24,7 @@
 import type { RelayOrigin } from '#process/relay'
 import { ActiveConfiguration } from './activeconfiguration.js'
 import { CallDrain } from './calldrain.js'
+import { ConfigurationWait } from './configurationwait.js'
 import { findCallTimeoutMs } from './calltimeout.js'
 import { EntryPeers } from './entrypeers.js'
 import { recordDropped, serveExchange } from './serve.js'
@@ -83,6 +84,7 @@
   private readonly front: FrontServer
   private readonly peers: EntryPeers
   readonly drain: CallDrain
+  readonly configurationWait = new ConfigurationWait()
   private readonly context: ForwardContext
   private stopped: Promise<void> | null = null
   /// Aborted when the entry stops.
@@ -116,7 +118,7 @@
       onStaleView: () => this.viewReader.read()
     }, log)
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
-    const admission = new Admission(backlog, () => this.peers.relay.betterShare)
+    const admission = new Admission(backlog, () => this.peers.relay.betterShare, new StartupPhase())
     const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
@@ -252,6 +254,7 @@
     this.peers.setLimits(callerLimits)
     // The other entries serve their calls under the older version.
     this.peers.relay.drain()
+    this.configurationWait.end()
   }
 
   private createClient (description: InstanceDescription): InstanceClient {
@@ -271,6 +274,7 @@
     metrics.addGauge('instances_limited', () => this.registry.limitedCount)
     metrics.addGauge('request_memory_bytes', () => requestMemory.usedBytes)
     metrics.addGauge('response_memory_bytes', () => responseMemory.usedBytes)
+    metrics.addGauge('calls_held', () => this.configurationWait.count)
     metrics.addGauge('calls_waiting', () => placement.queueLength)
   }
 }
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -11,6 +11,8 @@
 import type { RelayOrigin } from '#process/relay'
 import { assertSameWorkspace, findWorkspace } from './authentication.js'
 import type { CallDrain } from './calldrain.js'
+import { createNoConfigurationError } from './configurationwait.js'
+import type { ConfigurationWait } from './configurationwait.js'
 import { ExchangeResponse } from './exchangeresponse.js'
 
 /// The state of the entry that each exchange reads.
@@ -19,6 +21,7 @@
   readonly routes: RouteTable | null
   /// Whether there may be a newer configuration than the one in force.
   readonly mayBeOutdated: boolean
+  readonly configurationWait: Pick<ConfigurationWait, 'wait'>
   readonly drain: Pick<CallDrain, 'assertMayStart'>
   /// Whether a response closes its connection, so that the caller reconnects. `origin` is the entry that relays it.
   shouldCloseConnection (origin: RelayOrigin | null): boolean
@@ -44,7 +47,6 @@
 type Routing = Omit<RoutedCall, 'body' | 'memory'>
 
 const defaultMaxBodyBytes = 1024 * 1024
-const noConfigurationRetryMs = 300
 const otherVersionRetryMs = 20
 
 /// Serves one exchange until its response has ended. Never rejects.
@@ -59,6 +61,7 @@
   let cancelDeadline = (): void => {}
   try {
     call = response.call = parseCall(exchange, context.codec, receivedAtMs)
+    if (state.routes === null) await waitForConfiguration(call, state, controller.signal, context)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
     if (origin !== null) assertSameVersion(origin, state)
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
@@ -106,11 +109,16 @@
   }
 }
 
+async function waitForConfiguration (
+  call: Call, { configurationWait }: EntryState, signal: AbortSignal, { metrics }: ForwardContext
+): Promise<void> {
+  metrics.increment('calls_held_total')
+  await configurationWait.wait(call, signal)
+}
+
 function routeCall (call: Call, readAtMs: number, state: EntryState, signal: AbortSignal): Routing {
   const { routes } = state
-  if (routes === null) {
-    throw new RefusedError(Refusal.noConfiguration, Verdict.notRun, 'no configuration has been loaded yet', noConfigurationRetryMs)
-  }
+  if (routes === null) throw createNoConfigurationError()
   const route = routes.find(call.host, call.path)
   if (route === null) throw new RefusedError(Refusal.noRoute, Verdict.notRun, `no route in configuration version ${routes.configuration.version} matches the host and path`)
   const { workspaces } = routes.configuration
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -9,7 +9,7 @@
 import type { Commit, ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
-import { CallDrain, recordDropped, serveExchange } from '#process/entry'
+import { CallDrain, ConfigurationWait, recordDropped, serveExchange } from '#process/entry'
 import type { EntryState } from '#process/entry'
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
@@ -137,6 +137,8 @@
   /// Set by tests, to change the configuration of the stand-ins.
   adaptConfiguration: (spec: TestConfiguration) => TestConfiguration = spec => spec
   mayBeOutdated = false
+  /// Set by tests to an entry that has no configuration until its end.
+  configurationWait: ConfigurationWait | null = null
   readonly placement: Placement
   private readonly front: FrontServer
   private readonly relayFront: FrontServer
@@ -215,13 +217,20 @@
     this.relayFront.setLimits({ headerTimeoutMs: 60_000, idleTimeoutMs })
   }
 
+  /// Brings the first configuration into force.
+  applyConfiguration (): void {
+    const { configurationWait } = this
+    this.configurationWait = null
+    configurationWait?.end()
+  }
+
   /// Follows the configuration while a call is served.
   private createState (shouldCloseConnection: () => boolean): EntryState {
-    const { drain } = this
-    const getRoutes = (): RouteTable => this.routes
+    const getRoutes = (): RouteTable | null => this.configurationWait === null ? this.routes : null
     const getMayBeOutdated = (): boolean => this.mayBeOutdated
     return {
-      drain,
+      drain: this.drain,
+      configurationWait: this.configurationWait ?? new ConfigurationWait(),
       shouldCloseConnection,
       get routes () { return getRoutes() },
       get mayBeOutdated () { return getMayBeOutdated() }
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -1,10 +1,14 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
+import { unitHash } from '#version/configuration'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
 import type { Instance, InstanceRegistry } from '#process/instances'
 import { chooseInstance, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
+import { FairQueue } from './fairqueue.js'
+import type { QueuedCall } from './queueorder.js'
+import { WaitEstimate } from './waitestimate.js'
 
 /// The right to run one call on an instance, held until it is released.
 export interface InstanceLease {
@@ -13,9 +17,7 @@
   release (): void
 }
 
-interface QueueEntry {
-  readonly request: PlacementRequest
-  readonly queuedAtMs: number
+interface QueueEntry extends QueuedCall {
   resolve (lease: InstanceLease): void
   reject (error: RefusedError): void
 }
@@ -25,13 +27,11 @@
 const overloadedRetryAfterMs = 150
 /// Calls that don't fit into the queue are refused immediately.
 const maxQueueLength = 400
-/// The longest time after which a caller is told to come back.
+/// The longest time after which a caller is told to come back, also as a share of the time that it has left.
 const maxRetryAfterMs = 1000
-/// Aging: the rank of a queued call falls by one for each such interval that it has waited; the lowest is placed first.
-const agingIntervalMs = 400
-/// Added to the rank of a program's first turn: a program has value only when it completes, so those that have
-/// started are completed first.
-const newProgramRankPenalty = 1
+const maxRetryAfterShare = 1 / 3
+/// Callers that are refused at the same time come back spread over this share of the delay.
+const retryJitter = 0.4
 /// New programs start only on instances that use less than this share of their slots, and whose calls delay a turn by
 /// less than this share of its latency target. The rest is reserved for turns of programs that are running.
 const newProgramSlotShare = 0.75
@@ -44,7 +44,11 @@
 /// Assigns calls to instances: immediately if one has capacity, otherwise in
 /// order of urgency as capacity becomes free.
 export class Placement {
-  private readonly queue: QueueEntry[] = []
+  /// In the order of the last pass, then of arrival.
+  private queue: QueueEntry[] = []
+  private readonly fairQueue = new FairQueue()
+  /// By kind of call.
+  private readonly waitEstimates = new Map<string, WaitEstimate>()
   private timer: ReturnType<typeof setInterval> | null = null
   private isPassDue = false
 
@@ -63,15 +67,19 @@
   /// call has waited for `maxWaitMs`, or when `signal` is aborted meanwhile.
   acquire (request: PlacementRequest, signal: AbortSignal): Promise<InstanceLease> {
     const nowMs = performance.now()
+    this.fairQueue.recordDemand(request, nowMs)
     const ahead = this.countAhead(request, nowMs)
     const candidates = this.findCandidates(request)
     const lease = ahead > 0 ? null : this.tryAcquire(candidates, request, nowMs)
     if (lease !== null) return Promise.resolve(lease)
     if (candidates.length === 0) return Promise.reject(createNoInstanceError(request.service))
     const waitMs = estimateLimitedWaitMs(candidates, ahead)
-    if (this.queue.length >= maxQueueLength || waitMs > request.maxWaitMs) {
-      return Promise.reject(createOverloadedError(request.service, waitMs))
+    if (waitMs > request.maxWaitMs) return Promise.reject(createLimitedError(request.service, waitMs))
+    const aheadOfKind = this.countAhead(request, nowMs, getKind)
+    if (this.getWaitEstimate(request).isTooLong(aheadOfKind, request.maxWaitMs, nowMs)) {
+      return Promise.reject(this.createOverloadedError(request, aheadOfKind, nowMs))
     }
+    if (!this.makeRoom(request, nowMs)) return Promise.reject(this.createOverloadedError(request, aheadOfKind, nowMs))
     return this.enqueue(request, nowMs, signal)
   }
 
@@ -85,8 +93,7 @@
   /// have waited for too long and those without an instance left to try.
   processQueue (): void {
     const nowMs = performance.now()
-    this.queue.sort((a, b) => getAgedRank(a, nowMs) - getAgedRank(b, nowMs) ||
-      getDeadlineMs(a.request) - getDeadlineMs(b.request))
+    this.queue = this.fairQueue.order(this.queue, nowMs)
     // Instances get no free capacity within a pass, so further calls of the same kind need not be tried.
     const withoutCapacity = new Set<string>()
     for (const entry of [...this.queue]) this.processEntry(entry, nowMs, withoutCapacity)
@@ -96,11 +103,21 @@
     }
   }
 
-  /// How many waiting calls are placed before this one.
-  private countAhead (request: PlacementRequest, nowMs: number): number {
-    return this.queue.filter(entry => {
-      return entry.request.service === request.service && getAgedRank(entry, nowMs) <= getBaseRank(request)
-    }).length
+  /// How many waiting calls of the service, or that have the same `getGroup`, are placed before this one.
+  private countAhead (request: PlacementRequest, nowMs: number, getGroup = getService): number {
+    const waiting = this.queue.filter(entry => getGroup(entry.request) === getGroup(request))
+    return waiting.length === 0 ? 0 : this.fairQueue.countAhead(waiting, { request, queuedAtMs: nowMs }, nowMs)
+  }
+
+  /// Whether there is room in the queue for a call. A workspace with many waiting calls makes room for others.
+  private makeRoom (request: PlacementRequest, nowMs: number): boolean {
+    if (this.queue.length < maxQueueLength) return true
+    const evicted = this.fairQueue.findEvicted(this.queue, request, nowMs)
+    if (evicted === null) return false
+    this.dequeue(evicted)
+    const reason = ': its place in the queue goes to a workspace that has fewer calls waiting'
+    evicted.reject(this.createOverloadedError(evicted.request, 0, nowMs, reason))
+    return true
   }
 
   private enqueue (request: PlacementRequest, nowMs: number, signal: AbortSignal): Promise<InstanceLease> {
@@ -113,6 +130,7 @@
       if (signal.aborted) return reject(createAbortedError())
       const entry = { request, queuedAtMs: nowMs, resolve, reject }
       this.queue.push(entry)
+      this.getWaitEstimate(request).countWaiting(1, nowMs)
       signal.addEventListener('abort', () => {
         if (this.dequeue(entry)) reject(createAbortedError())
       }, { once: true })
@@ -122,7 +140,7 @@
 
   private processEntry (entry: QueueEntry, nowMs: number, withoutCapacity: Set<string>): void {
     const { request } = entry
-    const kind = `${request.service} ${request.isContinuing}`
+    const kind = getKind(request)
     if (request.excluded.size === 0 && withoutCapacity.has(kind)) return this.refuseIfExpired(entry, nowMs)
     const candidates = this.findCandidates(request)
     const lease = this.tryAcquire(candidates, request, nowMs)
@@ -141,13 +159,15 @@
   private refuseIfExpired (entry: QueueEntry, nowMs: number): void {
     if (nowMs - entry.queuedAtMs <= entry.request.maxWaitMs) return
     this.dequeue(entry)
-    entry.reject(createOverloadedError(entry.request.service))
+    entry.reject(this.createOverloadedError(entry.request, 0, nowMs))
   }
 
   private dequeue (entry: QueueEntry): boolean {
     const index = this.queue.indexOf(entry)
-    if (index >= 0) this.queue.splice(index, 1)
-    return index >= 0
+    if (index < 0) return false
+    this.queue.splice(index, 1)
+    this.getWaitEstimate(entry.request).countWaiting(-1, performance.now())
+    return true
   }
 
   private tryAcquire (candidates: readonly Instance[], request: PlacementRequest, nowMs: number): InstanceLease | null {
@@ -158,7 +178,33 @@
     const available = (request.isContinuing ? usable : preferUnlimited(usable, nowMs))
       .filter(instance => hasCapacity(instance, request, estimateLoad(instance), nowMs))
     const instance = chooseInstance(available, request, this.zone, estimateLoad)
-    return instance === null ? null : this.grantLease(instance, nowMs)
+    if (instance === null) return null
+    this.fairQueue.recordService(request, nowMs)
+    this.getWaitEstimate(request).recordGrant(nowMs)
+    return this.grantLease(instance, nowMs)
+  }
+
+  private getWaitEstimate (request: PlacementRequest): WaitEstimate {
+    const kind = getKind(request)
+    let estimate = this.waitEstimates.get(kind)
+    if (estimate === undefined) {
+      estimate = new WaitEstimate()
+      this.waitEstimates.set(kind, estimate)
+    }
+    return estimate
+  }
+
+  /// Asks the caller to come back when the call could get a lease within its time.
+  private createOverloadedError (
+    request: PlacementRequest, ahead: number, nowMs: number, reason = ''
+  ): RefusedError {
+    const expectedMs = this.getWaitEstimate(request).getExpectedMs(ahead, nowMs)
+    const dueMs = Math.max(overloadedRetryAfterMs, (expectedMs ?? 0) - request.maxWaitMs)
+    const spreadMs = dueMs * (1 + unitHash(`retry/${request.call.id}`) * retryJitter)
+    const latestMs = Math.min(maxRetryAfterMs, (request.deadlineMs - nowMs) * maxRetryAfterShare)
+    const retryAfterMs = Math.max(overloadedRetryAfterMs, Math.min(spreadMs, latestMs))
+    const details = expectedMs === null ? reason : ` within ${Math.round(expectedMs)} ms${reason}`
+    return createOverloadedError(request.service, retryAfterMs, details)
   }
 
   private findCandidates (request: PlacementRequest): Instance[] {
@@ -220,21 +266,6 @@
   return (ahead + 1) / requestsPerS * 1000
 }
 
-function getAgedRank (entry: QueueEntry, nowMs: number): number {
-  return getBaseRank(entry.request) - Math.floor((nowMs - entry.queuedAtMs) / agingIntervalMs)
-}
-
-function getBaseRank (request: PlacementRequest): number {
-  return request.priority + (request.isContinuing ? 0 : newProgramRankPenalty)
-}
-
-/// The deadline of the call's program, or of the call itself if it belongs to none.
-function getDeadlineMs (request: PlacementRequest): number {
-  return request.call.program === null
-    ? request.deadlineMs
-    : request.call.receivedAtMs + request.call.program.remainingMs
-}
-
 function createNoInstanceError (service: string): RefusedError {
   return new RefusedError(
     Refusal.noInstance,
@@ -244,12 +275,25 @@
   )
 }
 
-/// `waitMs` is how long the call is expected to wait for capacity, 0 if that is not known.
-function createOverloadedError (service: string, waitMs = 0): RefusedError {
+/// `waitMs` is how long the call is expected to wait for a share of its instances' limits.
+function createLimitedError (service: string, waitMs: number): RefusedError {
+  return createOverloadedError(service, Math.min(Math.max(overloadedRetryAfterMs, waitMs), maxRetryAfterMs))
+}
+
+function createOverloadedError (service: string, retryAfterMs: number, details = ''): RefusedError {
   return new RefusedError(
     Refusal.overloaded,
     Verdict.notRun,
-    `no instance of service ${service} has capacity for the call`,
-    Math.round(Math.min(Math.max(overloadedRetryAfterMs, waitMs), maxRetryAfterMs))
+    `no instance of service ${service} has capacity for the call${details}`,
+    Math.round(retryAfterMs)
   )
 }
+
+/// Calls of one kind compete for the same slots: new programs don't get all of them.
+function getKind ({ service, isContinuing }: PlacementRequest): string {
+  return `${service} ${isContinuing}`
+}
+
+function getService ({ service }: PlacementRequest): string {
+  return service
+}
