Load reports with a fourth figure, and its use in placement

Cause: instances that report how long work takes there now sent four figures. The header couldn't be parsed, so that their load was lost. Change: the codec reads the fourth figure, bounded to 20 to 2000, and ignores malformed and further ones. Placement scales the delay that it expects at an instance by it. New programs find less room on an instance where work takes longer.

--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -61,6 +61,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /// How long work takes there now, 100 as usual; absent if the instance doesn't say.
+  readonly durationPercent?: number
 }
 
 /// Values for the headers that the system sets on a forwarded call.
@@ -77,6 +79,9 @@
 const maxCallerTimeoutMs = 600_000
 const defaultCallerTimeoutMs = 30_000
 const maxCookieLength = 200
+/// A figure beyond these is taken for the nearer one, so that a wrong one can't outweigh everything else.
+const minDurationPercent = 20
+const maxDurationPercent = 2000
 
 /// Reads and writes the system's header fields, under the names that it is given.
 export class HeaderCodec {
@@ -264,6 +269,13 @@
 }
 
 function parseLoad (text: string | null): UpstreamLoad | null {
-  const match = /^(\d{1,6}),\s*(\d{1,6}),\s*(\d{1,6})$/.exec(text ?? '')
-  return match === null ? null : { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
+  const match = /^(\d{1,6}),\s*(\d{1,6}),\s*(\d{1,6})(?:,([^,]*).*)?$/.exec(text ?? '')
+  if (match === null) return null
+  const load = { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
+  const durationPercent = parsePositive(match[4]?.trim() ?? null)
+  return durationPercent === null ? load : { ...load, durationPercent: limitDurationPercent(durationPercent) }
+}
+
+function limitDurationPercent (percent: number): number {
+  return Math.min(Math.max(percent, minDurationPercent), maxDurationPercent)
 }
--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -1,6 +1,7 @@
 import type { UpstreamLoad } from '#connection/header'
 import type { InstanceClient } from '#connection/upstream'
 import type { RequestLimit } from '#process/requestlimit'
+import type { InstanceSpeed } from '#process/speed'
 
 /// An upstream instance as described by its entry in the platform's store.
 export interface InstanceDescription {
@@ -31,6 +32,7 @@
   suspectUntilMs: number
   /// This process's share of the limit that the instance names in its responses; null for no limit.
   limit: RequestLimit | null
+  readonly speed: InstanceSpeed
   /// Ids of the prompt parts that it has cached, the most recently used last. The values have no meaning.
   readonly cachedParts: Map<string, number>
   /// When it last handled a call about an object, by the object's key; the most recent last.
@@ -78,6 +80,7 @@
 export function recordLoad (instance: Instance, load: UpstreamLoad, nowMs: number): void {
   instance.othersRunning = Math.max(0, load.running + load.waiting - instance.running)
   instance.loadReportedAtMs = nowMs
+  if (load.durationPercent !== undefined) instance.speed.recordReport(load.durationPercent, nowMs)
 }
 
 /// Marks the instance as suspected and returns for how many milliseconds; they double with each consecutive failure.
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -3,6 +3,7 @@
 import type { InstanceClient } from '#connection/upstream'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
+import { InstanceSpeed } from '#process/speed'
 import { DepartureMemory } from './departurememory.js'
 import type { Instance, InstanceDescription } from './instance.js'
 
@@ -107,6 +108,7 @@
       failures: 0,
       suspectUntilMs: 0,
       limit: null,
+      speed: new InstanceSpeed(),
       cachedParts: new Map(),
       handledAtMs: new Map(),
       isLeaving: this.departures.has(description),
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -64,9 +64,10 @@
 }
 
 function estimateLatencyMs (instance: Instance, request: PlacementRequest, zone: string, running: number): number {
-  const loadMs = estimateDelayMs(running, request)
+  const speedFactor = instance.speed.getFactor(performance.now())
+  const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
-  const uncachedMs = countUncachedTokens(instance, request) / prefillTokensPerMs
+  const uncachedMs = countUncachedTokens(instance, request) / prefillTokensPerMs * speedFactor
   const costMs = loadMs + networkDelayMs + uncachedMs + computeHashOffsetMs(instance, request)
   return costMs - estimateAffinityGainMs(instance, request)
 }
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -207,10 +207,11 @@
 
 function hasCapacity (instance: Instance, request: PlacementRequest, running: number, nowMs: number): boolean {
   const { slots } = instance.description
+  const speedFactor = instance.speed.getFactor(nowMs)
   const isRoomy = request.isContinuing
     ? running < slots + extraCalls
-    : running < slots * newProgramSlotShare &&
-      estimateDelayMs(running, request) < request.targetLatencyMs * newProgramDelayShare
+    : running * Math.max(1, speedFactor) < slots * newProgramSlotShare &&
+      estimateDelayMs(running, request) * speedFactor < request.targetLatencyMs * newProgramDelayShare
   return isRoomy && (instance.limit === null || instance.limit.isOpen(nowMs))
 }
 
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -260,3 +260,35 @@
   for (const id of ['a', 'b']) instance(id).limit = new RequestLimit(10, 10, performance.now() - 200)
   await expect(placement.acquire(createRequest('x', { isContinuing: false }), signal)).resolves.toBeDefined()
 })
+
+// Guards against calls that go to a machine whose report says that work takes longer there at present.
+test('of two equally loaded instances, the one that reports less time for its work gets the call, while the report is fresh', async () => {
+  for (const id of ['a', 'b']) {
+    const { description } = instance(id)
+    instance(id).description = { ...description, slots: 10, zone: 'z0' }
+    instance(id).running = 3
+  }
+  const choose = (): string => chooseInstance([instance('a'), instance('b')], createRequest('x'), 'z0', ({ running }) => running)!.description.id
+  const usual = choose()
+  instance(usual).speed.recordReport(300, performance.now())
+  expect(choose()).not.toBe(usual)
+  await vi.advanceTimersByTimeAsync(5000)
+  expect(choose()).toBe(usual)
+})
+
+// Guards against slow instances that are filled with as many new programs as fast ones.
+test.each([
+  ['as usual', 100, 'placed'],
+  ['twice as long', 200, 'refused']
+])('with half of the slots in use, a new program at an instance where work takes %s is %s', async (_, percent, expected) => {
+  for (const id of ['a', 'b']) {
+    const { description } = instance(id)
+    instance(id).description = { ...description, slots: 10 }
+    instance(id).running = 5
+    instance(id).speed.recordReport(percent, performance.now())
+  }
+  const outcome = placement.acquire(createRequest('x', { isContinuing: false, maxWaitMs: 0 }), signal)
+    .then(() => 'placed', () => 'refused')
+  await vi.advanceTimersByTimeAsync(30)
+  expect(await outcome).toBe(expected)
+})
--- /dev/null
+++ b/process/speed/src/index.ts
@@ -0,0 +1,1 @@
+export { InstanceSpeed } from './instancespeed.js'
