--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -18,10 +18,20 @@
 /// Creates the policy of one entry over that entry's registry of instances.
 export type PolicyFactory = (registry: InstanceRegistry) => PlacementPolicy
 
+/// A time in which an engine is slower than usual by a factor.
+export interface Slowdown {
+  /// Index of the engine.
+  readonly engine: number
+  readonly startMs: number
+  readonly endMs: number
+  readonly factor: number
+}
+
 export interface EmulationOptions {
   readonly engines: readonly EngineProfile[]
   readonly entries: number
   readonly trace: readonly TracedProgram[]
+  readonly slowdowns?: readonly Slowdown[]
   readonly createPolicy: PolicyFactory
 }
 
@@ -64,6 +74,7 @@
   }
 
   async run (): Promise<EmulationResult> {
+    for (const slowdown of this.options.slowdowns ?? []) this.scheduleSlowdown(slowdown)
     const programResults = await Promise.all(this.options.trace.map(program => this.runProgram(program)))
     const counts = { inAim: 0, late: 0, failed: 0 }
     let earnedValue = 0
@@ -76,6 +87,12 @@
     return { ...counts, weightedGoodput: earnedValue / totalValue }
   }
 
+  private scheduleSlowdown ({ engine, startMs, endMs, factor }: Slowdown): void {
+    const slowed = this.engines.get(`${service}-${engine}`)!
+    setTimeout(() => { slowed.temporarySlowdown = factor }, startMs)
+    setTimeout(() => { slowed.temporarySlowdown = 1 }, endMs)
+  }
+
   private async runProgram (program: TracedProgram): Promise<{ outcome: 'inAim' | 'late' | 'failed', value: number }> {
     await sleep(program.startMs)
     const startedAtMs = performance.now()
@@ -100,7 +117,7 @@
   ): Promise<boolean> {
     for (let attempts = 0; attempts < maxTurnAttempts; attempts++) {
       if (attempts > 0) await sleep(retryDelayMs)
-      const call = createTurnCall(program, turn, index, previousTurnIds)
+      const call = createTurnCall(program, index, previousTurnIds)
       const lease = await this.acquireLease(program, call, index).catch(() => null)
       if (lease === null) continue
       const isWithinTimeout = await this.execute(lease, call, turn)
@@ -170,11 +187,11 @@
 
 function createTurnCall (
   program: TracedProgram,
-  turn: TracedTurn,
   index: number,
   previousTurnIds: readonly string[]
 ): Call {
-  const conversation = [...previousTurnIds, `${program.id}/${index}`].map(id => ({ id, tokens: turn.inputTokens }))
+  const conversation = [...previousTurnIds, `${program.id}/${index}`]
+    .map((id, i) => ({ id, tokens: program.turns[i]!.inputTokens }))
   return createCall(`${program.id}/${index}`, {
     callerTimeoutMs,
     program: { id: program.id, sessionId: program.id, remainingMs: callerTimeoutMs, tokenBudget: null },
--- a/emulator/policy/src/engine.ts
+++ b/emulator/policy/src/engine.ts
@@ -39,6 +39,8 @@
   private readonly waiting: EngineCall[] = []
   private readonly cached = new Set<string>()
   private timer: ReturnType<typeof setInterval> | null = null
+  /// Multiplies the profile's `slowdownFactor`, for a time in which the engine is slower than usual.
+  temporarySlowdown = 1
 
   constructor (readonly profile: EngineProfile) {}
 
@@ -75,7 +77,8 @@
   }
 
   private advance (): void {
-    const { prefillTokensPerMs, slowdownFactor } = this.profile
+    const { prefillTokensPerMs } = this.profile
+    const { slowdownFactor } = this
     const decodeMs = tickMs -
       this.prefill(tickMs * prefillTokensPerMs / slowdownFactor) / prefillTokensPerMs * slowdownFactor
     const tokens = decodeMs / this.stepMs()
@@ -94,10 +97,14 @@
     this.timer = null
   }
 
+  private get slowdownFactor (): number {
+    return this.profile.slowdownFactor * this.temporarySlowdown
+  }
+
   private stepMs (): number {
-    const { stepMs, stepMsPerCall, stepMsPerKContext, slowdownFactor } = this.profile
+    const { stepMs, stepMsPerCall, stepMsPerKContext } = this.profile
     const contextKTokens = this.running.reduce((sum, running) => sum + running.contextKTokens, 0)
-    return (stepMs + stepMsPerCall * this.running.length + stepMsPerKContext * contextKTokens) * slowdownFactor
+    return (stepMs + stepMsPerCall * this.running.length + stepMsPerKContext * contextKTokens) * this.slowdownFactor
   }
 
   /// Prefills up to `tokens` prompt tokens in order of arrival. Returns how many were prefilled.
--- a/emulator/policy/src/trace.ts
+++ b/emulator/policy/src/trace.ts
@@ -24,6 +24,8 @@
   readonly durationMs: number
   readonly programsPerS: number
   readonly entries: number
+  /// Share of turns whose own prompt is `longPromptTokens` on average; 0 if absent.
+  readonly longPromptShare?: number
 }
 
 const programTypes = [
@@ -32,17 +34,21 @@
 ] as const
 const sharedPromptCount = 3
 const meanOutputTokens = 256
+const longPromptTokens = 15_000
 
 /// Generates Poisson arrivals of the two program types that the users' requirements describe,
 /// which share a few prompt prefixes.
-export function createTrace ({ seed, durationMs, programsPerS, entries }: TraceOptions): TracedProgram[] {
+export function createTrace (options: TraceOptions): TracedProgram[] {
+  const { seed, durationMs, programsPerS, entries, longPromptShare = 0 } = options
   const random = seededRandom(seed)
   const vary = (mean: number): number => mean * (0.5 + random())
+  // Without long prompts no number is drawn, so that traces of other scenarios stay as they are.
+  const isLong = (): boolean => longPromptShare > 0 && random() < longPromptShare
   const programs: TracedProgram[] = []
   for (let startMs = 0; startMs < durationMs; startMs -= Math.log(1 - random()) * 1000 / programsPerS) {
     const programType = random() < programTypes[0].share ? programTypes[0] : programTypes[1]
     const turns = Array.from({ length: Math.max(1, Math.round(vary(programType.turns))) }, () => ({
-      inputTokens: Math.round(vary(programType.inputTokens)),
+      inputTokens: Math.round(vary(isLong() ? longPromptTokens : programType.inputTokens)),
       outputTokens: Math.round(vary(meanOutputTokens)),
       thinkMs: vary(programType.thinkMs)
     }))
