Learned speeds of instances and prefill rates of engines

Cause: placement took all instances of a service for equally fast, and all engines for processing 299 prompt tokens a millisecond. A model of each service learns from responses how long calls take, by the calls that run beside them, the gaps between events, and the time to the first event by the uncached prompt tokens, whose slope is the prefill rate. What a response differs by from it is a sample of its instance. Placement multiplies the delays by the factor and adds half of the time by which the call itself takes longer.

--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -1,8 +1,9 @@
 import { sleep } from '#process/clock'
 import type { Call } from '#request/call'
-import { InstanceRegistry, recordCachedParts, recordLoad } from '#process/instances'
+import { InstanceRegistry, recordCachedParts, recordLoad, recordResponse } from '#process/instances'
 import type { Instance } from '#process/instances'
 import { noopLog } from '#process/log'
+import { findUncachedTokens } from '#process/placement'
 import type { InstanceLease, PlacementRequest } from '#process/placement'
 import { createCall } from '#standin/call'
 import { listObjects } from '#standin/store'
@@ -131,6 +132,7 @@
     const isContinuing = index > 0
     return this.entries[program.entry]!.policy.acquire({
       call,
+      kind: service,
       service,
       engine: { slots: 0, kvCapacityTokens: 0, tokensPerEvent: 1 },
       priority: program.priority,
@@ -148,17 +150,34 @@
   /// Returns whether the call ended within the caller's timeout.
   private async execute ({ instance }: InstanceLease, call: Call, turn: TracedTurn): Promise<boolean> {
     const sentAtMs = performance.now()
+    const uncachedTokens = findUncachedTokens(instance, call)
+    let firstEventAtMs = 0
+    let runningCalls = 0
     await sleep(networkDelayMs)
     await new Promise<void>(resolve => this.engines.get(instance.description.id)!.run({
       prefix: call.prefix,
       outputTokens: turn.outputTokens,
       onFirstToken: (running, waiting) => {
+        firstEventAtMs = performance.now()
+        runningCalls = running + waiting
         recordLoad(instance, { running, waiting, slots: instance.description.slots }, performance.now())
       },
       onEnd: resolve
     }))
     recordCachedParts(instance, call.prefix.map(part => part.id))
-    return performance.now() - sentAtMs <= callerTimeoutMs
+    const nowMs = performance.now()
+    recordResponse(instance, {
+      kind: service,
+      isEngine: true,
+      isComplete: true,
+      durationMs: nowMs - sentAtMs,
+      running: runningCalls,
+      firstEventMs: firstEventAtMs - sentAtMs,
+      eventsMs: nowMs - firstEventAtMs,
+      eventCount: turn.outputTokens,
+      uncachedTokens
+    }, nowMs)
+    return nowMs - sentAtMs <= callerTimeoutMs
   }
 
   /// Estimates the duration of a program on engines that run nothing else.
--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -1,7 +1,7 @@
 import type { UpstreamLoad } from '#connection/header'
 import type { InstanceClient } from '#connection/upstream'
 import type { RequestLimit } from '#process/requestlimit'
-import type { InstanceSpeed } from '#process/speed'
+import type { InstanceSpeed, ResponseObservation, ServiceModel } from '#process/speed'
 
 /// An upstream instance as described by its entry in the platform's store.
 export interface InstanceDescription {
@@ -33,6 +33,8 @@
   /// This process's share of the limit that the instance names in its responses; null for no limit.
   limit: RequestLimit | null
   readonly speed: InstanceSpeed
+  /// What is usual in its service; all its instances have the same.
+  readonly model: ServiceModel
   /// Ids of the prompt parts that it has cached, the most recently used last. The values have no meaning.
   readonly cachedParts: Map<string, number>
   /// When it last handled a call about an object, by the object's key; the most recent last.
@@ -83,6 +85,12 @@
   if (load.durationPercent !== undefined) instance.speed.recordReport(load.durationPercent, nowMs)
 }
 
+/// Learns from a response how fast the instance is, and what is usual in its service.
+export function recordResponse (instance: Instance, observation: ResponseObservation, nowMs: number): void {
+  const { model, speed } = instance
+  for (const sample of model.observe(observation, speed.getFactor(nowMs))) speed.recordSample(sample, nowMs)
+}
+
 /// Marks the instance as suspected and returns for how many milliseconds; they double with each consecutive failure.
 export function recordFailure (instance: Instance, nowMs: number): number {
   instance.failures++
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -3,7 +3,7 @@
 import type { InstanceClient } from '#connection/upstream'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
-import { InstanceSpeed } from '#process/speed'
+import { InstanceSpeed, ServiceModel } from '#process/speed'
 import { DepartureMemory } from './departurememory.js'
 import type { Instance, InstanceDescription } from './instance.js'
 
@@ -26,6 +26,7 @@
   private readonly byId = new Map<string, Instance>()
   private readonly departures = new DepartureMemory()
   private readonly removalTimers = new Map<string, ReturnType<typeof setTimeout>>()
+  private readonly models = new Map<string, ServiceModel>()
   private isListingReceived = false
 
   constructor (private readonly options: RegistryOptions, private readonly log: EventLog) {}
@@ -109,6 +110,7 @@
       suspectUntilMs: 0,
       limit: null,
       speed: new InstanceSpeed(),
+      model: this.getModel(description.service),
       cachedParts: new Map(),
       handledAtMs: new Map(),
       isLeaving: this.departures.has(description),
@@ -118,6 +120,15 @@
     this.log.event(Events.instanceAdded, { instanceId: id, service, address, zone, isReady })
   }
 
+  private getModel (service: string): ServiceModel {
+    let model = this.models.get(service)
+    if (model === undefined) {
+      model = new ServiceModel()
+      this.models.set(service, model)
+    }
+    return model
+  }
+
   private remove (id: string, reason: string): void {
     const instance = this.byId.get(id)
     if (instance === undefined) return
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -7,6 +7,8 @@
 /// What placement needs to know of a call to choose an instance for it.
 export interface PlacementRequest {
   readonly call: Call
+  /// Calls of one kind take about as long as one another: the name of the route.
+  readonly kind: string
   readonly service: string
   /// Name of the workspace that the call counts for; null without one.
   readonly workspace: string | null
@@ -30,7 +32,6 @@
   readonly deadlineMs: number
 }
 
-const prefillTokensPerMs = 299
 /// Expected delay per call that runs on the instance, for services with a model engine and for all others.
 const engineCallDelayMs = 6
 const serviceCallDelayMs = 20
@@ -42,6 +43,8 @@
 /// What an instance that has recently handled the object is expected to gain, as a share of the latency target.
 const affinityGainShare = 0.1
 const maxAffinityGainMs = 50
+/// Share of the time by which the call itself takes longer at a slow instance that counts in the choice.
+const ownDurationShare = 0.5
 
 /// Chooses the instance with the lowest estimated latency, given the calls that
 /// run or wait there, the prompt tokens that it has not cached and the network
@@ -67,11 +70,17 @@
   const speedFactor = instance.speed.getFactor(performance.now())
   const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
-  const uncachedMs = countUncachedTokens(instance, request) / prefillTokensPerMs * speedFactor
-  const costMs = loadMs + networkDelayMs + uncachedMs + computeHashOffsetMs(instance, request)
+  const uncachedMs = countUncachedTokens(instance, request) / instance.model.prefillTokensPerMs * speedFactor
+  const ownMs = estimateOwnDelayMs(instance, request, speedFactor)
+  const costMs = loadMs + ownMs + networkDelayMs + uncachedMs + computeHashOffsetMs(instance, request)
   return costMs - estimateAffinityGainMs(instance, request)
 }
 
+/// How much longer the call takes than at an instance of usual speed, apart from the calls that run beside it.
+function estimateOwnDelayMs ({ model }: Instance, { kind }: PlacementRequest, speedFactor: number): number {
+  return speedFactor === 1 ? 0 : (model.getTypicalMs(kind) ?? 0) * (speedFactor - 1) * ownDurationShare
+}
+
 /// Spreads calls over instances: those about an object by the object, others by their program.
 function computeHashOffsetMs ({ description }: Instance, { affinityKey, call }: PlacementRequest): number {
   const key = affinityKey ?? call.program?.id ?? call.id
@@ -89,7 +98,10 @@
 }
 
 /// Prompt tokens that the instance would have to process because it has not cached them.
-function countUncachedTokens (instance: Instance, request: PlacementRequest): number {
+function countUncachedTokens (
+  instance: Instance,
+  request: Pick<PlacementRequest, 'call' | 'previousInstanceId'>
+): number {
   const { prefix, usage } = request.call
   let total = usage?.promptTokens ?? 0
   if (prefix.length > 0) total = prefix.reduce((sum, part) => sum + part.tokens, 0)
@@ -103,5 +115,12 @@
   return total - cached
 }
 
+/// The same, if it is known well enough to learn the engine's speed from it, else null: an instance of which no part is
+/// known to be cached may have cached all of them for other entries.
+export function findUncachedTokens (instance: Instance, call: Call): number | null {
+  const isKnown = call.prefix.some(part => instance.cachedParts.has(part.id))
+  return isKnown ? countUncachedTokens(instance, { call, previousInstanceId: null }) : null
+}
+
 /// Share of a prompt that the history usually makes up. The instance that ran the previous turn has it cached.
 const historyShare = 0.9
--- a/process/placement/test/affinity.test.ts
+++ b/process/placement/test/affinity.test.ts
@@ -39,6 +39,7 @@
 function createRequest (id: string, affinityKey: string | null): PlacementRequest {
   return {
     call: createCall(id),
+    kind: 'r',
     service: 's',
     engine: null,
     priority: 1,
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -32,6 +32,7 @@
   const call = createCall(id, { program: { id, sessionId: id, remainingMs, tokenBudget: null } })
   return {
     call,
+    kind: 'r',
     service: 's',
     engine: null,
     priority: 1,
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -30,6 +30,17 @@
   onData (chunk: Buffer): boolean
   /// Whether the stream may end here, that is, not within an event.
   isComplete (): boolean
+  /// Events that the caller has received, also of earlier attempts.
+  readonly eventCount: number
+}
+
+/// When the parts of a response arrived, on the monotonic clock of `performance.now()`. Filled in by the attempt.
+export interface ResponseTiming {
+  /// Calls at the instance when the head of the response arrived, including this one.
+  running: number
+  /// Null without events.
+  firstEventAtMs: number | null
+  lastEventAtMs: number
 }
 
 export interface AttemptRequest {
@@ -52,6 +63,7 @@
   /// Resolves to whether the call can go on elsewhere at once. Only then the attempt fails: silence alone is no reason
   /// to end it. `isIdle` tells whether it is still without progress.
   readonly findAlternative: (isIdle: () => boolean) => Promise<boolean>
+  readonly timing: ResponseTiming
   readonly log: EventLog
   readonly responseMemory: MemoryBudget
 }
@@ -98,12 +110,13 @@
   }
 
   onHead (head: ResponseHead): void {
-    const { call, codec, instance, limits, listener } = this.request
+    const { call, codec, instance, limits, listener, timing } = this.request
     this.restartIdleTimer()
     const fields = codec.parseResponse(head)
     const problem = findResponseProblem(fields, head, call)
     if (problem !== null) return this.fail(problem)
     if (fields.load !== null) recordLoad(instance, fields.load, performance.now())
+    timing.running = Math.max(1, instance.running + instance.othersRunning)
     // A refusal need not name a limit that holds.
     const { requestLimitPerS } = fields
     if (requestLimitPerS !== null || !fields.isNotRun) limits.record(instance, requestLimitPerS, performance.now())
@@ -129,7 +142,7 @@
       return
     }
     try {
-      if (this.request.listener!.onData(chunk)) this.restartIdleTimer()
+      if (this.request.listener!.onData(chunk)) this.handleEvent()
     } catch (error) {
       this.fail(errorMessage(error))
     }
@@ -149,6 +162,13 @@
     this.finish({ kind: error.mayHaveRun ? 'broken' : 'unsent', reason: error.message })
   }
 
+  private handleEvent (): void {
+    const { timing } = this.request
+    timing.lastEventAtMs = performance.now()
+    timing.firstEventAtMs ??= timing.lastEventAtMs
+    this.restartIdleTimer()
+  }
+
   private readonly onAbort = (): void => this.fail(String(this.request.signal.reason))
 
   private fail (reason: string): void {
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -1,9 +1,10 @@
 import { Refusal, RefusedError, Verdict } from '#request/call'
 import { Events } from '#process/log'
-import { recordHandledObject } from '#process/instances'
+import { recordHandledObject, recordResponse } from '#process/instances'
+import { findUncachedTokens } from '#process/placement'
 import type { InstanceLease } from '#process/placement'
 import { attempt } from './attempt.js'
-import type { AttemptResult, StreamListener } from './attempt.js'
+import type { AttemptResult, ResponseTiming, StreamListener } from './attempt.js'
 import { AbortReason } from './context.js'
 import type { ForwardContext, RoutedCall } from './context.js'
 
@@ -24,6 +25,12 @@
   readonly details: Readonly<Record<string, unknown>>
 }
 
+interface SentAttempt {
+  readonly startedAtMs: number
+  readonly eventCount: number
+  readonly uncachedTokens: number | null
+}
+
 /// For a call that is in flight elsewhere meanwhile.
 const alternativeOptions: LeaseOptions = { previousInstanceId: null, isContinuing: true, maxWaitMs: 0 }
 /// Limit on attempts of which nothing was sent. They don't count toward the route's `maxInstances`.
@@ -59,6 +66,7 @@
     const { call, serviceName, service, route, workspace, priority, deadlineMs, signal } = this.routed
     return this.context.placement.acquire({
       call,
+      kind: route.name,
       service: serviceName,
       workspace: workspace?.name ?? null,
       engine: service?.engine ?? null,
@@ -84,7 +92,12 @@
     const { codec, limits, log, responseMemory } = context
     const findAlternative = (isIdle: () => boolean): Promise<boolean> => this.findAlternative(lease, isIdle)
     const services = { codec, limits, log, responseMemory }
-    const result = await attempt({ call, instance, ...services, remainingMs, signal, findAlternative, ...rest })
+    const timing: ResponseTiming = { running: 1, firstEventAtMs: null, lastEventAtMs: 0 }
+    const uncachedTokens = findUncachedTokens(instance, call)
+    const previousEvents = options.listener?.eventCount ?? 0
+    const result = await attempt({ call, instance, ...services, timing, remainingMs, signal, findAlternative, ...rest })
+    const eventCount = (options.listener?.eventCount ?? 0) - previousEvents
+    this.recordResponse(lease, result, timing, { startedAtMs: nowMs, eventCount, uncachedTokens })
     context.metrics.observeMs('instance', performance.now() - nowMs)
     if (isHandled(result)) this.recordHandling(lease)
     lease.release()
@@ -114,6 +127,28 @@
     if (affinityKey !== null) recordHandledObject(instance, affinityKey, performance.now())
   }
 
+  private recordResponse (
+    { instance }: InstanceLease,
+    result: AttemptResult,
+    { running, firstEventAtMs, lastEventAtMs }: ResponseTiming,
+    { startedAtMs, eventCount, uncachedTokens }: SentAttempt
+  ): void {
+    if (!isMeasurable(result)) return
+    const { route, service } = this.routed
+    const nowMs = performance.now()
+    recordResponse(instance, {
+      kind: route.name,
+      isEngine: (service?.engine ?? null) !== null,
+      isComplete: result.kind !== 'broken',
+      durationMs: nowMs - startedAtMs,
+      running,
+      firstEventMs: firstEventAtMs === null ? null : firstEventAtMs - startedAtMs,
+      eventsMs: firstEventAtMs === null ? 0 : lastEventAtMs - firstEventAtMs,
+      eventCount,
+      uncachedTokens
+    }, nowMs)
+  }
+
   /// Leases another instance that has capacity now, unless `isNeeded` is false by then. Resolves to whether it has.
   private async findAlternative (current: InstanceLease, isNeeded: () => boolean): Promise<boolean> {
     if (!this.hasAlternative(current)) return false
@@ -186,6 +221,12 @@
   }
 }
 
+/// Whether the time that an attempt took says how fast its instance is. Errors and refusals take no work.
+function isMeasurable (result: AttemptResult): boolean {
+  if (result.kind === 'answer') return result.head.status >= 200 && result.head.status < 300
+  return result.kind === 'stream-ended' || result.kind === 'broken'
+}
+
 function isHandled ({ kind }: AttemptResult): boolean {
   return kind === 'answer' || kind === 'stream-ended'
 }
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -80,7 +80,7 @@
   private readonly dispatcher: CallDispatcher
   private parser = new EventStreamParser()
   private lastEventId: number
-  private eventCount = 0
+  eventCount = 0
   private receivedBytes = 0
   private receivedEvents = 0
   private instanceId = ''
