Entries share the speeds that they have observed, in their digests

Cause: an entry sees an instance only now and then, so that it learned slowly that one is slow. Change: a digest has the sums and weights of the entry's own observations since it last named the instance: those that weigh most, up to 600 bytes; the others accumulate for the next ones. What others said is not passed on. Metrics instances_slow and instance_slowdown_max.

--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -5,6 +5,7 @@
 import { noopLog } from '#process/log'
 import { findUncachedTokens } from '#process/placement'
 import type { InstanceLease, PlacementRequest } from '#process/placement'
+import { gossipTickMs } from '#process/revisions'
 import { createCall } from '#standin/call'
 import { listObjects } from '#standin/store'
 import { EmulatedEngine } from './engine.js'
@@ -48,6 +49,11 @@
   readonly weightedGoodput: number
 }
 
+interface EmulatedEntry {
+  readonly registry: InstanceRegistry
+  readonly policy: PlacementPolicy
+}
+
 const service = 'models'
 const sharedPromptTokens = 12_600
 const callerTimeoutMs = 4000
@@ -65,18 +71,21 @@
 /// this entry's calls and the load that the engines report in their responses.
 export class Emulation {
   private readonly engines: ReadonlyMap<string, EmulatedEngine>
-  private readonly entries: readonly { readonly policy: PlacementPolicy }[]
+  private readonly entries: readonly EmulatedEntry[]
 
   constructor (private readonly options: EmulationOptions) {
     this.engines = new Map(options.engines.map((profile, i) => [`${service}-${i}`, new EmulatedEngine(profile)]))
-    this.entries = Array.from({ length: options.entries }, () => ({
-      policy: options.createPolicy(this.createRegistry())
-    }))
+    this.entries = Array.from({ length: options.entries }, () => {
+      const registry = this.createRegistry()
+      return { registry, policy: options.createPolicy(registry) }
+    })
   }
 
   async run (): Promise<EmulationResult> {
+    const gossipTimer = setInterval(() => this.shareSpeeds(), gossipTickMs)
     for (const slowdown of this.options.slowdowns ?? []) this.scheduleSlowdown(slowdown)
     const programResults = await Promise.all(this.options.trace.map(program => this.runProgram(program)))
+    clearInterval(gossipTimer)
     const counts = { inAim: 0, late: 0, failed: 0 }
     let earnedValue = 0
     let totalValue = 0
@@ -88,6 +97,20 @@
     return { ...counts, weightedGoodput: earnedValue / totalValue }
   }
 
+  /// Each entry sends what it has observed to the next ones, at distances that change with time.
+  private shareSpeeds (): void {
+    const { entries } = this
+    const round = Math.floor(performance.now() / gossipTickMs)
+    for (const [i, { registry }] of entries.entries()) {
+      const news = registry.takeSpeedNews()
+      const distances = new Set([1, 2, 3, 1 + (round + i) % Math.max(1, entries.length - 1)])
+      for (const distance of distances) {
+        const peer = entries[(i + distance) % entries.length]!
+        if (peer.registry !== registry) peer.registry.addSpeedNews(news)
+      }
+    }
+  }
+
   private scheduleSlowdown ({ engine, startMs, endMs, factor }: Slowdown): void {
     const slowed = this.engines.get(`${service}-${engine}`)!
     setTimeout(() => { slowed.temporarySlowdown = factor }, startMs)
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -132,6 +132,8 @@
         findTimeoutMs: head => findCallTimeoutMs(head, platform.headers, this.routes)
       },
       isReady: () => this.isReady,
+      takeSpeedNews: () => this.registry.takeSpeedNews(),
+      onSpeedNews: news => this.registry.addSpeedNews(news),
       serve: (exchange, origin) => this.serve(exchange, origin),
       front: frontOptions
     }, log, metrics)
@@ -262,6 +264,8 @@
     metrics.addGauge('calls_not_started', () => admission.waiting)
     metrics.addGauge('connections_relayed', () => relay.count)
     metrics.addGauge('call_expected_ms', () => Math.round(serviceTime.expectedMs))
+    metrics.addGauge('instances_slow', () => this.registry.countSlow(performance.now()))
+    metrics.addGauge('instance_slowdown_max', () => this.registry.findLargestSlowdown(performance.now()))
     metrics.addGauge('instances_limited', () => this.registry.limitedCount)
     metrics.addGauge('request_memory_bytes', () => requestMemory.usedBytes)
     metrics.addGauge('response_memory_bytes', () => responseMemory.usedBytes)
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -10,8 +10,9 @@
 import type { Metrics } from '#process/metrics'
 import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
 import type { LoadReport, Registration, RelayOrigin, RequestReader } from '#process/relay'
-import { RevisionGossip, gossipTickMs, parseRevisionDigest, revisionDigestType } from '#process/revisions'
+import { RevisionGossip, encodeRevisionDigest, gossipTickMs, parseRevisionDigest, revisionDigestType } from '#process/revisions'
 import type { RevisionDigest } from '#process/revisions'
+import type { SpeedNews } from '#process/speed'
 
 export interface EntryPeersOptions {
   readonly registration: Registration
@@ -23,6 +24,9 @@
   readonly isReady: () => boolean
   /// Serves an exchange of a connection that the entry `origin` relays; must not reject.
   readonly serve: (exchange: Exchange, origin: RelayOrigin | null) => Promise<void>
+  /// Takes what this entry has observed of instances since the last time, and adds what others have.
+  readonly takeSpeedNews: () => readonly SpeedNews[]
+  readonly onSpeedNews: (news: readonly SpeedNews[]) => void
   readonly front: Omit<FrontOptions, 'serve' | 'offerConnection' | 'allowsHalfOpen' | 'leavesIdleOpen'>
 }
 
@@ -63,7 +67,11 @@
     this.gossip = new RevisionGossip({
       name: registration.name,
       getPeers: () => directory.others,
-      send: (digest, addresses) => this.datagrams.send(revisionDigestType, digest, addresses)
+      send: (digest, addresses) => {
+        this.datagrams.send(revisionDigestType, encodeRevisionDigest(digest), addresses)
+      },
+      takeSpeedNews: options.takeSpeedNews,
+      onSpeedNews: options.onSpeedNews
     })
     this.front = new FrontServer({
       ...options.front,
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -3,7 +3,8 @@
 import type { InstanceClient } from '#connection/upstream'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
-import { InstanceSpeed, ServiceModel } from '#process/speed'
+import { InstanceSpeed, ServiceModel, takeSpeedNews } from '#process/speed'
+import type { SpeedNews } from '#process/speed'
 import { DepartureMemory } from './departurememory.js'
 import type { Instance, InstanceDescription } from './instance.js'
 
@@ -53,6 +54,34 @@
     }
   }
 
+  /// The service models that have been created, by service.
+  get serviceModels (): ReadonlyMap<string, ServiceModel> {
+    return this.models
+  }
+
+  /// How many instances are treated as slower than usual in their service.
+  countSlow (nowMs: number): number {
+    return [...this.byId.values()].filter(({ speed }) => speed.getFactor(nowMs) > 1).length
+  }
+
+  /// The largest factor by which work takes longer at an instance; 1 if all are as usual.
+  findLargestSlowdown (nowMs: number): number {
+    return [...this.byId.values()].reduce((largest, { speed }) => Math.max(largest, speed.getFactor(nowMs)), 1)
+  }
+
+  /// What this process has observed of instances since it last took it, as much as a digest holds.
+  takeSpeedNews (): SpeedNews[] {
+    return takeSpeedNews([...this.byId].map(([id, { speed }]) => [id, speed] as const))
+  }
+
+  /// Adds what another entry has observed. Instances that aren't listed here are left out.
+  addSpeedNews (news: readonly SpeedNews[]): void {
+    const nowMs = performance.now()
+    for (const { instanceId, ...observations } of news) {
+      this.byId.get(instanceId)?.speed.recordShared(observations, nowMs)
+    }
+  }
+
   get names (): Iterable<string> {
     return this.byId.keys()
   }
--- a/process/revisions/src/revisiongossip.ts
+++ b/process/revisions/src/revisiongossip.ts
@@ -1,3 +1,4 @@
+import type { SpeedNews } from '#process/speed'
 import { unitHash } from '#version/configuration'
 import type { RevisionDigest } from './digest.js'
 
@@ -25,6 +26,9 @@
   /// Null until they have been listed.
   readonly getPeers: () => readonly GossipPeer[] | null
   readonly send: (digest: RevisionDigest, addresses: readonly string[]) => void
+  /// What this entry has observed of instances, for the digests that are sent in each tick.
+  readonly takeSpeedNews?: () => readonly SpeedNews[]
+  readonly onSpeedNews?: (news: readonly SpeedNews[]) => void
 }
 
 /// Interval at which `tick` must be called.
@@ -98,27 +102,29 @@
     const isBackFromPause = this.checkPause()
     // The waits that are under way are too long for an entry on its own.
     if (isBackFromPause || (wasInformed && !this.isInformed)) this.refreshAll()
-    this.sendDigest(drawnCount)
+    this.sendDigest(drawnCount, this.options.takeSpeedNews?.() ?? [])
   }
 
   /// Must be called for changes that the store did not send by itself: the connections of others may have gone silent
   /// too.
   announceNews (): void {
-    this.sendDigest(drawnForNewsCount)
+    this.sendDigest(drawnForNewsCount, [])
   }
 
-  private sendDigest (drawn: number): void {
+  private sendDigest (drawn: number, speeds: readonly SpeedNews[]): void {
     const watches = [...this.watches.values()]
     this.options.send({
       name: this.options.name,
       revisions: Object.fromEntries(watches.map(({ kind, latestChangeRevision }) => [kind, latestChangeRevision])),
-      upAgeMs: this.storeUpAgeMs === Infinity ? null : Math.round(this.storeUpAgeMs)
+      upAgeMs: this.storeUpAgeMs === Infinity ? null : Math.round(this.storeUpAgeMs),
+      speeds
     }, this.chooseAddresses(drawn))
   }
 
-  receive ({ name, revisions, upAgeMs }: RevisionDigest): void {
+  receive ({ name, revisions, upAgeMs, speeds }: RevisionDigest): void {
     if (name === this.options.name) return
     this.silentTicks = 0
+    if (speeds.length > 0) this.options.onSpeedNews?.(speeds)
     if (upAgeMs !== null) this.storeUpAtMs = Math.max(this.storeUpAtMs, performance.now() - upAgeMs)
     for (const watch of this.watches.values()) {
       if (!watch.isUp) {
