Long prompts beside short ones, and the cost of another zone

Cause: placement didn't know which prompts an instance still processes, so that long ones met at one engine, and calls with the same uncached prefix had it processed by several. Change: each instance has the prompts of this entry's calls before their first events. The choice adds the time for them, and doesn't count parts again that are being processed. A prompt of more than 4,096 uncached tokens waits until no more than that is left of others, for at most 0.15 of the latency target; other calls overtake it. crossZoneDelayMs is 4 in place of 6: 1 ms a way, and no less than the hash offset, so that equally loaded instances are chosen as before.

--- a/emulator/policy/src/compare.ts
+++ b/emulator/policy/src/compare.ts
@@ -47,7 +47,7 @@
     engines: 8,
     slots: 24,
     entries: 8,
-    programsPerS: 22,
+    programsPerS: 18,
     longPromptShare: 0.2,
     prefillTokensPerMs: 145
   }
--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -171,7 +171,7 @@
   }
 
   /// Returns whether the call ended within the caller's timeout.
-  private async execute ({ instance }: InstanceLease, call: Call, turn: TracedTurn): Promise<boolean> {
+  private async execute ({ instance, endPrefill }: InstanceLease, call: Call, turn: TracedTurn): Promise<boolean> {
     const sentAtMs = performance.now()
     const uncachedTokens = findUncachedTokens(instance, call)
     let firstEventAtMs = 0
@@ -182,6 +182,7 @@
       outputTokens: turn.outputTokens,
       onFirstToken: (running, waiting) => {
         firstEventAtMs = performance.now()
+        endPrefill()
         runningCalls = running + waiting
         recordLoad(instance, { running, waiting, slots: instance.description.slots }, performance.now())
       },
--- a/emulator/policy/src/policies.ts
+++ b/emulator/policy/src/policies.ts
@@ -23,7 +23,7 @@
   acquire ({ service }: Parameters<PlacementPolicy['acquire']>[0]): Promise<InstanceLease> {
     const instance = this.select([...this.registry.readyInstances(service)])
     instance.running++
-    return Promise.resolve({ instance, release: () => { instance.running-- } })
+    return Promise.resolve({ instance, endPrefill: () => {}, release: () => { instance.running-- } })
   }
 }
 
--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -16,6 +16,15 @@
   readonly startedAtMs: number | null
 }
 
+/// A prompt that an instance processes for a call of this process.
+export interface PendingPrefill {
+  /// Those that the instance has not cached.
+  readonly tokens: number
+  readonly partIds: ReadonlySet<string>
+  /// On the monotonic clock of `performance.now()`.
+  readonly startedAtMs: number
+}
+
 /// An upstream instance with this process's estimate of its load and health.
 export interface Instance {
   description: InstanceDescription
@@ -37,6 +46,8 @@
   readonly model: ServiceModel
   /// Ids of the prompt parts that it has cached, the most recently used last. The values have no meaning.
   readonly cachedParts: Map<string, number>
+  /// Those of calls of this process that have had no event yet.
+  readonly prefills: Set<PendingPrefill>
   /// When it last handled a call about an object, by the object's key; the most recent last.
   readonly handledAtMs: Map<string, number>
   /// It has said in a response that it will stop, and gets no new calls.
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -141,6 +141,7 @@
       speed: new InstanceSpeed(),
       model: this.getModel(description.service),
       cachedParts: new Map(),
+      prefills: new Set(),
       handledAtMs: new Map(),
       isLeaving: this.departures.has(description),
       isRemoved: false
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -3,6 +3,7 @@
 import { unitHash } from '#version/configuration'
 import { hasRecentlyHandled } from '#process/instances'
 import type { Instance } from '#process/instances'
+import { estimatePendingTokens } from './prefill.js'
 
 /// What placement needs to know of a call to choose an instance for it.
 export interface PlacementRequest {
@@ -35,7 +36,9 @@
 /// Expected delay per call that runs on the instance, for services with a model engine and for all others.
 const engineCallDelayMs = 6
 const serviceCallDelayMs = 20
-const crossZoneDelayMs = 6
+/// A request and its response cross between zones once each, about 1 ms a way. The rest is at least
+/// `maxHashOffsetMs`, so that equally loaded instances of the own zone are preferred whatever their hash offsets.
+const crossZoneDelayMs = 4
 /// Upper bound of the hash offset, which spreads programs over instances that are otherwise equally suitable.
 const maxHashOffsetMs = 4
 /// The same for calls that concern an object: entries that know no instance that has handled it should choose the same.
@@ -67,12 +70,14 @@
 }
 
 function estimateLatencyMs (instance: Instance, request: PlacementRequest, zone: string, running: number): number {
-  const speedFactor = instance.speed.getFactor(performance.now())
+  const nowMs = performance.now()
+  const speedFactor = instance.speed.getFactor(nowMs)
   const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
-  const uncachedMs = countUncachedTokens(instance, request) / instance.model.prefillTokensPerMs * speedFactor
+  const prefillTokens = estimatePendingTokens(instance, nowMs) + countUnreadTokens(instance, request)
+  const prefillMs = prefillTokens / instance.model.prefillTokensPerMs * speedFactor
   const ownMs = estimateOwnDelayMs(instance, request, speedFactor)
-  const costMs = loadMs + ownMs + networkDelayMs + uncachedMs + computeHashOffsetMs(instance, request)
+  const costMs = loadMs + ownMs + networkDelayMs + prefillMs + computeHashOffsetMs(instance, request)
   return costMs - estimateAffinityGainMs(instance, request)
 }
 
@@ -115,8 +120,21 @@
   return total - cached
 }
 
-/// The same, if it is known well enough to learn the engine's speed from it, else null: an instance of which no part is
-/// known to be cached may have cached all of them for other entries.
+/// The same without the parts that the instance is processing for another call: the wait for that call contains them.
+export function countUnreadTokens (instance: Instance, request: PlacementRequest): number {
+  const uncached = countUncachedTokens(instance, request)
+  if (instance.prefills.size === 0) return uncached
+  let read = 0
+  for (const { id, tokens } of request.call.prefix) {
+    if (instance.cachedParts.has(id)) continue
+    if (![...instance.prefills].some(({ partIds }) => partIds.has(id))) break
+    read += tokens
+  }
+  return Math.max(0, uncached - read)
+}
+
+/// The same as `countUncachedTokens`, if it is known well enough to learn the engine's speed from it, else null: an
+/// instance of which no part is known to be cached may have cached all of them for other entries.
 export function findUncachedTokens (instance: Instance, call: Call): number | null {
   const isKnown = call.prefix.some(part => instance.cachedParts.has(part.id))
   return isKnown ? countUncachedTokens(instance, { call, previousInstanceId: null }) : null
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -3,12 +3,15 @@
 import type { EventLog } from '#process/log'
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
 import type { Instance, InstanceRegistry } from '#process/instances'
-import { chooseInstance, estimateDelayMs } from './choice.js'
+import { chooseInstance, countUnreadTokens, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
+import { allowsPrefill, estimatePendingTokens, getMaxPrefillWaitMs } from './prefill.js'
 
 /// The right to run one call on an instance, held until it is released.
 export interface InstanceLease {
   readonly instance: Instance
+  /// Must be called when the call has its first event: the instance has processed its prompt.
+  endPrefill (): void
   /// Releasing the lease again has no effect.
   release (): void
 }
@@ -16,6 +19,8 @@
 interface QueueEntry {
   readonly request: PlacementRequest
   readonly queuedAtMs: number
+  /// Instances have capacity for the call, but process other long prompts. Calls with short ones overtake it.
+  isHeldForPrefill: boolean
   resolve (lease: InstanceLease): void
   reject (error: RefusedError): void
 }
@@ -99,7 +104,8 @@
   /// How many waiting calls are placed before this one.
   private countAhead (request: PlacementRequest, nowMs: number): number {
     return this.queue.filter(entry => {
-      return entry.request.service === request.service && getAgedRank(entry, nowMs) <= getBaseRank(request)
+      return !entry.isHeldForPrefill && entry.request.service === request.service &&
+        getAgedRank(entry, nowMs) <= getBaseRank(request)
     }).length
   }
 
@@ -111,7 +117,8 @@
     })
     return new Promise((resolve, reject) => {
       if (signal.aborted) return reject(createAbortedError())
-      const entry = { request, queuedAtMs: nowMs, resolve, reject }
+      const isHeldForPrefill = this.isHeldForPrefill(this.findCandidates(request), request, nowMs)
+      const entry = { request, queuedAtMs: nowMs, isHeldForPrefill, resolve, reject }
       this.queue.push(entry)
       signal.addEventListener('abort', () => {
         if (this.dequeue(entry)) reject(createAbortedError())
@@ -125,7 +132,7 @@
     const kind = `${request.service} ${request.isContinuing}`
     if (request.excluded.size === 0 && withoutCapacity.has(kind)) return this.refuseIfExpired(entry, nowMs)
     const candidates = this.findCandidates(request)
-    const lease = this.tryAcquire(candidates, request, nowMs)
+    const lease = this.tryAcquire(candidates, request, nowMs, nowMs - entry.queuedAtMs)
     if (lease !== null) {
       this.dequeue(entry)
       entry.resolve(lease)
@@ -133,7 +140,8 @@
       this.dequeue(entry)
       entry.reject(createNoInstanceError(request.service))
     } else {
-      if (request.excluded.size === 0) withoutCapacity.add(kind)
+      entry.isHeldForPrefill = this.isHeldForPrefill(candidates, request, nowMs)
+      if (request.excluded.size === 0 && !entry.isHeldForPrefill) withoutCapacity.add(kind)
       this.refuseIfExpired(entry, nowMs)
     }
   }
@@ -150,15 +158,37 @@
     return index >= 0
   }
 
-  private tryAcquire (candidates: readonly Instance[], request: PlacementRequest, nowMs: number): InstanceLease | null {
+  private tryAcquire (
+    candidates: readonly Instance[],
+    request: PlacementRequest,
+    nowMs: number,
+    waitedMs = 0
+  ): InstanceLease | null {
+    const { estimateLoad, available } = this.findAvailable(candidates, request, nowMs)
+    const hasWaited = waitedMs >= getMaxPrefillWaitMs(request.targetLatencyMs, request.maxWaitMs)
+    const allowed = hasWaited ? available : filterByPrefill(available, request, nowMs)
+    const instance = chooseInstance(allowed, request, this.zone, estimateLoad)
+    return instance === null ? null : this.grantLease(instance, request, nowMs)
+  }
+
+  /// Whether instances have capacity for the call, but all of them process other long prompts.
+  private isHeldForPrefill (candidates: readonly Instance[], request: PlacementRequest, nowMs: number): boolean {
+    if (request.engine === null) return false
+    const { available } = this.findAvailable(candidates, request, nowMs)
+    return available.length > 0 && filterByPrefill(available, request, nowMs).length === 0
+  }
+
+  private findAvailable (candidates: readonly Instance[], request: PlacementRequest, nowMs: number): {
+    readonly available: readonly Instance[]
+    readonly estimateLoad: (instance: Instance) => number
+  } {
     const meanOthers = estimateMeanOthers(candidates, nowMs)
     const estimateLoad = (instance: Instance): number => estimateRunning(instance, meanOthers, nowMs)
     const healthy = candidates.filter(instance => instance.suspectUntilMs <= nowMs)
     const usable = healthy.length > 0 ? healthy : candidates
     const available = (request.isContinuing ? usable : preferUnlimited(usable, nowMs))
       .filter(instance => hasCapacity(instance, request, estimateLoad(instance), nowMs))
-    const instance = chooseInstance(available, request, this.zone, estimateLoad)
-    return instance === null ? null : this.grantLease(instance, nowMs)
+    return { available, estimateLoad }
   }
 
   private findCandidates (request: PlacementRequest): Instance[] {
@@ -176,15 +206,20 @@
     })
   }
 
-  private grantLease (instance: Instance, nowMs: number): InstanceLease {
+  private grantLease (instance: Instance, request: PlacementRequest, nowMs: number): InstanceLease {
+    const endPrefill = startPrefill(instance, request, nowMs)
     instance.running++
     instance.limit?.take(nowMs)
     let isHeld = true
     return {
       instance,
+      endPrefill: () => {
+        if (endPrefill()) this.processQueueSoon()
+      },
       release: () => {
         if (!isHeld) return
         isHeld = false
+        endPrefill()
         instance.running--
         this.processQueueSoon()
       }
@@ -192,6 +227,28 @@
   }
 }
 
+function filterByPrefill (
+  instances: readonly Instance[],
+  request: PlacementRequest,
+  nowMs: number
+): readonly Instance[] {
+  if (request.engine === null) return instances
+  return instances.filter(instance => {
+    return allowsPrefill(estimatePendingTokens(instance, nowMs), countUnreadTokens(instance, request))
+  })
+}
+
+/// Records the prompt that the instance has to process. Returns a function that ends this and returns whether it had
+/// not ended before.
+function startPrefill (instance: Instance, request: PlacementRequest, startedAtMs: number): () => boolean {
+  const tokens = request.engine === null ? 0 : countUnreadTokens(instance, request)
+  if (tokens === 0) return () => false
+  const partIds = new Set(request.call.prefix.map(({ id }) => id))
+  const prefill = { tokens, partIds, startedAtMs }
+  instance.prefills.add(prefill)
+  return () => instance.prefills.delete(prefill)
+}
+
 function createAbortedError (): RefusedError {
   return new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while queued for an instance')
 }
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -64,6 +64,7 @@
   /// to end it. `isIdle` tells whether it is still without progress.
   readonly findAlternative: (isIdle: () => boolean) => Promise<boolean>
   readonly timing: ResponseTiming
+  readonly onFirstEvent: () => void
   readonly log: EventLog
   readonly responseMemory: MemoryBudget
 }
@@ -165,7 +166,10 @@
   private handleEvent (): void {
     const { timing } = this.request
     timing.lastEventAtMs = performance.now()
-    timing.firstEventAtMs ??= timing.lastEventAtMs
+    if (timing.firstEventAtMs === null) {
+      timing.firstEventAtMs = timing.lastEventAtMs
+      this.request.onFirstEvent()
+    }
     this.restartIdleTimer()
   }
 
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -95,7 +95,9 @@
     const timing: ResponseTiming = { running: 1, firstEventAtMs: null, lastEventAtMs: 0 }
     const uncachedTokens = findUncachedTokens(instance, call)
     const previousEvents = options.listener?.eventCount ?? 0
-    const result = await attempt({ call, instance, ...services, timing, remainingMs, signal, findAlternative, ...rest })
+    const onFirstEvent = (): void => lease.endPrefill()
+    const observer = { timing, onFirstEvent, findAlternative }
+    const result = await attempt({ call, instance, ...services, ...observer, remainingMs, signal, ...rest })
     const eventCount = (options.listener?.eventCount ?? 0) - previousEvents
     this.recordResponse(lease, result, timing, { startedAtMs: nowMs, eventCount, uncachedTokens })
     context.metrics.observeMs('instance', performance.now() - nowMs)
