--- a/emulator/policy/src/emulation.ts
+++ b/emulator/policy/src/emulation.ts
@@ -1,10 +1,12 @@
 import { sleep } from '#process/clock'
 import { RefusedError } from '#request/call'
 import type { Call } from '#request/call'
-import { InstanceRegistry, recordCachedParts, recordLoad } from '#process/instances'
+import { InstanceRegistry, recordCachedParts, recordLoad, recordResponse } from '#process/instances'
 import type { Instance } from '#process/instances'
 import { noopLog } from '#process/log'
+import { findUncachedTokens } from '#process/placement'
 import type { InstanceLease, PlacementRequest } from '#process/placement'
+import { gossipTickMs } from '#process/revisions'
 import { createCall } from '#standin/call'
 import { listObjects } from '#standin/store'
 import { EmulatedEngine } from './engine.js'
@@ -19,10 +21,20 @@
 /// Creates the policy of one entry over that entry's registry of instances.
 export type PolicyFactory = (registry: InstanceRegistry) => PlacementPolicy
 
+/// A time in which an engine is slower than usual by a factor.
+export interface Slowdown {
+  /// Index of the engine.
+  readonly engine: number
+  readonly startMs: number
+  readonly endMs: number
+  readonly factor: number
+}
+
 export interface EmulationOptions {
   readonly engines: readonly EngineProfile[]
   readonly entries: number
   readonly trace: readonly TracedProgram[]
+  readonly slowdowns?: readonly Slowdown[]
   readonly createPolicy: PolicyFactory
 }
 
@@ -45,6 +57,11 @@
   readonly dueMs: number
 }
 
+interface EmulatedEntry {
+  readonly registry: InstanceRegistry
+  readonly policy: PlacementPolicy
+}
+
 const service = 'models'
 const sharedPromptTokens = 12_600
 const callerTimeoutMs = 4000
@@ -64,17 +81,21 @@
 /// this entry's calls and the load that the engines report in their responses.
 export class Emulation {
   private readonly engines: ReadonlyMap<string, EmulatedEngine>
-  private readonly entries: readonly { readonly policy: PlacementPolicy }[]
+  private readonly entries: readonly EmulatedEntry[]
 
   constructor (private readonly options: EmulationOptions) {
     this.engines = new Map(options.engines.map((profile, i) => [`${service}-${i}`, new EmulatedEngine(profile)]))
-    this.entries = Array.from({ length: options.entries }, () => ({
-      policy: options.createPolicy(this.createRegistry())
-    }))
+    this.entries = Array.from({ length: options.entries }, () => {
+      const registry = this.createRegistry()
+      return { registry, policy: options.createPolicy(registry) }
+    })
   }
 
   async run (): Promise<EmulationResult> {
+    const gossipTimer = setInterval(() => this.shareSpeeds(), gossipTickMs)
+    for (const slowdown of this.options.slowdowns ?? []) this.scheduleSlowdown(slowdown)
     const programResults = await Promise.all(this.options.trace.map(program => this.runProgram(program)))
+    clearInterval(gossipTimer)
     const counts = { inAim: 0, late: 0, failed: 0 }
     let earnedValue = 0
     let totalValue = 0
@@ -86,6 +107,26 @@
     return { ...counts, weightedGoodput: earnedValue / totalValue }
   }
 
+  /// Each entry sends what it has observed to the next ones, at distances that change with time.
+  private shareSpeeds (): void {
+    const { entries } = this
+    const round = Math.floor(performance.now() / gossipTickMs)
+    for (const [i, { registry }] of entries.entries()) {
+      const news = registry.takeSpeedNews()
+      const distances = new Set([1, 2, 3, 1 + (round + i) % Math.max(1, entries.length - 1)])
+      for (const distance of distances) {
+        const peer = entries[(i + distance) % entries.length]!
+        if (peer.registry !== registry) peer.registry.addSpeedNews(news)
+      }
+    }
+  }
+
+  private scheduleSlowdown ({ engine, startMs, endMs, factor }: Slowdown): void {
+    const slowed = this.engines.get(`${service}-${engine}`)!
+    setTimeout(() => { slowed.temporarySlowdown = factor }, startMs)
+    setTimeout(() => { slowed.temporarySlowdown = 1 }, endMs)
+  }
+
   private async runProgram (program: TracedProgram): Promise<{ outcome: 'inAim' | 'late' | 'failed', value: number }> {
     await sleep(program.startMs)
     const startedAtMs = performance.now()
@@ -108,7 +149,7 @@
     for (let attempts = 0; attempts < maxTurnAttempts; attempts++) {
       await sleep(delayMs)
       delayMs = retryDelayMs
-      const call = createTurnCall(started, turn, index)
+      const call = createTurnCall(started, index)
       const lease = await this.acquireLease(started.program, call, index).catch(toRefusal)
       if (lease instanceof RefusedError) {
         delayMs = Math.max(retryDelayMs, Math.min(lease.retryAfterMs, callerTimeoutMs * maxRetryAfterShare))
@@ -125,6 +166,7 @@
     const isContinuing = index > 0
     return this.entries[program.entry]!.policy.acquire({
       call,
+      kind: service,
       service,
       engine: { slots: 0, kvCapacityTokens: 0, tokensPerEvent: 1 },
       priority: program.priority,
@@ -140,19 +182,37 @@
   }
 
   /// Returns whether the call ended within the caller's timeout.
-  private async execute ({ instance }: InstanceLease, call: Call, turn: TracedTurn): Promise<boolean> {
+  private async execute ({ instance, endPrefill }: InstanceLease, call: Call, turn: TracedTurn): Promise<boolean> {
     const sentAtMs = performance.now()
+    const uncachedTokens = findUncachedTokens(instance, call)
+    let firstEventAtMs = 0
+    let runningCalls = 0
     await sleep(networkDelayMs)
     await new Promise<void>(resolve => this.engines.get(instance.description.id)!.run({
       prefix: call.prefix,
       outputTokens: turn.outputTokens,
       onFirstToken: (running, waiting) => {
+        firstEventAtMs = performance.now()
+        endPrefill()
+        runningCalls = running + waiting
         recordLoad(instance, { running, waiting, slots: instance.description.slots }, performance.now())
       },
       onEnd: resolve
     }))
     recordCachedParts(instance, call.prefix.map(part => part.id))
-    return performance.now() - sentAtMs <= callerTimeoutMs
+    const nowMs = performance.now()
+    recordResponse(instance, {
+      kind: service,
+      isEngine: true,
+      isComplete: true,
+      durationMs: nowMs - sentAtMs,
+      running: runningCalls,
+      firstEventMs: firstEventAtMs - sentAtMs,
+      eventsMs: nowMs - firstEventAtMs,
+      eventCount: turn.outputTokens,
+      uncachedTokens
+    }, nowMs)
+    return nowMs - sentAtMs <= callerTimeoutMs
   }
 
   /// Estimates the duration of a program on engines that run nothing else.
@@ -184,8 +244,9 @@
   throw error
 }
 
-function createTurnCall ({ program, previousTurnIds, dueMs }: StartedProgram, turn: TracedTurn, index: number): Call {
-  const conversation = [...previousTurnIds, `${program.id}/${index}`].map(id => ({ id, tokens: turn.inputTokens }))
+function createTurnCall ({ program, previousTurnIds, dueMs }: StartedProgram, index: number): Call {
+  const conversation = [...previousTurnIds, `${program.id}/${index}`]
+    .map((id, i) => ({ id, tokens: program.turns[i]!.inputTokens }))
   return createCall(`${program.id}/${index}`, {
     callerTimeoutMs,
     program: {
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from '#process/log'
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
 import type { Instance, InstanceRegistry } from '#process/instances'
-import { chooseInstance, estimateDelayMs } from './choice.js'
+import { chooseInstance, countUnreadTokens, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
 import { FairQueue } from './fairqueue.js'
 import type { QueuedCall } from './queueorder.js'
@@ -13,6 +13,8 @@
 /// The right to run one call on an instance, held until it is released.
 export interface InstanceLease {
   readonly instance: Instance
+  /// Must be called when the call has its first event: the instance has processed its prompt.
+  endPrefill (): void
   /// Releasing the lease again has no effect.
   release (): void
 }
@@ -181,7 +183,7 @@
     if (instance === null) return null
     this.fairQueue.recordService(request, nowMs)
     this.getWaitEstimate(request).recordGrant(nowMs)
-    return this.grantLease(instance, nowMs)
+    return this.grantLease(instance, request, nowMs)
   }
 
   private getWaitEstimate (request: PlacementRequest): WaitEstimate {
@@ -222,15 +224,18 @@
     })
   }
 
-  private grantLease (instance: Instance, nowMs: number): InstanceLease {
+  private grantLease (instance: Instance, request: PlacementRequest, nowMs: number): InstanceLease {
+    const endPrefill = startPrefill(instance, request, nowMs)
     instance.running++
     instance.limit?.take(nowMs)
     let isHeld = true
     return {
       instance,
+      endPrefill,
       release: () => {
         if (!isHeld) return
         isHeld = false
+        endPrefill()
         instance.running--
         this.processQueueSoon()
       }
@@ -238,6 +243,17 @@
   }
 }
 
+/// Records the prompt that the instance has to process. Returns a function that ends this; calling it again has no
+/// effect.
+function startPrefill (instance: Instance, request: PlacementRequest, startedAtMs: number): () => void {
+  const tokens = request.engine === null ? 0 : countUnreadTokens(instance, request)
+  if (tokens === 0) return () => {}
+  const partIds = new Set(request.call.prefix.map(({ id }) => id))
+  const prefill = { tokens, partIds, startedAtMs }
+  instance.prefills.add(prefill)
+  return () => { instance.prefills.delete(prefill) }
+}
+
 function createAbortedError (): RefusedError {
   return new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while queued for an instance')
 }
@@ -253,10 +269,11 @@
 
 function hasCapacity (instance: Instance, request: PlacementRequest, running: number, nowMs: number): boolean {
   const { slots } = instance.description
+  const speedFactor = instance.speed.getFactor(nowMs)
   const isRoomy = request.isContinuing
     ? running < slots + extraCalls
-    : running < slots * newProgramSlotShare &&
-      estimateDelayMs(running, request) < request.targetLatencyMs * newProgramDelayShare
+    : running * Math.max(1, speedFactor) < slots * newProgramSlotShare &&
+      estimateDelayMs(running, request) * speedFactor < request.targetLatencyMs * newProgramDelayShare
   return isRoomy && (instance.limit === null || instance.limit.isOpen(nowMs))
 }
 
--- /dev/null
+++ b/process/speed/src/index.ts
@@ -0,0 +1,6 @@
+export { InstanceSpeed } from './instancespeed.js'
+export type { SpeedObservations } from './instancespeed.js'
+export { ServiceModel } from './servicemodel.js'
+export type { ResponseObservation, SpeedSample } from './servicemodel.js'
+export { encodeSpeedNews, parseSpeedNews, takeSpeedNews } from './speednews.js'
+export type { SpeedNews } from './speednews.js'
