Quotas of workspaces: credit from one coordinator for each workspace

Cause: a workspace's quota holds over all entries together, and most workspaces have less than one request a second per entry, so fixed shares would refuse requests within the quota. Change: process/quota with a token bucket, the coordinator and client roles, the choice of the coordinator by rendezvous hashing, take-over and hand-over, the share of an entry that is cut off, and the datagrams between entries; calls with a quota get credit before admission. A table [quota] of the settings has the tolerance.

--- a/process/admission/src/admission.ts
+++ b/process/admission/src/admission.ts
@@ -108,6 +108,11 @@
     return this.queues.reduce((sum, queue) => sum + queue.length, 0)
   }
 
+  /// Whether a call of the program has started here lately.
+  hasStartedProgram (id: string): boolean {
+    return this.programs.has(id)
+  }
+
   /// Must be called in each event loop iteration in which connections are accepted, or wait to be served, with the time
   /// since when that is so without a break.
   countAccepting (sinceMs: number): void {
--- a/process/daemon/src/entryrole.ts
+++ b/process/daemon/src/entryrole.ts
@@ -1,4 +1,6 @@
 import { Entry } from '#process/entry'
+import { noTolerance } from '#process/quota'
+import type { QuotaTolerance } from '#process/quota'
 import type { Settings } from '#process/settings'
 import type { DaemonRole, RoleContext } from './role.js'
 
@@ -14,7 +16,8 @@
     readinessAddress: settings.listen.readiness!,
     readinessPath: settings.listen.readiness_path ?? '/ready',
     toleratedLosses: settings.node.tolerated_losses,
-    stopGraceMs: settings.timing.stop_grace_ms
+    stopGraceMs: settings.timing.stop_grace_ms,
+    quotaTolerance: getQuotaTolerance(settings)
   }, platform, log, metrics, backlog)
   return {
     start: () => entry.start(stopping),
@@ -24,6 +27,12 @@
   }
 }
 
+function getQuotaTolerance ({ quota }: Settings): QuotaTolerance {
+  if (quota === undefined) return noTolerance
+  const { window_ms: windowMs, overshoot_share: overshootShare, slack_requests: slackRequests } = quota
+  return { windowMs, overshootShare, slackRequests }
+}
+
 function countProcessors ({ node }: Settings): number {
   return (node.processor_share ?? 1) * (node.processor_speed ?? 1)
 }
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -20,6 +20,8 @@
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
 import { LedgerQuorum } from '#process/quorum'
+import { noTolerance } from '#process/quota'
+import type { QuotaTolerance, WorkspaceQuotas } from '#process/quota'
 import { RequestLimits } from '#process/requestlimit'
 import type { RelayOrigin } from '#process/relay'
 import { ActiveConfiguration } from './activeconfiguration.js'
@@ -44,6 +46,8 @@
   readonly readinessPath: string
   readonly toleratedLosses: number
   readonly stopGraceMs: number
+  /// Without it, nothing is tolerated beyond quotas.
+  readonly quotaTolerance?: QuotaTolerance
 }
 
 /// The options that may change while the entry runs.
@@ -133,6 +137,7 @@
       },
       isReady: () => this.isReady,
       serve: (exchange, origin) => this.serve(exchange, origin),
+      quotaTolerance: options.quotaTolerance ?? noTolerance,
       front: frontOptions
     }, log, metrics)
     this.front = new FrontServer({
@@ -241,7 +246,13 @@
     return this.drain.run(controller => serveExchange({ exchange, origin, controller }, this, this.context))
   }
 
-  private handleConfiguration ({ callerLimits }: Configuration): void {
+  /// The credit of workspaces, for their calls.
+  get quotas (): WorkspaceQuotas {
+    return this.peers.quotas
+  }
+
+  private handleConfiguration ({ callerLimits, workspaces }: Configuration): void {
+    this.peers.quotas.setWorkspaces(workspaces)
     this.front.setLimits(callerLimits)
     this.peers.setLimits(callerLimits)
     // The other entries serve their calls under the older version.
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -8,6 +8,8 @@
 import type { ObjectStore, WatchHandler, WatchOptions } from '#connection/store'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
+import { WorkspaceQuotas, quotaDatagramType } from '#process/quota'
+import type { QuotaTolerance } from '#process/quota'
 import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
 import type { LoadReport, Registration, RelayOrigin, RequestReader } from '#process/relay'
 import { RevisionGossip, gossipTickMs, parseRevisionDigest, revisionDigestType } from '#process/revisions'
@@ -23,6 +25,7 @@
   readonly isReady: () => boolean
   /// Serves an exchange of a connection that the entry `origin` relays; must not reject.
   readonly serve: (exchange: Exchange, origin: RelayOrigin | null) => Promise<void>
+  readonly quotaTolerance: QuotaTolerance
   readonly front: Omit<FrontOptions, 'serve' | 'offerConnection' | 'allowsHalfOpen' | 'leavesIdleOpen'>
 }
 
@@ -30,7 +33,7 @@
 const loadTickMs = 400
 
 /// What an entry exchanges with the other entries: its registration in the platform's store, load reports, digests of
-/// what it knows from the store, and relayed connections both ways.
+/// what it knows from the store, credit of workspaces, and relayed connections both ways.
 export class EntryPeers {
   readonly directory: EntryDirectory
   readonly serviceTime = new ServiceTime()
@@ -42,6 +45,7 @@
   /// Relayed connections whose entry knows `RelayWord`.
   private readonly hearers = new WeakSet<Socket>()
   readonly gossip: RevisionGossip
+  readonly quotas: WorkspaceQuotas
   private readonly datagrams: DatagramSocket
   private readonly stopCallbacks: (() => void)[] = []
   private registration: Registration
@@ -58,8 +62,14 @@
     this.relay = new ConnectionRelay({ directory, serviceTime, getConfigVersion, reader }, log, metrics)
     this.datagrams = new DatagramSocket({
       [loadReportType]: (fields, sender) => this.handleReport(parseLoadReport(fields), sender),
-      [revisionDigestType]: fields => this.handleDigest(parseRevisionDigest(fields))
+      [revisionDigestType]: fields => this.handleDigest(parseRevisionDigest(fields)),
+      [quotaDatagramType]: (fields, sender) => this.quotas.receive(fields, sender)
     })
+    this.quotas = new WorkspaceQuotas({
+      entries: directory,
+      tolerance: options.quotaTolerance,
+      send: (fields, address) => this.datagrams.send(quotaDatagramType, fields, [address])
+    }, log, metrics)
     this.gossip = new RevisionGossip({
       name: registration.name,
       getPeers: () => directory.others,
@@ -93,6 +103,7 @@
       () => clearInterval(loadTimer),
       () => clearInterval(gossipTimer),
       () => this.gossip.stop(),
+      () => this.quotas.stop(),
       () => this.datagrams.close(),
       () => this.relay.close()
     )
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -5,8 +5,9 @@
 import type { Exchange } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
 import { RouteKind, pickTarget } from '#version/configuration'
-import type { RouteTable } from '#version/configuration'
+import type { RouteTable, Workspace } from '#version/configuration'
 import { Events, formatError } from '#process/log'
+import type { Credit, WorkspaceQuotas } from '#process/quota'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import type { CallDrain } from './calldrain.js'
@@ -17,6 +18,7 @@
   /// Null until the first configuration has been applied.
   readonly routes: RouteTable | null
   readonly drain: Pick<CallDrain, 'assertMayStart'>
+  readonly quotas: Pick<WorkspaceQuotas, 'acquire'>
   /// Whether a response closes its connection, so that the caller reconnects. `origin` is the entry that relays it.
   shouldCloseConnection (origin: RelayOrigin | null): boolean
 }
@@ -43,6 +45,8 @@
 const defaultMaxBodyBytes = 1024 * 1024
 const noConfigurationRetryMs = 300
 const otherVersionRetryMs = 20
+/// Share of its latency target that a call may wait for credit that is due.
+const maxCreditWaitShare = 0.25
 
 /// Serves one exchange until its response has ended. Never rejects.
 export async function serveExchange (
@@ -54,6 +58,7 @@
   const memory = new RequestMemory(context.requestMemory.open())
   let call: Call | null = null
   let cancelDeadline = (): void => {}
+  let credit: Credit | null = null
   try {
     call = response.call = parseCall(exchange, context.codec, receivedAtMs)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
@@ -61,12 +66,15 @@
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
-    const { route, priority, deadlineMs } = routing
+    const { route, priority, deadlineMs, workspace } = routing
+    if (workspace !== null && workspace.quota !== null && !route.isPublic) {
+      credit = await acquireCredit(routing, workspace, state, context)
+    }
     await context.admission.admit({
       call,
       route,
       priority,
-      workspace: routing.workspace?.name ?? null,
+      workspace: workspace?.name ?? null,
       deadlineMs,
       signal: controller.signal,
       isRelayed: origin !== null
@@ -75,8 +83,11 @@
     const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
     await serveByKind[routed.route.kind](routed, response, context)
+    credit?.spend()
     recordCompletion(call, receivedAtMs, response, controller.signal, context)
   } catch (error) {
+    if (error instanceof RefusedError && error.verdict === Verdict.notRun) credit?.giveBack()
+    else credit?.spend()
     handleError(error, call, response, receivedAtMs, controller.signal, context)
   } finally {
     cancelDeadline()
@@ -126,6 +137,15 @@
   }
 }
 
+/// Resolves to credit for the call in the quota of its workspace. Rejects with `RefusedError`.
+function acquireCredit (
+  { call, route, signal }: Routing, workspace: Workspace, { quotas }: EntryState, { admission }: ForwardContext
+): Promise<Credit> {
+  const isContinuing = route.kind !== RouteKind.streaming || call.previousTurnId !== null ||
+    (call.program !== null && admission.hasStartedProgram(call.program.id))
+  return quotas.acquire(workspace, { isContinuing, maxWaitMs: route.targetLatencyMs * maxCreditWaitShare, signal })
+}
+
 /// Ends the call at its deadline, but a response that has started only once the caller's time is over in any case.
 /// Returns a function that cancels this.
 function startDeadline (
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -16,6 +16,7 @@
 import { Metrics } from '#process/metrics'
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
+import type { WorkspaceQuotas } from '#process/quota'
 import { RequestLimits } from '#process/requestlimit'
 import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, readOrigin } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
@@ -116,6 +117,8 @@
     }
   }, noopLog, new Metrics())
 
+  /// Set by tests that have quotas.
+  quotas: Pick<WorkspaceQuotas, 'acquire'> = { acquire: () => Promise.reject(new Error('no quotas')) }
   /// Set by tests, to emulate a busy event loop.
   delayMs = 0
   readonly loop = { currentDelayMs: 0, meanDelayMs: 0 }
@@ -161,9 +164,10 @@
       this.onExchange(exchange)
       const origin = this.origins.get(exchange.connection) ?? null
       const shouldCloseConnection = (): boolean => origin === null && this.relay.prefersNewConnections
-      const { routes, drain } = this
+      const { routes, drain, quotas } = this
       return drain.run(controller => {
-        return serveExchange({ exchange, origin, controller }, { routes, drain, shouldCloseConnection }, context)
+        const state = { routes, drain, quotas, shouldCloseConnection }
+        return serveExchange({ exchange, origin, controller }, state, context)
       })
     }
     const options = {
--- /dev/null
+++ b/process/quota/src/index.ts
@@ -0,0 +1,7 @@
+export { quotaDatagramType } from './messages.js'
+export { TokenBucket } from './tokenbucket.js'
+export { noTolerance } from './tolerance.js'
+export type { QuotaTolerance } from './tolerance.js'
+export type { AcquireOptions, Credit } from './workspacecredit.js'
+export { WorkspaceQuotas } from './workspacequotas.js'
+export type { WorkspaceQuotasOptions } from './workspacequotas.js'
--- a/process/settings/src/settings.ts
+++ b/process/settings/src/settings.ts
@@ -39,6 +39,13 @@
   store: z.strictObject({ address }),
   storage: z.optional(z.strictObject({ data_dir: nonEmptyString, disk_mb: z.number().check(z.minimum(1)) })),
   engine: z.optional(z.strictObject({ address })),
+  /// How far the requests of a workspace that run in a window may exceed its quota.
+  quota: z.optional(z.strictObject({
+    window_ms: z.number().check(z.positive()),
+    /// Share of what the quota allows in a window.
+    overshoot_share: z.number().check(z.minimum(0)),
+    slack_requests: z.number().check(z.minimum(0))
+  })),
   /// Of these keys the daemon uses only stop_grace_ms so far; the others are only validated.
   timing: z.strictObject({
     /// Time between SIGTERM and SIGKILL.
