--- a/process/quota/src/client.ts
+++ b/process/quota/src/client.ts
@@ -100,7 +100,7 @@
   }
 
   stop (): void {
-    for (const credit of this.workspaces.values()) credit.close()
+    for (const credit of this.workspaces.values()) credit.stop()
   }
 
   private getCredit (workspace: Workspace): WorkspaceCredit {
@@ -191,9 +191,13 @@
         send(ask, target.address)
         wait(tryMs, () => startTry(triesLeft - 1))
       }
+      const startedAtMs = performance.now()
       const onReply = (reply: ReplyMessage): void => {
-        if (reply.status === ReplyStatus.pending) wait(pendingMs, () => finish(null))
-        else finish(reply)
+        if (reply.status !== ReplyStatus.pending) return finish(reply)
+        const remainingMs = startedAtMs + pendingMs - performance.now()
+        if (isOwn || remainingMs <= 0) wait(Math.max(0, remainingMs), () => finish(null))
+        // The reply that follows may be lost, too.
+        else wait(tryMs, () => startTry(tryCount))
       }
       this.pending.set(number, { target: target.name, onReply })
       if (isOwn) coordinator.handleAsk(ask, onReply)
--- a/process/quota/src/workspacecredit.ts
+++ b/process/quota/src/workspacecredit.ts
@@ -178,12 +178,17 @@
       nowMs - this.calledAtMs >= unusedMs
   }
 
-  /// Drops its credit. Calls that wait end with the request in flight.
+  /// Drops its credit. Calls that wait end with a request of their own.
   close (): void {
-    clearTimeout(this.timer)
-    this.timerAtMs = Infinity
+    this.stop()
     this.held = []
     this.returned = { count: 0, bucket: '' }
+    if (this.waiting.length > 0) this.ask()
+  }
+
+  stop (): void {
+    clearTimeout(this.timer)
+    this.timerAtMs = Infinity
   }
 
   private ask (): void {
--- a/process/quota/test/fleet.ts
+++ b/process/quota/test/fleet.ts
@@ -7,7 +7,8 @@
 import { rankMembers } from '../src/ranking.js'
 import type { Member } from '../src/ranking.js'
 
-export const tolerance: QuotaTolerance = { windowMs: 5000, overshootShare: 0.1, slackRequests: 20 }
+/// Narrower than that of the settings, so that smaller faults show.
+export const tolerance: QuotaTolerance = { windowMs: 2000, overshootShare: 0.05, slackRequests: 1 }
 export const workspaceName = 'acme'
 const networkMs = 1
 
@@ -19,6 +20,16 @@
   /// The status of its refusal, 0 if it ran.
   readonly status: number
   readonly retryAfterMs: number
+  /// Whether the entry was killed before it answered.
+  readonly isLost: boolean
+}
+
+export interface CallOptions {
+  readonly isContinuing?: boolean
+  readonly maxWaitMs?: number
+  readonly workspace?: string
+  /// The call gives its credit back after a while.
+  readonly isRefusedLater?: boolean
 }
 
 /// An entry of a simulated fleet.
@@ -28,6 +39,8 @@
   metrics: Metrics
   others: readonly Member[] | null
   isRunning: boolean
+  /// Aborted when its process ends.
+  killing: AbortController
   isCutOff: boolean
 }
 
@@ -73,10 +86,12 @@
     entry.quotas = new WorkspaceQuotas({ entries: list, tolerance, send }, noopLog, entry.metrics)
     entry.quotas.setWorkspaces(this.workspaces)
     entry.isRunning = true
+    entry.killing = new AbortController()
   }
 
   kill (entry: SimulatedEntry): void {
     entry.isRunning = false
+    entry.killing.abort()
     entry.quotas.stop()
   }
 
@@ -91,23 +106,22 @@
     for (const { quotas } of this.entries) quotas.setWorkspaces(this.workspaces)
   }
 
-  /// Sends a call; one that `isRefusedLater` gives its credit back after a while.
-  async call (
-    entry: SimulatedEntry,
-    { isContinuing = false, maxWaitMs = 100, workspace = workspaceName, isRefusedLater = false } = {}
-  ): Promise<CallOutcome> {
+  /// Sends a call.
+  async call (entry: SimulatedEntry, options: CallOptions = {}): Promise<CallOutcome> {
+    const { isContinuing = false, maxWaitMs = 100, workspace = workspaceName, isRefusedLater = false } = options
     const { quotas } = entry
-    const signal = new AbortController().signal
-    const outcome = (status: number, retryAfterMs: number): CallOutcome => {
-      return { atMs: performance.now(), entry: entry.member.name, workspace, status, retryAfterMs }
+    const outcome = (status: number, retryAfterMs = 0): CallOutcome => {
+      const isLost = !entry.isRunning || entry.quotas !== quotas
+      return { atMs: performance.now(), entry: entry.member.name, workspace, status, retryAfterMs, isLost }
     }
     try {
+      const { signal } = entry.killing
       const credit = await quotas.acquire(this.workspaces.get(workspace)!, { isContinuing, maxWaitMs, signal })
       if (isRefusedLater) setTimeout(() => credit.giveBack(), 50)
       else credit.spend()
-      const ran = outcome(0, 0)
+      const ran = outcome(0)
       // What a killed process was about to run doesn't run.
-      if (!isRefusedLater && entry.isRunning && entry.quotas === quotas) this.outcomes.push(ran)
+      if (!isRefusedLater && !ran.isLost) this.outcomes.push(ran)
       return ran
     } catch (error) {
       const { status, retryAfterMs } = error as { status: number, retryAfterMs: number }
--- a/process/quota/test/tokenbucket.test.ts
+++ b/process/quota/test/tokenbucket.test.ts
@@ -1,7 +1,9 @@
 import { expect, test } from 'vitest'
 import { TokenBucket } from '#process/quota'
 
-const demand = (continuing: number, starting = 0, spare = 0): { continuing: number, starting: number, spare: number } => {
+type CreditDemand = Parameters<TokenBucket['grant']>[0]
+
+function demand (continuing: number, starting = 0, spare = 0): CreditDemand {
   return { continuing, starting, spare }
 }
 
