--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -5,11 +5,12 @@
 import type { Exchange } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
 import { RouteKind, pickTarget } from '#version/configuration'
-import type { RouteTable, Workspace } from '#version/configuration'
+import type { RouteTable } from '#version/configuration'
 import { Events, formatError } from '#process/log'
 import type { Credit, WorkspaceQuotas } from '#process/quota'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
+import { acquireCredit, settleFailed } from './callcredit.js'
 import type { CallDrain } from './calldrain.js'
 import { ExchangeResponse } from './exchangeresponse.js'
 
@@ -45,8 +46,6 @@
 const defaultMaxBodyBytes = 1024 * 1024
 const noConfigurationRetryMs = 300
 const otherVersionRetryMs = 20
-/// Share of its latency target that a call may wait for credit that is due.
-const maxCreditWaitShare = 0.25
 
 /// Serves one exchange until its response has ended. Never rejects.
 export async function serveExchange (
@@ -67,9 +66,8 @@
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
     const { route, priority, deadlineMs, workspace } = routing
-    if (workspace !== null && workspace.quota !== null && !route.isPublic) {
-      credit = await acquireCredit(routing, workspace, state, context)
-    }
+    const acquiring = acquireCredit(routing, state.quotas, context.admission)
+    if (acquiring !== null) credit = await acquiring
     await context.admission.admit({
       call,
       route,
@@ -86,8 +84,7 @@
     credit?.spend()
     recordCompletion(call, receivedAtMs, response, controller.signal, context)
   } catch (error) {
-    if (error instanceof RefusedError && error.verdict === Verdict.notRun) credit?.giveBack()
-    else credit?.spend()
+    settleFailed(credit, error)
     handleError(error, call, response, receivedAtMs, controller.signal, context)
   } finally {
     cancelDeadline()
@@ -137,15 +134,6 @@
   }
 }
 
-/// Resolves to credit for the call in the quota of its workspace. Rejects with `RefusedError`.
-function acquireCredit (
-  { call, route, signal }: Routing, workspace: Workspace, { quotas }: EntryState, { admission }: ForwardContext
-): Promise<Credit> {
-  const isContinuing = route.kind !== RouteKind.streaming || call.previousTurnId !== null ||
-    (call.program !== null && admission.hasStartedProgram(call.program.id))
-  return quotas.acquire(workspace, { isContinuing, maxWaitMs: route.targetLatencyMs * maxCreditWaitShare, signal })
-}
-
 /// Ends the call at its deadline, but a response that has started only once the caller's time is over in any case.
 /// Returns a function that cancels this.
 function startDeadline (
