--- a/process/settings/test/reload.test.ts
+++ b/process/settings/test/reload.test.ts
@@ -31,6 +31,10 @@
 disk_mb = 10
 [engine]
 address = "10.0.0.1:85"
+[quota]
+window_ms = 5e3
+overshoot_share = 0.1
+slack_requests = 20
 [timing]
 stop_grace_ms = 8000
 drain_ms = 2000
