Quotas: tests of a voided check and of empty buckets after a burst

Cause: a verification that another entry's take voids had no test, and the property found a full bucket of an acting entry only in some of its samples.

--- a/process/quota/test/failures.test.ts
+++ b/process/quota/test/failures.test.ts
@@ -119,15 +119,32 @@
   expectWithinRule()
 })
 
-// Guards against a bucket that is full after each start of its process.
-test('a coordinator that is restarted at once begins with an empty bucket', async () => {
-  await load(4, 4000, {}, timeMs => {
+// Guards against a bucket that is full after each start of its process, and after each change of the coordinator.
+test.each([
+  ['restarted at once', true],
+  ['killed', false]
+])('when the coordinator is %s after a burst, the next bucket is empty', async (_, isRestarted) => {
+  await load(6, 3000, { isContinuing: true }, timeMs => {
     if (timeMs === 700) fleet.kill(ranked[0]!)
-    if (timeMs === 700 + stepMs) fleet.start(ranked[0]!)
+    if (isRestarted && timeMs === 700 + stepMs) fleet.start(ranked[0]!)
   })
   expectWithinRule()
 })
 
+// Guards against two buckets: of an entry that is about to act, and of the coordinator that returns at that moment.
+test('an entry that is asked for the bucket while it checks its predecessors does not act for them', async () => {
+  const [coordinator, deputy] = ranked as [SimulatedEntry, SimulatedEntry]
+  fleet.kill(coordinator)
+  const outcome = fleet.call(deputy)
+  // The last check of the coordinator has been sent, and its time is not over.
+  await vi.advanceTimersByTimeAsync(200)
+  fleet.start(coordinator)
+  fleet.call(coordinator)
+  await vi.advanceTimersByTimeAsync(3000)
+  await outcome
+  expect([coordinator, deputy].map(entry => readMetric(entry, 'quota_coordinator_changes_total'))).toEqual([1, 0])
+})
+
 // Guards against credit that is granted again after a restart, and against a coordinator that never returns.
 test('a restarted coordinator takes over again with the bucket of the one that acted for it', async () => {
   await load(1, 2000)
