--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -7,9 +7,11 @@
 import { RouteKind, pickTarget } from '#version/configuration'
 import type { RouteTable } from '#version/configuration'
 import { Events, formatError } from '#process/log'
+import type { Credit, WorkspaceQuotas } from '#process/quota'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import { assertSameWorkspace, findWorkspace } from './authentication.js'
+import { acquireCredit, settleFailed } from './callcredit.js'
 import type { CallDrain } from './calldrain.js'
 import { createNoConfigurationError } from './configurationwait.js'
 import type { ConfigurationWait } from './configurationwait.js'
@@ -23,6 +25,7 @@
   readonly mayBeOutdated: boolean
   readonly configurationWait: Pick<ConfigurationWait, 'wait'>
   readonly drain: Pick<CallDrain, 'assertMayStart'>
+  readonly quotas: Pick<WorkspaceQuotas, 'acquire'>
   /// Whether a response closes its connection, so that the caller reconnects. `origin` is the entry that relays it.
   shouldCloseConnection (origin: RelayOrigin | null): boolean
 }
@@ -59,6 +62,7 @@
   const memory = new RequestMemory(context.requestMemory.open())
   let call: Call | null = null
   let cancelDeadline = (): void => {}
+  let credit: Credit | null = null
   try {
     call = response.call = parseCall(exchange, context.codec, receivedAtMs)
     if (state.routes === null) await waitForConfiguration(call, state, controller.signal, context)
@@ -67,12 +71,14 @@
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
-    const { route, priority, deadlineMs } = routing
+    const { route, priority, deadlineMs, workspace } = routing
+    const acquiring = acquireCredit(routing, state.quotas, context.admission)
+    if (acquiring !== null) credit = await acquiring
     await context.admission.admit({
       call,
       route,
       priority,
-      workspace: routing.workspace?.name ?? null,
+      workspace: workspace?.name ?? null,
       deadlineMs,
       signal: controller.signal,
       isRelayed: origin !== null
@@ -81,8 +87,10 @@
     const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
     await serveByKind[routed.route.kind](routed, response, context)
+    credit?.spend()
     recordCompletion(call, receivedAtMs, response, controller.signal, context)
   } catch (error) {
+    settleFailed(credit, error)
     handleError(error, call, response, receivedAtMs, controller.signal, context)
   } finally {
     cancelDeadline()
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -17,6 +17,7 @@
 import { Metrics } from '#process/metrics'
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
+import type { WorkspaceQuotas } from '#process/quota'
 import { RequestLimits } from '#process/requestlimit'
 import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, readOrigin } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
@@ -123,6 +124,8 @@
     }
   }, noopLog, new Metrics())
 
+  /// Set by tests that have quotas.
+  quotas: Pick<WorkspaceQuotas, 'acquire'> = { acquire: () => Promise.reject(new Error('no quotas')) }
   /// Set by tests, to emulate a busy event loop.
   delayMs = 0
   readonly loop = { currentDelayMs: 0, meanDelayMs: 0 }
@@ -231,6 +234,7 @@
     return {
       drain: this.drain,
       configurationWait: this.configurationWait ?? new ConfigurationWait(),
+      quotas: this.quotas,
       shouldCloseConnection,
       get routes () { return getRoutes() },
       get mayBeOutdated () { return getMayBeOutdated() }
