--- a/connection/header/src/codec.ts
+++ b/connection/header/src/codec.ts
@@ -63,6 +63,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /// How long work takes there now, 100 as usual; absent if the instance doesn't say.
+  readonly durationPercent?: number
 }
 
 /// Values for the headers that the system sets on a forwarded call.
@@ -84,6 +86,9 @@
 const defaultCallerTimeoutMs = 30_000
 const maxCookieLength = 200
 const credentialsField = 'authorization'
+/// A figure beyond these is taken for the nearer one, so that a wrong one can't outweigh everything else.
+const minDurationPercent = 20
+const maxDurationPercent = 2000
 
 /// Reads and writes the system's header fields, under the names that it is given.
 export class HeaderCodec {
@@ -208,7 +213,7 @@
     return {
       id,
       sessionId: firstValue(headers[names.sessionId]) ?? id,
-      remainingMs: parsePositive(firstValue(headers[names.programRemainingMs])) ?? 0,
+      remainingMs: parseRemaining(firstValue(headers[names.programRemainingMs])),
       tokenBudget: parseCount(firstValue(headers[names.tokenBudget]))
     }
   }
@@ -254,6 +259,11 @@
   return value !== null && value > 0 ? value : null
 }
 
+/// Returns the time left, 0 for a negative one, null for none or a malformed one.
+function parseRemaining (text: string | null): number | null {
+  return text !== null && /^-\d{1,12}(\.\d{1,9})?$/.test(text) ? 0 : parseNumber(text)
+}
+
 function parseNumber (text: string | null): number | null {
   return text !== null && /^\d{1,12}(\.\d{1,9})?$/.test(text) ? Number(text) : null
 }
@@ -279,6 +289,13 @@
 }
 
 function parseLoad (text: string | null): UpstreamLoad | null {
-  const match = /^(\d{1,6}),\s*(\d{1,6}),\s*(\d{1,6})$/.exec(text ?? '')
-  return match === null ? null : { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
+  const match = /^(\d{1,6}),\s*(\d{1,6}),\s*(\d{1,6})(?:,([^,]*).*)?$/.exec(text ?? '')
+  if (match === null) return null
+  const load = { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
+  const durationPercent = parsePositive(match[4]?.trim() ?? null)
+  return durationPercent === null ? load : { ...load, durationPercent: limitDurationPercent(durationPercent) }
+}
+
+function limitDurationPercent (percent: number): number {
+  return Math.min(Math.max(percent, minDurationPercent), maxDurationPercent)
 }
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -9,7 +9,7 @@
 import type { ObjectStore, StoredObject } from '#connection/store'
 import { InstanceClient } from '#connection/upstream'
 import type { Configuration, RouteTable } from '#version/configuration'
-import { Admission } from '#process/admission'
+import { Admission, StartupPhase } from '#process/admission'
 import { sleep } from '#process/clock'
 import type { LoopBacklog } from '#process/clock'
 import { InstanceRegistry } from '#process/instances'
@@ -20,10 +20,13 @@
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
 import { LedgerQuorum } from '#process/quorum'
+import { noTolerance } from '#process/quota'
+import type { QuotaTolerance, WorkspaceQuotas } from '#process/quota'
 import { RequestLimits } from '#process/requestlimit'
 import type { RelayOrigin } from '#process/relay'
 import { ActiveConfiguration } from './activeconfiguration.js'
 import { CallDrain } from './calldrain.js'
+import { ConfigurationWait } from './configurationwait.js'
 import { findCallTimeoutMs } from './calltimeout.js'
 import { EntryPeers } from './entrypeers.js'
 import { recordDropped, serveExchange } from './serve.js'
@@ -44,6 +47,8 @@
   readonly readinessPath: string
   readonly toleratedLosses: number
   readonly stopGraceMs: number
+  /// Without it, nothing is tolerated beyond quotas.
+  readonly quotaTolerance?: QuotaTolerance
 }
 
 /// The options that may change while the entry runs.
@@ -83,6 +88,7 @@
   private readonly front: FrontServer
   private readonly peers: EntryPeers
   readonly drain: CallDrain
+  readonly configurationWait = new ConfigurationWait()
   private readonly context: ForwardContext
   private stopped: Promise<void> | null = null
   /// Aborted when the entry stops.
@@ -116,7 +122,7 @@
       onStaleView: () => this.viewReader.read()
     }, log)
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
-    const admission = new Admission(backlog, () => this.peers.relay.betterShare)
+    const admission = new Admission(backlog, () => this.peers.relay.betterShare, new StartupPhase())
     const plan = planMemory(options.memoryMb)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
@@ -133,7 +139,10 @@
         findTimeoutMs: head => findCallTimeoutMs(head, platform.headers, this.routes)
       },
       isReady: () => this.isReady,
+      takeSpeedNews: () => this.registry.takeSpeedNews(),
+      onSpeedNews: news => this.registry.addSpeedNews(news),
       serve: (exchange, origin) => this.serve(exchange, origin),
+      quotaTolerance: options.quotaTolerance ?? noTolerance,
       front: frontOptions
     }, log, metrics)
     this.front = new FrontServer({
@@ -247,11 +256,18 @@
     return this.drain.run(controller => serveExchange({ exchange, origin, controller }, this, this.context))
   }
 
-  private handleConfiguration ({ callerLimits }: Configuration): void {
+  /// The credit of workspaces, for their calls.
+  get quotas (): WorkspaceQuotas {
+    return this.peers.quotas
+  }
+
+  private handleConfiguration ({ callerLimits, workspaces }: Configuration): void {
+    this.peers.quotas.setWorkspaces(workspaces)
     this.front.setLimits(callerLimits)
     this.peers.setLimits(callerLimits)
     // The other entries serve their calls under the older version.
     this.peers.relay.drain()
+    this.configurationWait.end()
   }
 
   private createClient (description: InstanceDescription): InstanceClient {
@@ -268,9 +284,12 @@
     metrics.addGauge('calls_not_started', () => admission.waiting)
     metrics.addGauge('connections_relayed', () => relay.count)
     metrics.addGauge('call_expected_ms', () => Math.round(serviceTime.expectedMs))
+    metrics.addGauge('instances_slow', () => this.registry.countSlow(performance.now()))
+    metrics.addGauge('instance_slowdown_max', () => this.registry.findLargestSlowdown(performance.now()))
     metrics.addGauge('instances_limited', () => this.registry.limitedCount)
     metrics.addGauge('request_memory_bytes', () => requestMemory.usedBytes)
     metrics.addGauge('response_memory_bytes', () => responseMemory.usedBytes)
+    metrics.addGauge('calls_held', () => this.configurationWait.count)
     metrics.addGauge('calls_waiting', () => placement.queueLength)
   }
 }
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -7,11 +7,15 @@
 import { RouteKind, pickTarget } from '#version/configuration'
 import type { RouteTable, Workspaces } from '#version/configuration'
 import { Events, formatError } from '#process/log'
+import type { Credit, WorkspaceQuotas } from '#process/quota'
 import { CallCost } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
 import { assertSameWorkspace, findWorkspace } from './authentication.js'
 import type { AuthenticationRequest } from './authentication.js'
+import { acquireCredit, settleFailed } from './callcredit.js'
 import type { CallDrain } from './calldrain.js'
+import { createNoConfigurationError } from './configurationwait.js'
+import type { ConfigurationWait } from './configurationwait.js'
 import { ExchangeResponse } from './exchangeresponse.js'
 
 /// The state of the entry that each exchange reads.
@@ -20,7 +24,9 @@
   readonly routes: RouteTable | null
   /// Whether there may be a newer configuration than the one in force.
   readonly mayBeOutdated: boolean
+  readonly configurationWait: Pick<ConfigurationWait, 'wait'>
   readonly drain: Pick<CallDrain, 'assertMayStart'>
+  readonly quotas: Pick<WorkspaceQuotas, 'acquire'>
   /// Whether a response closes its connection, so that the caller reconnects. `origin` is the entry that relays it.
   shouldCloseConnection (origin: RelayOrigin | null): boolean
 }
@@ -45,7 +51,6 @@
 type Routing = Omit<RoutedCall, 'body' | 'memory'>
 
 const defaultMaxBodyBytes = 1024 * 1024
-const noConfigurationRetryMs = 300
 const otherVersionRetryMs = 20
 
 /// Serves one exchange until its response has ended. Never rejects.
@@ -58,19 +63,23 @@
   const memory = new RequestMemory(context.requestMemory.open())
   let call: Call | null = null
   let cancelDeadline = (): void => {}
+  let credit: Credit | null = null
   try {
     call = response.call = parseCall(exchange, context.codec, receivedAtMs)
+    if (state.routes === null) await waitForConfiguration(call, state, controller.signal, context)
     const maxBodyBytes = state.routes?.configuration.callerLimits.maxBodyBytes ?? defaultMaxBodyBytes
     if (origin !== null) assertSameVersion(origin, state)
     const routing = routeCall(call, exchange.readAtMs, state, controller.signal)
     state.drain.assertMayStart(routing.deadlineMs, origin !== null)
     cancelDeadline = startDeadline(routing, response, controller)
-    const { route, priority, deadlineMs } = routing
+    const { route, priority, deadlineMs, workspace } = routing
+    const acquiring = acquireCredit(routing, state.quotas, context.admission)
+    if (acquiring !== null) credit = await acquiring
     await context.admission.admit({
       call,
       route,
       priority,
-      workspace: routing.workspace?.name ?? null,
+      workspace: workspace?.name ?? null,
       deadlineMs,
       signal: controller.signal,
       isRelayed: origin !== null
@@ -79,8 +88,10 @@
     const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
     await serveByKind[routed.route.kind](routed, response, context)
+    credit?.spend()
     recordCompletion(call, receivedAtMs, response, controller.signal, context)
   } catch (error) {
+    settleFailed(credit, error)
     handleError(error, call, response, receivedAtMs, controller.signal, context)
   } finally {
     cancelDeadline()
@@ -107,11 +118,16 @@
   }
 }
 
+async function waitForConfiguration (
+  call: Call, { configurationWait }: EntryState, signal: AbortSignal, { metrics }: ForwardContext
+): Promise<void> {
+  metrics.increment('calls_held_total')
+  await configurationWait.wait(call, signal)
+}
+
 function routeCall (call: Call, readAtMs: number, state: EntryState, signal: AbortSignal): Routing {
   const { routes } = state
-  if (routes === null) {
-    throw new RefusedError(Refusal.noConfiguration, Verdict.notRun, 'no configuration has been loaded yet', noConfigurationRetryMs)
-  }
+  if (routes === null) throw createNoConfigurationError()
   const route = routes.find(call.host, call.path)
   if (route === null) throw new RefusedError(Refusal.noRoute, Verdict.notRun, `no route in configuration version ${routes.configuration.version} matches the host and path`)
   const { workspaces } = routes.configuration
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -9,7 +9,7 @@
 import type { Commit, ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
-import { CallDrain, recordDropped, serveExchange } from '#process/entry'
+import { CallDrain, ConfigurationWait, recordDropped, serveExchange } from '#process/entry'
 import type { EntryState } from '#process/entry'
 import { InstanceRegistry } from '#process/instances'
 import { mergeAccountEntries } from '#process/ledger'
@@ -17,6 +17,7 @@
 import { Metrics } from '#process/metrics'
 import { MemoryBudget, planMemory } from '#process/memory'
 import { Placement } from '#process/placement'
+import type { WorkspaceQuotas } from '#process/quota'
 import { RequestLimits } from '#process/requestlimit'
 import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, readOrigin } from '#process/relay'
 import type { RelayOrigin } from '#process/relay'
@@ -123,6 +124,8 @@
     }
   }, noopLog, new Metrics())
 
+  /// Set by tests that have quotas.
+  quotas: Pick<WorkspaceQuotas, 'acquire'> = { acquire: () => Promise.reject(new Error('no quotas')) }
   /// Set by tests, to emulate a busy event loop.
   delayMs = 0
   readonly loop = { currentDelayMs: 0, meanDelayMs: 0 }
@@ -137,6 +140,8 @@
   /// Set by tests, to change the configuration of the stand-ins.
   adaptConfiguration: (spec: TestConfiguration) => TestConfiguration = spec => spec
   mayBeOutdated = false
+  /// Set by tests to an entry that has no configuration until its end.
+  configurationWait: ConfigurationWait | null = null
   readonly placement: Placement
   private readonly front: FrontServer
   private readonly relayFront: FrontServer
@@ -215,13 +220,21 @@
     this.relayFront.setLimits({ headerTimeoutMs: 60_000, idleTimeoutMs })
   }
 
+  /// Brings the first configuration into force.
+  applyConfiguration (): void {
+    const { configurationWait } = this
+    this.configurationWait = null
+    configurationWait?.end()
+  }
+
   /// Follows the configuration while a call is served.
   private createState (shouldCloseConnection: () => boolean): EntryState {
-    const { drain } = this
-    const getRoutes = (): RouteTable => this.routes
+    const getRoutes = (): RouteTable | null => this.configurationWait === null ? this.routes : null
     const getMayBeOutdated = (): boolean => this.mayBeOutdated
     return {
-      drain,
+      drain: this.drain,
+      configurationWait: this.configurationWait ?? new ConfigurationWait(),
+      quotas: this.quotas,
       shouldCloseConnection,
       get routes () { return getRoutes() },
       get mayBeOutdated () { return getMayBeOutdated() }
--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -1,6 +1,7 @@
 import type { UpstreamLoad } from '#connection/header'
 import type { InstanceClient } from '#connection/upstream'
 import type { RequestLimit } from '#process/requestlimit'
+import type { InstanceSpeed, ResponseObservation, ServiceModel } from '#process/speed'
 
 /// An upstream instance as described by its entry in the platform's store.
 export interface InstanceDescription {
@@ -15,6 +16,15 @@
   readonly startedAtMs: number | null
 }
 
+/// A prompt that an instance processes for a call of this process.
+export interface PendingPrefill {
+  /// Those that the instance has not cached.
+  readonly tokens: number
+  readonly partIds: ReadonlySet<string>
+  /// On the monotonic clock of `performance.now()`.
+  readonly startedAtMs: number
+}
+
 /// An upstream instance with this process's estimate of its load and health.
 export interface Instance {
   description: InstanceDescription
@@ -31,8 +41,13 @@
   suspectUntilMs: number
   /// This process's share of the limit that the instance names in its responses; null for no limit.
   limit: RequestLimit | null
+  readonly speed: InstanceSpeed
+  /// What is usual in its service; all its instances have the same.
+  readonly model: ServiceModel
   /// Ids of the prompt parts that it has cached, the most recently used last. The values have no meaning.
   readonly cachedParts: Map<string, number>
+  /// Those of calls of this process that have had no event yet.
+  readonly prefills: Set<PendingPrefill>
   /// When it last handled a call about an object, by the object's key; the most recent last.
   readonly handledAtMs: Map<string, number>
   /// It has said in a response that it will stop, and gets no new calls.
@@ -78,6 +93,13 @@
 export function recordLoad (instance: Instance, load: UpstreamLoad, nowMs: number): void {
   instance.othersRunning = Math.max(0, load.running + load.waiting - instance.running)
   instance.loadReportedAtMs = nowMs
+  if (load.durationPercent !== undefined) instance.speed.recordReport(load.durationPercent, nowMs)
+}
+
+/// Learns from a response how fast the instance is, and what is usual in its service.
+export function recordResponse (instance: Instance, observation: ResponseObservation, nowMs: number): void {
+  const { model, speed } = instance
+  for (const sample of model.observe(observation, speed.getFactor(nowMs))) speed.recordSample(sample, nowMs)
 }
 
 /// Marks the instance as suspected and returns for how many milliseconds; they double with each consecutive failure.
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -3,6 +3,8 @@
 import type { InstanceClient } from '#connection/upstream'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
+import { InstanceSpeed, ServiceModel, takeSpeedNews } from '#process/speed'
+import type { SpeedNews } from '#process/speed'
 import { DepartureMemory } from './departurememory.js'
 import type { Instance, InstanceDescription } from './instance.js'
 
@@ -25,6 +27,7 @@
   private readonly byId = new Map<string, Instance>()
   private readonly departures = new DepartureMemory()
   private readonly removalTimers = new Map<string, ReturnType<typeof setTimeout>>()
+  private readonly models = new Map<string, ServiceModel>()
   private isListingReceived = false
 
   constructor (private readonly options: RegistryOptions, private readonly log: EventLog) {}
@@ -51,6 +54,34 @@
     }
   }
 
+  /// The service models that have been created, by service.
+  get serviceModels (): ReadonlyMap<string, ServiceModel> {
+    return this.models
+  }
+
+  /// How many instances are treated as slower than usual in their service.
+  countSlow (nowMs: number): number {
+    return [...this.byId.values()].filter(({ speed }) => speed.getFactor(nowMs) > 1).length
+  }
+
+  /// The largest factor by which work takes longer at an instance; 1 if all are as usual.
+  findLargestSlowdown (nowMs: number): number {
+    return [...this.byId.values()].reduce((largest, { speed }) => Math.max(largest, speed.getFactor(nowMs)), 1)
+  }
+
+  /// What this process has observed of instances since it last took it, as much as a digest holds.
+  takeSpeedNews (): SpeedNews[] {
+    return takeSpeedNews([...this.byId].map(([id, { speed }]) => [id, speed] as const))
+  }
+
+  /// Adds what another entry has observed. Instances that aren't listed here are left out.
+  addSpeedNews (news: readonly SpeedNews[]): void {
+    const nowMs = performance.now()
+    for (const { instanceId, ...observations } of news) {
+      this.byId.get(instanceId)?.speed.recordShared(observations, nowMs)
+    }
+  }
+
   get names (): Iterable<string> {
     return this.byId.keys()
   }
@@ -107,7 +138,10 @@
       failures: 0,
       suspectUntilMs: 0,
       limit: null,
+      speed: new InstanceSpeed(),
+      model: this.getModel(description.service),
       cachedParts: new Map(),
+      prefills: new Set(),
       handledAtMs: new Map(),
       isLeaving: this.departures.has(description),
       isRemoved: false
@@ -116,6 +150,15 @@
     this.log.event(Events.instanceAdded, { instanceId: id, service, address, zone, isReady })
   }
 
+  private getModel (service: string): ServiceModel {
+    let model = this.models.get(service)
+    if (model === undefined) {
+      model = new ServiceModel()
+      this.models.set(service, model)
+    }
+    return model
+  }
+
   private remove (id: string, reason: string): void {
     const instance = this.byId.get(id)
     if (instance === undefined) return
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -32,6 +32,7 @@
   const call = createCall(id, { program: { id, sessionId: id, remainingMs, tokenBudget: null } })
   return {
     call,
+    kind: 'r',
     service: 's',
     engine: null,
     priority: 1,
@@ -260,3 +261,65 @@
   for (const id of ['a', 'b']) instance(id).limit = new RequestLimit(10, 10, performance.now() - 200)
   await expect(placement.acquire(createRequest('x', { isContinuing: false }), signal)).resolves.toBeDefined()
 })
+
+/// Keeps calls waiting for 2 s while each of the 4 leases is released after 200 ms, so that 20 are granted a second.
+async function keepQueueBusy (): Promise<void> {
+  const acquire = (id: string): void => {
+    placement.acquire(createRequest(id, { maxWaitMs: Infinity }), signal)
+      .then(lease => setTimeout(() => lease.release(), 200), () => {})
+  }
+  for (let i = 0; i < 100; i++) {
+    acquire(`busy ${i}`)
+    if (i >= 20) await vi.advanceTimersByTimeAsync(50)
+  }
+}
+
+// Guards against calls that wait in vain, and against callers that all come back at once.
+test('a call that would wait longer than it may is refused at once, and told when there is capacity', async () => {
+  await keepQueueBusy()
+  const refused = await Promise.all(['a', 'b', 'c'].map(async id => {
+    return await placement.acquire(createRequest(id, { maxWaitMs: 200 }), signal).catch((error: unknown) => error)
+  })) as { retryAfterMs: number }[]
+  for (const error of refused) {
+    expect(error).toMatchObject({ refusal: Refusal.overloaded, verdict: Verdict.notRun })
+    const { retryAfterMs } = error
+    expect(retryAfterMs).toBeGreaterThan(400)
+    expect(retryAfterMs).toBeLessThanOrEqual(1000)
+  }
+  expect(new Set(refused.map(({ retryAfterMs }) => retryAfterMs)).size).toBeGreaterThan(1)
+  const waits = placement.acquire(createRequest('waits', { maxWaitMs: 3000 }), signal)
+  await vi.advanceTimersByTimeAsync(2000)
+  await expect(waits).resolves.toBeDefined()
+})
+
+// Guards against calls that go to a machine whose report says that work takes longer there at present.
+test('of two equally loaded instances, the one that reports less time for its work gets the call, while the report is fresh', async () => {
+  for (const id of ['a', 'b']) {
+    const { description } = instance(id)
+    instance(id).description = { ...description, slots: 10, zone: 'z0' }
+    instance(id).running = 3
+  }
+  const choose = (): string => chooseInstance([instance('a'), instance('b')], createRequest('x'), 'z0', ({ running }) => running)!.description.id
+  const usual = choose()
+  instance(usual).speed.recordReport(300, performance.now())
+  expect(choose()).not.toBe(usual)
+  await vi.advanceTimersByTimeAsync(5000)
+  expect(choose()).toBe(usual)
+})
+
+// Guards against slow instances that are filled with as many new programs as fast ones.
+test.each([
+  ['as usual', 100, 'placed'],
+  ['twice as long', 200, 'refused']
+])('with half of the slots in use, a new program at an instance where work takes %s is %s', async (_, percent, expected) => {
+  for (const id of ['a', 'b']) {
+    const { description } = instance(id)
+    instance(id).description = { ...description, slots: 10 }
+    instance(id).running = 5
+    instance(id).speed.recordReport(percent, performance.now())
+  }
+  const outcome = placement.acquire(createRequest('x', { isContinuing: false, maxWaitMs: 0 }), signal)
+    .then(() => 'placed', () => 'refused')
+  await vi.advanceTimersByTimeAsync(30)
+  expect(await outcome).toBe(expected)
+})
