Limits on misbehaving callers: connections, backlog of requests, fields, arrival of bodies

Also: the free bytes of very many small messages are bounded, relayed bytes count as memory, large bodies in flight at one instance are bounded, and a response without a length that ends before its request was sent is not complete.

--- a/connection/front/src/bodyreader.ts
+++ b/connection/front/src/bodyreader.ts
@@ -14,16 +14,18 @@
 export class BodyReader {
   /// Null before and after.
   private reading: Reading | null = null
-  private isBroken = false
+  /// Set if its rest can't be read.
+  private problem: RefusedError | null = null
 
   constructor (private readonly request: IncomingMessage) {}
 
   /// Rejects with `RefusedError` if the body is too large or incomplete, or there is no memory for it. Its rest is then
   /// read and dropped.
-  read (maxBytes: number, memory: RequestMemory): Promise<Buffer> {
+  read (maxBytes: number, memory: RequestMemory, signal?: AbortSignal): Promise<Buffer> {
     const { request } = this
     if (Number(request.headers['content-length'] ?? 0) > maxBytes) return Promise.reject(bodyTooLargeError(maxBytes))
-    if (this.isBroken) return Promise.reject(incompleteError())
+    if (this.problem !== null) return Promise.reject(this.problem)
+    if (signal?.aborted === true) return Promise.reject(lateError())
     let receivedBytes = 0
     request.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length
@@ -33,13 +35,20 @@
     request.once('error', () => this.refuse(incompleteError()))
     request.once('close', () => this.refuse(incompleteError()))
     request.once('end', () => this.finish())
+    signal?.addEventListener('abort', () => this.refuse(lateError()), { once: true })
     return new Promise((resolve, reject) => { this.reading = { body: new ByteCollector(), resolve, reject } })
   }
 
   /// Ends the reading of a body whose rest can't be read.
   fail (): void {
-    this.isBroken = true
-    this.refuse(incompleteError())
+    this.problem = incompleteError()
+    this.refuse(this.problem)
+  }
+
+  /// Ends the reading of a body that has not arrived in time.
+  expire (): void {
+    this.problem = lateError()
+    this.refuse(this.problem)
   }
 
   private add (chunk: Buffer, memory: RequestMemory): void {
@@ -70,3 +79,7 @@
 function incompleteError (): RefusedError {
   return new RefusedError(Refusal.invalid, Verdict.notRun, 'the request body is incomplete')
 }
+
+function lateError (): RefusedError {
+  return new RefusedError(Refusal.timedOut, Verdict.notRun, 'the request body has not arrived in time')
+}
--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -1,9 +1,14 @@
 import type { Socket } from 'node:net'
 import { setImmediate as setImmediatePromise } from 'node:timers/promises'
+import { callAfterReading } from '#process/clock'
+import { ConnectionUse } from './connectionlimit.js'
+import type { BackloggedConnection, RequestBacklog } from './requestbacklog.js'
 import { destroyIfStalled } from './stalledsend.js'
 
 /// A request that was read, and gets its response in the order of its connection.
 export interface PendingRequest {
+  /// What it takes while it waits, in bytes of memory.
+  readonly headBytes: number
   /// Whether the whole request has been read.
   readonly isRead: boolean
   /// Starts to serve the request; called at most once, and not after `drop`.
@@ -12,12 +17,16 @@
   drop (): void
   /// Called if the rest of the request can't be read.
   failBody (): void
+  /// Called if the rest of the request has not arrived in time.
+  expire (): void
   /// Calls `listener` when the response has been sent or its connection is closed.
   onClose (listener: () => void): void
 }
 
 /// Requests that wait on a connection before no more are read from it.
 const maxWaitingRequests = 8
+/// How long after its head a request must have arrived whole. Node bounds the time of the head.
+const maxArrivalMs = 10_000
 /// How long, and how much, a connection is read on after its last response (RFC 9112, section 9.6).
 const lingerMs = 1000
 const lingerBytes = 16 * 1024 * 1024
@@ -26,11 +35,30 @@
 /// a megabyte or more.
 const maxStalledMs = 30_000
 
+/// Why a connection is closed before its caller ends it.
+export const ClosingReason = {
+  tooManyConnections: 'too-many-connections',
+  tooManyRequests: 'too-many-pipelined-requests',
+  slowRequest: 'request-not-whole-in-time',
+  tooMuchRest: 'too-much-behind-a-response',
+  /// A relayed connection.
+  tooMuchMemory: 'too-much-memory'
+} as const
+
+export type ClosingReason = typeof ClosingReason[keyof typeof ClosingReason]
+
+export interface CallerConnectionOptions {
+  /// Whether the connection is to end with its next response.
+  readonly isServerClosing: () => boolean
+  readonly onClosing: (reason: ClosingReason) => void
+  readonly backlog: RequestBacklog
+}
+
 /// A connection of a caller, whose requests are served one after the other (RFC 9112, section 9.3.2).
 ///
 /// It is read on while a request is served, so that a caller that disconnects is noticed. It isn't while
 /// `maxWaitingRequests` wait, or while one waits and so many have come since the connection is to end.
-export class CallerConnection {
+export class CallerConnection implements BackloggedConnection {
   private readonly waiting: PendingRequest[] = []
   private current: PendingRequest | null = null
   /// The newest request, served already or not.
@@ -50,14 +78,35 @@
   /// Whether more requests may be in what was read with the newest one.
   private isParsing = false
   private readonly firstByte: number
+  /// The next request is started in the next iteration of the event loop.
+  private isStartDue = false
+  /// Whether all of the current response has been written, and waits for the caller.
+  private isSending = false
+  private readRequests = 0
+  private arrivalTimer: NodeJS.Timeout | undefined
+  /// See `HeldConnection`.
+  progressAtMs = performance.now()
 
-  /// `isServerClosing`: whether the connection is to end with its next response.
-  constructor (private readonly socket: Socket, private readonly isServerClosing: () => boolean) {
+  constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
     this.firstByte = socket.bytesRead - socket.readableLength
     // Node calls it after a response that says `close`.
     socket.destroySoon = () => this.end()
     socket.on('resume', () => this.updateReading())
-    socket.once('close', () => this.dropWaiting())
+    socket.once('close', () => {
+      clearTimeout(this.arrivalTimer)
+      this.dropWaiting()
+    })
+  }
+
+  private isServerClosing (): boolean {
+    return this.options.isServerClosing()
+  }
+
+  get use (): ConnectionUse {
+    if (this.isEnding) return ConnectionUse.waiting
+    if (this.isSending) return ConnectionUse.sending
+    const hasWhole = this.isServingWhole || this.waiting.some(({ isRead }) => isRead)
+    return hasWhole ? ConnectionUse.serving : ConnectionUse.waiting
   }
 
   /// Whether a request is being served or waits, or a response has not been sent whole.
@@ -70,6 +119,11 @@
     return this.socket.bytesRead > this.firstByte
   }
 
+  /// How many requests have been read.
+  get requestCount (): number {
+    return this.readRequests
+  }
+
   /// Whether a request that was read whole is being served.
   get isServingWhole (): boolean {
     return this.current?.isRead ?? false
@@ -78,13 +132,18 @@
   add (request: PendingRequest): void {
     if (this.isEnding || this.socket.destroyed) return request.drop()
     this.newest = request
+    this.readRequests++
     if (this.isToEnd) this.requestsSinceToEnd++
     this.waiting.push(request)
+    this.options.backlog.add(this, request.headBytes)
+    if (this.isParsing || this.socket.destroyed) return
     this.isParsing = true
     this.startNext()
     setImmediate(() => {
       this.isParsing = false
+      this.startNext()
       this.updateReading()
+      this.watchArrival()
     })
   }
 
@@ -104,6 +163,7 @@
 
   /// Called when all of a response has been written. Closes the connection if the caller stops reading it.
   watchSending (): void {
+    this.isSending = true
     destroyIfStalled(this.socket, maxStalledMs)
   }
 
@@ -132,6 +192,23 @@
     if (!this.isServing && !this.isEnding && this.socket.bytesRead === bytesRead) this.socket.destroy()
   }
 
+  close (reason: ClosingReason): void {
+    if (this.socket.destroyed) return
+    this.options.onClosing(reason)
+    this.socket.destroy()
+  }
+
+  closeBacklogged (): void {
+    this.close(ClosingReason.tooManyRequests)
+  }
+
+  /// Closes the connection to make room for another one.
+  evict (): void {
+    const isIdle = !this.isServing && this.newest !== null && this.newest.isRead
+    if (isIdle) this.closeIfIdle().catch(() => {})
+    else this.close(ClosingReason.tooManyConnections)
+  }
+
   /// Sends the end of this side after what has been written, and reads and drops what arrives until the caller ends its
   /// side: a connection that is closed with unread bytes is reset, and the caller may lose its response.
   end (): void {
@@ -145,23 +222,65 @@
   }
 
   private startNext (): void {
-    if (this.current !== null || this.isEnding) return
+    if (this.current !== null || this.isEnding || this.isStartDue) return
     const request = this.waiting.shift()
     if (request === undefined) return this.endIfBroken()
+    this.options.backlog.remove(this, request.headBytes)
     this.current = request
     request.onClose(() => this.finishRequest())
     request.start()
   }
 
   private finishRequest (): void {
+    const isRead = this.current?.isRead ?? true
     this.current = null
+    this.isSending = false
+    this.progressAtMs = performance.now()
     if (this.socket.destroyed) return this.dropWaiting()
-    this.startNext()
+    if (!isRead) this.watchRest()
+    if (this.waiting.length > 0) this.startNextSoon()
+    else this.startNext()
     this.updateReading()
     this.sendAnnouncement()
     if (!this.isServing && this.isServerClosing()) this.closeIfIdle().catch(() => {})
   }
 
+  /// Other connections come first: many requests that were read in one piece would take long together.
+  private startNextSoon (): void {
+    this.isStartDue = true
+    setImmediate(() => {
+      this.isStartDue = false
+      this.startNext()
+    })
+  }
+
+  /// A request that hasn't arrived whole with its head must do so in time.
+  private watchArrival (): void {
+    const { newest } = this
+    if (newest === null || newest.isRead || this.socket.destroyed) return
+    clearTimeout(this.arrivalTimer)
+    this.arrivalTimer = setTimeout(() => callAfterReading(() => this.expire(newest)), maxArrivalMs)
+  }
+
+  private expire (request: PendingRequest): void {
+    if (request.isRead || this.socket.destroyed || this.isEnding) return
+    if (request !== this.current) return this.close(ClosingReason.slowRequest)
+    this.options.onClosing(ClosingReason.slowRequest)
+    this.isToEnd = true
+    request.expire()
+  }
+
+  /// Behind its response, the rest of a request is read and dropped, but not without end.
+  private watchRest (): void {
+    const { socket, newest } = this
+    const firstByte = socket.bytesRead
+    const timer = setInterval(() => {
+      const isOver = socket.destroyed || this.isEnding || newest !== this.newest || newest?.isRead === true
+      if (isOver) clearInterval(timer)
+      else if (socket.bytesRead - firstByte > lingerBytes) this.close(ClosingReason.tooMuchRest)
+    }, lingerPollMs)
+  }
+
   private sendAnnouncement (): void {
     if (this.announcement === null || this.isServing || this.isToEnd || this.isEnding || this.socket.destroyed) return
     this.socket.write(this.announcement)
@@ -175,6 +294,7 @@
   }
 
   private dropWaiting (): void {
+    this.options.backlog.removeAll(this)
     for (const request of this.waiting.splice(0)) request.drop()
   }
 
--- a/connection/front/src/exchange.ts
+++ b/connection/front/src/exchange.ts
@@ -100,8 +100,9 @@
   }
 
   /// Rejects with `RefusedError` if the body is too large or incomplete, or there is no memory for it.
-  readBody (maxBytes: number, memory: RequestMemory): Promise<Buffer> {
-    return this.bodyReader.read(maxBytes, memory)
+  /// Aborting `signal` ends the reading, too.
+  readBody (maxBytes: number, memory: RequestMemory, signal?: AbortSignal): Promise<Buffer> {
+    return this.bodyReader.read(maxBytes, memory, signal)
   }
 
   /// Ends the reading of a body whose rest can't be read.
@@ -109,6 +110,11 @@
     this.bodyReader.fail()
   }
 
+  /// Ends the reading of a body that has not arrived in time.
+  expire (): void {
+    this.bodyReader.expire()
+  }
+
   /// Sends a complete response, unless one was started before. `isLast` asks the caller to use a new connection for
   /// its next request; if that has been read already, the response to it does so.
   respond (status: number, headers: ResponseHeaders, body: Buffer, isLast: boolean): void {
--- a/connection/front/src/index.ts
+++ b/connection/front/src/index.ts
@@ -1,4 +1,7 @@
 export { destroyIfStalled } from './stalledsend.js'
+export { ClosingReason } from './callerconnection.js'
+export { ConnectionLimit, ConnectionUse } from './connectionlimit.js'
+export type { ConnectionState, HeldConnection } from './connectionlimit.js'
 export { DisconnectCause, Exchange } from './exchange.js'
 export type { ResponseHeaders } from './exchange.js'
 export { FrontServer } from './server.js'
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -5,11 +5,15 @@
 import { splitAddress } from '#connection/address'
 import type { Listener } from '#connection/listen'
 import { findRequestProblem } from '#connection/header'
-import { CallerConnection, readArrived } from './callerconnection.js'
+import { callAfterReading } from '#process/clock'
+import { CallerConnection, ClosingReason, readArrived } from './callerconnection.js'
+import { ConnectionUse } from './connectionlimit.js'
+import type { ConnectionLimit, ConnectionState, HeldConnection } from './connectionlimit.js'
 import { ConnectionQueue } from './connectionqueue.js'
 import { Exchange } from './exchange.js'
+import { RequestBacklog } from './requestbacklog.js'
 import { QueuedExchange } from './queuedexchange.js'
-import type { ExchangeHandlers } from './queuedexchange.js'
+import type { ExchangeHandlers, RequestProblem } from './queuedexchange.js'
 
 export interface FrontOptions extends ExchangeHandlers {
   /// Called for a request that is not valid HTTP, with the parser's error code or what is wrong with the head.
@@ -20,7 +24,14 @@
   /// when that is so without a break, on the monotonic clock of `performance.now()`.
   readonly onAccepting: (sinceMs: number) => void
   /// Gets each connection that is accepted, and calls `serve` to have it served. Without it all are served.
-  readonly offerConnection?: (socket: Socket, serve: ServeConnection) => void
+  /// Returns the state of a connection that is not served here at once.
+  readonly offerConnection?: (socket: Socket, serve: ServeConnection) => ConnectionState | void
+  /// Bounds the open connections.
+  readonly limit?: ConnectionLimit
+  /// With a full limit new connections are closed rather than idle ones.
+  readonly refusesWhenFull?: boolean
+  /// Called for each connection that is closed because of what its caller does, or to make room.
+  readonly onClosing?: (reason: ClosingReason) => void
   /// A client that has sent its end still gets the responses to its requests. Else it counts as disconnected.
   readonly allowsHalfOpen?: boolean
   /// While the server runs, idle connections are closed by their clients only, which know what they have sent.
@@ -37,6 +48,14 @@
 }
 
 const maxHeaderBytes = 16 * 1024
+/// A head of the largest size may hold thousands of fields, each of which costs time and memory.
+const maxHeaderFields = 500
+/// How often it is checked which heads have not arrived in time.
+const headCheckIntervalMs = 1000
+/// What requests that wait behind others of their connections may take together.
+const maxBacklogBytes = 12 * 1024 * 1024
+const statusBadRequest = 400
+const statusTooManyFields = 431
 /// After so long without a word, a client that may close its idle connection late is asked whether it still exists.
 const keepAliveDelayMs = 10_000
 /// How long a server that closes accepts connections that wait.
@@ -60,7 +79,9 @@
   /// Those that are served here.
   private readonly connections = new WeakMap<Socket, CallerConnection>()
   private readonly openSockets = new Set<Socket>()
+  private readonly held = new WeakMap<Socket, AcceptedConnection>()
   private readonly queue: ConnectionQueue
+  private readonly backlog = new RequestBacklog(maxBacklogBytes)
   private acceptedCount = 0
   private isClosing = false
   private isClosingIdle = false
@@ -78,7 +99,12 @@
       // While the server closes, `serve` decides about requests of open connections.
       return503OnClosing: false,
       // Node's own response to a request without a Host field would have no place in the order of its connection.
-      http: { maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false, requireHostHeader: false },
+      http: {
+        maxHeaderSize: maxHeaderBytes,
+        insecureHTTPParser: false,
+        requireHostHeader: false,
+        connectionsCheckingInterval: headCheckIntervalMs
+      },
       clientErrorHandler: (error, socket) => this.handleClientError(error.code, socket as Socket)
     })
     this.queue = this.interceptConnections()
@@ -105,6 +131,7 @@
     const [serve] = server.listeners('connection') as ((socket: Socket) => void)[]
     server.removeAllListeners('connection')
     const serveSocket = (socket: Socket): void => {
+      const held = this.held.get(socket)
       const serveHere: ServeConnection = wasUsed => {
         if (wasUsed) this.openedAtMs.delete(socket)
         this.openConnection(socket)
@@ -112,10 +139,14 @@
         this.forgetOpening(socket)
       }
       if (options.offerConnection === undefined) serveHere(false)
-      else options.offerConnection(socket, serveHere)
+      else {
+        const state = options.offerConnection(socket, serveHere)
+        if (held !== undefined && typeof state === 'object') held.offered = state
+      }
     }
     const queue = new ConnectionQueue({ serve: serveSocket, onIteration: options.onAccepting })
     server.on('connection', (socket: Socket) => {
+      if (!this.hold(socket)) return
       this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
       this.acceptedCount++
       queue.add(socket)
@@ -136,8 +167,14 @@
 
   private openConnection (socket: Socket): void {
     if (this.options.leavesIdleOpen === true) socket.setKeepAlive(true, keepAliveDelayMs)
-    const connection = new CallerConnection(socket, () => this.isClosing)
+    const connection = new CallerConnection(socket, {
+      isServerClosing: () => this.isClosing,
+      onClosing: reason => this.options.onClosing?.(reason),
+      backlog: this.backlog
+    })
     this.connections.set(socket, connection)
+    const held = this.held.get(socket)
+    if (held !== undefined) held.served = connection
     this.openSockets.add(socket)
     socket.once('close', () => this.openSockets.delete(socket))
     const destroy = socket.destroy.bind(socket)
@@ -147,6 +184,22 @@
     }
   }
 
+  /// Returns false if the connection was closed, since there are too many.
+  private hold (socket: Socket): boolean {
+    const { limit, refusesWhenFull = false, onClosing } = this.options
+    if (limit === undefined) return true
+    const held = new AcceptedConnection(socket, refusesWhenFull, reason => onClosing?.(reason))
+    if (!limit.add(held)) {
+      onClosing?.(ClosingReason.tooManyConnections)
+      socket.on('error', () => {})
+      socket.destroy()
+      return false
+    }
+    this.held.set(socket, held)
+    socket.once('close', () => limit.remove(held))
+    return true
+  }
+
   /// Node knows on which connections no part of a request has arrived, but takes those for idle, too, whose last
   /// response has not been sent whole.
   private keepUnsentResponses (server: Server): void {
@@ -177,15 +230,26 @@
       return
     }
     // A response on a connection without a request would be taken for that to the next one.
-    if (code === requestTimeoutCode && !connection.hasReceived) {
-      if (this.options.leavesIdleOpen !== true) socket.destroy()
-      return
-    }
+    if (code === requestTimeoutCode) return this.handleLateHead(connection, socket)
     this.options.onMalformed(code)
     if (code === endWithinRequestCode && !this.options.allowsHalfOpen && connection.isServingWhole) socket.end()
     else connection.breakOff(formatEmptyResponse(statusByErrorCode[code] ?? '400 Bad Request'))
   }
 
+  /// If this process was busy, the rest of the head may have arrived meanwhile.
+  private handleLateHead (connection: CallerConnection, socket: Socket): void {
+    const { requestCount } = connection
+    callAfterReading(() => {
+      if (connection.requestCount !== requestCount || socket.destroyed || connection.isEnding) return
+      if (!connection.hasReceived) {
+        if (this.options.leavesIdleOpen !== true) socket.destroy()
+        return
+      }
+      this.options.onMalformed(requestTimeoutCode)
+      connection.breakOff(formatEmptyResponse(statusByErrorCode[requestTimeoutCode]!))
+    })
+  }
+
   /// What has arrived is read by the end of the next event loop iteration; other requests arrive later.
   private forgetOpening (socket: Socket): void {
     setImmediate(() => setImmediate(() => this.openedAtMs.delete(socket)))
@@ -205,10 +269,16 @@
     server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  private findProblem ({ httpVersion, url, rawHeaders }: IncomingMessage): string | null {
-    const problem = findRequestProblem({ httpVersion, target: url ?? '', rawHeaders })
-    if (problem !== null) this.options.onMalformed(problem)
-    return problem
+  private findProblem (request: IncomingMessage): RequestProblem | null {
+    const { httpVersion, url, rawHeaders } = request
+    const hasManyFields = rawHeaders.length > 2 * maxHeaderFields
+    const reason = hasManyFields
+      ? `more than ${maxHeaderFields} header fields`
+      : findRequestProblem({ httpVersion, target: url ?? '', rawHeaders })
+    if (reason === null) return null
+    this.options.onMalformed(reason)
+    if (hasManyFields) forgetFields(request)
+    return { status: hasManyFields ? statusTooManyFields : statusBadRequest, reason }
   }
 
   /// Sends the bytes, which must be no response, before or between the responses of each open connection of which
@@ -229,6 +299,11 @@
     await readArrived()
   }
 
+  /// Closes all connections, whatever they are used for.
+  destroyConnections (): void {
+    for (const socket of this.openSockets) socket.destroy()
+  }
+
   /// Stops accepting connections and closes idle ones. A process that was busy accepts and reads first what has arrived
   /// meanwhile.
   async close (): Promise<void> {
@@ -238,6 +313,44 @@
   }
 }
 
+/// They take far more memory than the request arrives with, and it is not served.
+function forgetFields (request: IncomingMessage): void {
+  request.headers = {}
+  request.rawHeaders = []
+}
+
+/// A connection from its acceptance on: it waits to be served, is offered to others, or is served here.
+class AcceptedConnection implements HeldConnection {
+  served: CallerConnection | null = null
+  /// Of a connection that is passed on; null before.
+  offered: ConnectionState | null = null
+  private readonly accepted = { use: ConnectionUse.waiting, progressAtMs: performance.now() }
+
+  constructor (
+    private readonly socket: Socket,
+    private readonly isNeverClosed: boolean,
+    private readonly onClosing: (reason: ClosingReason) => void
+  ) {}
+
+  get use (): ConnectionUse {
+    return this.isNeverClosed ? ConnectionUse.serving : this.state.use
+  }
+
+  get progressAtMs (): number {
+    return this.state.progressAtMs
+  }
+
+  private get state (): ConnectionState {
+    return this.served ?? this.offered ?? this.accepted
+  }
+
+  close (): void {
+    if (this.served !== null) return this.served.evict()
+    this.onClosing(ClosingReason.tooManyConnections)
+    this.socket.destroy()
+  }
+}
+
 function formatEmptyResponse (status: string): string {
   return `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
 }
--- a/connection/front/src/status.ts
+++ b/connection/front/src/status.ts
@@ -1,33 +1,55 @@
-import { fastify } from 'fastify'
-import { splitAddress } from '#connection/address'
 import type { Listener } from '#connection/listen'
+import { ConnectionLimit } from './connectionlimit.js'
+import type { Exchange } from './exchange.js'
+import { FrontServer } from './server.js'
 
 /// Pages by path, such as readiness and metrics. Each is rendered on request.
 export type StatusPages = Readonly<Record<string, () => { readonly status: number, readonly text: string }>>
 
-/// A server for status pages.
+/// Who checks a process needs one or two.
+const maxConnections = 16
+const limits = { headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+const readMethods: ReadonlySet<string> = new Set(['GET', 'HEAD'])
+const notFound = { status: 404, text: 'not found\n' }
+
+/// A server for status pages. Its callers are as unknown as those of the entry, so it has the same limits.
 export class StatusServer implements Listener {
-  private readonly app = fastify({ logger: false, forceCloseConnections: true })
-
-  constructor (pages: StatusPages) {
-    for (const [path, page] of Object.entries(pages)) {
-      this.app.get(path, (_, reply) => {
-        const { status, text } = page()
-        reply.code(status).type('text/plain; charset=utf-8').send(text)
-      })
-    }
+  private readonly front: FrontServer
+
+  constructor (private readonly pages: StatusPages) {
+    this.front = new FrontServer({
+      serve: async exchange => this.respond(exchange),
+      onDropped: () => {},
+      onMalformed: () => {},
+      getDelayMs: () => 0,
+      onAccepting: () => {},
+      limit: new ConnectionLimit(maxConnections)
+    })
+    this.front.setLimits(limits)
   }
 
   async listen (address: string): Promise<void> {
-    const [host, port] = splitAddress(address)
-    await this.app.listen({ host, port })
+    await this.front.listen(address)
   }
 
   onError (handle: (error: Error) => void): void {
-    this.app.server.on('error', handle)
+    this.front.onError(handle)
   }
 
   async close (): Promise<void> {
-    await this.app.close()
+    const closed = this.front.close()
+    this.front.destroyConnections()
+    await closed
+  }
+
+  private respond (exchange: Exchange): void {
+    const { method, path } = exchange.head
+    const page = readMethods.has(method) ? this.findPage(path.split('?', 1)[0]!) : undefined
+    const { status, text } = page?.() ?? notFound
+    exchange.respond(status, { 'content-type': 'text/plain; charset=utf-8' }, Buffer.from(text), page === undefined)
+  }
+
+  private findPage (path: string): StatusPages[string] | undefined {
+    return Object.hasOwn(this.pages, path) ? this.pages[path] : undefined
   }
 }
--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -46,6 +46,9 @@
 const maxHeadBytes = 1024 * 1024
 /// A larger response fails, and its connection is closed.
 const maxResponseBytes = 8 * 1024 * 1024
+/// With more of its request unsent when its response is complete, a connection is closed: an instance that doesn't read
+/// on would have it kept in memory.
+const maxUnsentBytes = 64 * 1024
 // Subtracted from the idle timeout that an instance announces, so that no
 // request is sent on a connection that the instance is about to close.
 const idleMarginMs = 1000
@@ -113,6 +116,8 @@
   private informationalCount = 0
   /// Of the connection that the response comes on.
   private meter: ConnectionMeter | null = null
+  /// Whether the response has neither a length nor chunks.
+  private endsWithConnection = false
 
   constructor (private readonly handler: ResponseHandler, private readonly connection: ParsedConnection) {}
 
@@ -137,6 +142,7 @@
     if (status >= 200) {
       this.meter = this.connection.meter
       this.meter?.countHead()
+      this.endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
       this.handler.onHead({ status, headers })
     } else if (++this.informationalCount > maxInformationalResponses) {
       controller.abort(new UpstreamError(`more than ${maxInformationalResponses} informational responses`, true))
@@ -152,8 +158,16 @@
     this.meter?.restart()
     if (this.isDone) return
     this.isDone = true
-    if (this.connection.isResetting) this.handler.onError(new UpstreamError('connection reset during response', true))
-    else this.handler.onEnd()
+    const unsentBytes = this.meter?.unsentBytes ?? 0
+    if (this.connection.isResetting) {
+      this.handler.onError(new UpstreamError('connection reset during response', true))
+    } else if (this.endsWithConnection && unsentBytes > 0) {
+      // The reset that the rest of the request causes may not have arrived yet.
+      this.handler.onError(new UpstreamError('connection ended while the request was being sent', true))
+    } else {
+      this.handler.onEnd()
+    }
+    if (unsentBytes > maxUnsentBytes) this.meter?.close('the response came before the request was read')
   }
 
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
--- a/connection/upstream/src/connectionmeter.ts
+++ b/connection/upstream/src/connectionmeter.ts
@@ -24,6 +24,15 @@
       : readBytes > maxHeadBytes
   }
 
+  /// What has been written to the connection, and not been taken by the operating system.
+  get unsentBytes (): number {
+    return this.socket.writableLength
+  }
+
+  close (reason: string): void {
+    this.socket.destroy(new Error(reason))
+  }
+
   countHead (): void {
     this.hasHead = true
   }
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -1,6 +1,6 @@
 import { ChainCache } from '#request/turn'
 import type { ForwardContext } from '#request/forward'
-import { FrontServer, StatusServer } from '#connection/front'
+import { ClosingReason, ConnectionLimit, FrontServer, StatusServer } from '#connection/front'
 import type { Exchange } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
 import { keepListening } from '#connection/listen'
@@ -17,7 +17,7 @@
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
-import { MemoryBudget, planMemory } from '#process/memory'
+import { MemoryBudget, planConnections, planMemory, readMaxDescriptors } from '#process/memory'
 import { Placement } from '#process/placement'
 import { LedgerQuorum } from '#process/quorum'
 import { RequestLimits } from '#process/requestlimit'
@@ -80,6 +80,7 @@
   private readonly quorum: LedgerQuorum
   private readonly viewReader: ViewReader
   private readonly front: FrontServer
+  private readonly callerLimit: ConnectionLimit
   private readonly peers: EntryPeers
   readonly drain: CallDrain
   private readonly context: ForwardContext
@@ -93,7 +94,7 @@
     private readonly options: EntryOptions,
     private readonly platform: EntryPlatform,
     private readonly log: EventLog,
-    metrics: Metrics,
+    private readonly metrics: Metrics,
     backlog: LoopBacklog
   ) {
     const { name, zone, processors, relayAddress, toleratedLosses } = options
@@ -117,11 +118,14 @@
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
     const admission = new Admission(backlog, () => this.peers.relay.betterShare)
     const plan = planMemory(options.memoryMb)
+    const connections = planConnections(options.memoryMb, readMaxDescriptors())
+    const responseMemory = new MemoryBudget(plan.responseBytes, freeBytesPerMessage, plan.freeBytes)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
       onAccepting: (sinceMs: number) => admission.countAccepting(sinceMs),
       onMalformed: (code: string) => log.event(Events.requestMalformed, { code }),
-      onDropped: (exchange: Exchange) => recordDropped(exchange, this.context)
+      onDropped: (exchange: Exchange) => recordDropped(exchange, this.context),
+      onClosing: (reason: ClosingReason) => this.recordClosing(reason)
     }
     this.peers = new EntryPeers({
       registration: { name, address: relayAddress, zone, processors },
@@ -133,10 +137,13 @@
       },
       isReady: () => this.isReady,
       serve: (exchange, origin) => this.serve(exchange, origin),
-      front: frontOptions
+      relayMemory: responseMemory,
+      onRelayCut: () => this.recordClosing(ClosingReason.tooMuchMemory),
+      front: { ...frontOptions, limit: new ConnectionLimit(connections.relayed) }
     }, log, metrics)
     this.front = new FrontServer({
       ...frontOptions,
+      limit: this.callerLimit = new ConnectionLimit(connections.callers),
       serve: exchange => this.serve(exchange, null),
       offerConnection: (socket, serve) => this.peers.relay.offer(socket, serve)
     })
@@ -148,8 +155,8 @@
       serviceTime: this.peers.serviceTime,
       ledger: this.quorum,
       cache: new ChainCache(plan.cacheBytes),
-      requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage),
-      responseMemory: new MemoryBudget(plan.responseBytes, freeBytesPerMessage),
+      requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage, plan.freeBytes),
+      responseMemory,
       log,
       metrics
     }
@@ -241,6 +248,11 @@
     return this.drain.run(controller => serveExchange({ exchange, origin, controller }, this, this.context))
   }
 
+  private recordClosing (reason: ClosingReason): void {
+    this.metrics.increment(`connections_closed_total{reason="${reason}"}`)
+    this.log.event(Events.connectionClosed, { reason })
+  }
+
   private handleConfiguration ({ callerLimits }: Configuration): void {
     this.front.setLimits(callerLimits)
     this.peers.setLimits(callerLimits)
@@ -257,6 +269,7 @@
   private addGauges (metrics: Metrics): void {
     const { admission, placement, requestMemory, responseMemory } = this.context
     const { relay, serviceTime } = this.peers
+    metrics.addGauge('connections_open', () => this.callerLimit.count)
     metrics.addGauge('calls_under_way', () => this.drain.count)
     metrics.addGauge('programs_shed_share', () => admission.shedShare)
     metrics.addGauge('calls_not_started', () => admission.waiting)
--- a/process/entry/src/entrypeers.ts
+++ b/process/entry/src/entrypeers.ts
@@ -7,6 +7,7 @@
 import { Freshness, ObjectKind, ObjectWatch } from '#connection/store'
 import type { ObjectStore, WatchHandler, WatchOptions } from '#connection/store'
 import type { EventLog } from '#process/log'
+import type { MemoryBudget } from '#process/memory'
 import type { Metrics } from '#process/metrics'
 import { ConnectionRelay, EntryDirectory, RelayWord, ServiceTime, keepRegistered, loadReportType, parseLoadReport, readOrigin } from '#process/relay'
 import type { LoadReport, Registration, RelayOrigin, RequestReader } from '#process/relay'
@@ -23,7 +24,11 @@
   readonly isReady: () => boolean
   /// Serves an exchange of a connection that the entry `origin` relays; must not reject.
   readonly serve: (exchange: Exchange, origin: RelayOrigin | null) => Promise<void>
-  readonly front: Omit<FrontOptions, 'serve' | 'offerConnection' | 'allowsHalfOpen' | 'leavesIdleOpen'>
+  /// For what relayed connections hold.
+  readonly relayMemory: MemoryBudget
+  /// Called for each relayed connection that is broken off as there is no memory for it.
+  readonly onRelayCut: () => void
+  readonly front: Omit<FrontOptions, 'serve' | 'offerConnection' | 'allowsHalfOpen' | 'leavesIdleOpen' | 'refusesWhenFull'>
 }
 
 const watchPauseMs = 1000
@@ -51,11 +56,12 @@
   private isReachable = false
 
   constructor (private readonly options: EntryPeersOptions, private readonly log: EventLog, metrics: Metrics) {
-    const { registration, getConfigVersion, reader, serve } = options
+    const { registration, getConfigVersion, reader, serve, relayMemory, onRelayCut } = options
     this.registration = registration
     this.directory = new EntryDirectory(registration, log)
     const { directory, serviceTime } = this
-    this.relay = new ConnectionRelay({ directory, serviceTime, getConfigVersion, reader }, log, metrics)
+    const relayOptions = { directory, serviceTime, getConfigVersion, reader, memory: relayMemory, onCut: onRelayCut }
+    this.relay = new ConnectionRelay(relayOptions, log, metrics)
     this.datagrams = new DatagramSocket({
       [loadReportType]: (fields, sender) => this.handleReport(parseLoadReport(fields), sender),
       [revisionDigestType]: fields => this.handleDigest(parseRevisionDigest(fields))
@@ -74,7 +80,8 @@
         serveHere(false)
       }, options.isReady),
       allowsHalfOpen: true,
-      leavesIdleOpen: true
+      leavesIdleOpen: true,
+      refusesWhenFull: true
     })
   }
 
--- a/process/entry/src/exchangeresponse.ts
+++ b/process/entry/src/exchangeresponse.ts
@@ -10,6 +10,9 @@
 import type { RelayOrigin } from '#process/relay'
 import type { EntryState } from './serve.js'
 
+/// The caller should use a new connection: another entry may have a configuration, and the rest of a body that is too
+/// large would have to be read.
+const closingRefusals: ReadonlySet<Refusal> = new Set([Refusal.noConfiguration, Refusal.bodyTooLarge])
 /// Less of a response that waits for its caller is not counted as memory.
 const minCountedBytes = 64 * 1024
 
@@ -149,7 +152,7 @@
       refused.status,
       headers,
       Buffer.from(body),
-      this.isLast || call === null || refused.refusal === Refusal.noConfiguration
+      this.isLast || call === null || closingRefusals.has(refused.refusal)
     )
   }
 }
--- a/process/entry/src/serve.ts
+++ b/process/entry/src/serve.ts
@@ -72,7 +72,7 @@
       isRelayed: origin !== null
     })
     context.serviceTime.countCall(CallCost.served)
-    const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory) }
+    const routed = { ...routing, memory, body: await exchange.readBody(maxBodyBytes, memory, controller.signal) }
     context.metrics.increment(`calls_total{kind="${routed.route.kind}"}`)
     await serveByKind[routed.route.kind](routed, response, context)
     recordCompletion(call, receivedAtMs, response, controller.signal, context)
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -69,6 +69,7 @@
   answerUndelivered: { number: 512, name: 'answer-undelivered', level: 'warn', maxLinesPerSecond: 50 },
   relayUnanswered: { number: 513, name: 'relay-unanswered', level: 'warn', maxLinesPerSecond: 50 },
   requestDropped: { number: 514, name: 'request-dropped', level: 'warn', maxLinesPerSecond: 50 },
+  connectionClosed: { number: 515, name: 'connection-closed', level: 'warn', maxLinesPerSecond: 10 },
   instanceAdded: { number: 600, name: 'instance-added', level: 'info', maxLinesPerSecond: 20 },
   instanceChanged: { number: 601, name: 'instance-changed', level: 'info', maxLinesPerSecond: 20 },
   instanceRemoved: { number: 602, name: 'instance-removed', level: 'info', maxLinesPerSecond: 20 },
--- a/process/memory/src/index.ts
+++ b/process/memory/src/index.ts
@@ -1,4 +1,5 @@
 export { ByteCollector } from './bytecollector.js'
 export { MemoryBudget, MemoryShare } from './memorybudget.js'
-export { planMemory } from './memoryplan.js'
-export type { MemoryPlan } from './memoryplan.js'
+export { readMaxDescriptors } from './descriptors.js'
+export { planConnections, planMemory } from './memoryplan.js'
+export type { ConnectionPlan, MemoryPlan } from './memoryplan.js'
--- a/process/memory/src/memoryplan.ts
+++ b/process/memory/src/memoryplan.ts
@@ -6,6 +6,8 @@
   readonly requestBytes: number
   /// Responses, until their callers have read them.
   readonly responseBytes: number
+  /// What the free bytes of the messages of each of these two kinds take together, at most, beside that.
+  readonly freeBytes: number
   /// Turns that are cached.
   readonly cacheBytes: number
 }
@@ -16,6 +18,7 @@
 const requestShare = 0.15
 const responseShare = 0.15
 const cacheShare = 0.15
+const freeShare = 0.05
 /// More isn't needed, however large the machine is.
 const maxRequestBytes = 64 * megabyte
 const maxResponseBytes = 32 * megabyte
@@ -29,6 +32,33 @@
   return {
     requestBytes: Math.min(maxRequestBytes, restBytes * requestShare),
     responseBytes: Math.min(maxResponseBytes, restBytes * responseShare),
+    freeBytes: restBytes * freeShare,
     cacheBytes: Math.min(maxCacheBytes, restBytes * cacheShare)
   }
 }
+
+/// How many connections an entry accepts.
+export interface ConnectionPlan {
+  readonly callers: number
+  /// Connections that other entries relay here.
+  readonly relayed: number
+}
+
+/// Each connection may lead to one more, to an instance or another entry; what is left is for storage and files.
+const callersDescriptorShare = 1 / 4
+const relayedDescriptorShare = 1 / 12
+/// What a connection takes with a head of the largest size, and what of the rest of the memory they take together.
+const connectionBytes = 32 * 1024
+const connectionShare = 0.15
+const minConnections = 16
+const maxConnections = 10_000
+
+/// Divides the descriptors and the memory of a machine among connections; each is null if it has no limit.
+export function planConnections (memoryMb: number | null, descriptors: number | null): ConnectionPlan {
+  const restBytes = memoryMb === null ? Infinity : Math.max(minRestBytes, memoryMb * megabyte - baseBytes)
+  const fitting = Math.min(maxConnections, restBytes * connectionShare / connectionBytes)
+  const count = (share: number): number => {
+    return Math.max(minConnections, Math.floor(Math.min(fitting, (descriptors ?? Infinity) * share)))
+  }
+  return { callers: count(callersDescriptorShare), relayed: count(relayedDescriptorShare) }
+}
--- a/process/memory/test/memory.test.ts
+++ b/process/memory/test/memory.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { ByteCollector, MemoryBudget, planMemory } from '#process/memory'
+import { ByteCollector, MemoryBudget, planConnections, planMemory, readMaxDescriptors } from '#process/memory'
 
 const megabyte = 1024 * 1024
 
@@ -49,6 +49,32 @@
   expect(requestBytes + responseBytes + cacheBytes).toBeLessThanOrEqual(120 * megabyte)
 })
 
+// Guards against very many small messages, none of which counted.
+test('beyond the free bytes of all messages together, small ones count, too', () => {
+  const budget = new MemoryBudget(300, 100, 250)
+  const shares = Array.from({ length: 6 }, () => budget.open())
+  expect(shares.map(share => share.add(100))).toEqual([true, true, true, true, true, false])
+  expect(budget.usedBytes).toBe(250)
+  shares[0]!.close()
+  expect(budget.usedBytes).toBe(150)
+  expect(shares[5]!.add(100)).toBe(true)
+})
+
+test.each<[number | null, number | null, number, number]>([
+  [178, 256, 64, 21],
+  [178, 2212, 470, 184],
+  [602, 10_250, 2505, 854],
+  [null, null, 10_000, 10_000],
+  [88, 40, 16, 16]
+])('a machine with %s MB and %s descriptors accepts %i connections of callers and %i relayed ones', (memoryMb, descriptors, callers, relayed) => {
+  expect(planConnections(memoryMb, descriptors)).toEqual({ callers, relayed })
+})
+
+test('the descriptors that this process may have open', () => {
+  expect(readMaxDescriptors()).toBeGreaterThan(16)
+  expect(readMaxDescriptors('/proc/self/no-such-file')).toBeNull()
+})
+
 test('a collector returns all bytes in their order', () => {
   fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 9000 }), { maxLength: 20 }), chunks => {
     const collector = new ByteCollector()
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -28,6 +28,8 @@
   readonly maxWaitMs: number
   /// On the monotonic clock of `performance.now()`.
   readonly deadlineMs: number
+  /// What the instance must hold of the request.
+  readonly bodyBytes?: number
 }
 
 const prefillTokensPerMs = 299
--- a/process/placement/src/index.ts
+++ b/process/placement/src/index.ts
@@ -1,3 +1,4 @@
+export { BodiesInFlight, maxBodyBytesAtInstance } from './bodiesinflight.js'
 export { chooseInstance } from './choice.js'
 export type { PlacementRequest } from './choice.js'
 export { Placement } from './placement.js'
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '#process/log'
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
 import type { Instance, InstanceRegistry } from '#process/instances'
+import { BodiesInFlight, isLargeBody } from './bodiesinflight.js'
 import { chooseInstance, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
 
@@ -47,6 +48,7 @@
   private readonly queue: QueueEntry[] = []
   private timer: ReturnType<typeof setInterval> | null = null
   private isPassDue = false
+  private readonly bodies = new BodiesInFlight()
 
   constructor (
     private readonly registry: InstanceRegistry,
@@ -99,6 +101,8 @@
   /// How many waiting calls are placed before this one.
   private countAhead (request: PlacementRequest, nowMs: number): number {
     return this.queue.filter(entry => {
+      // A large body may wait for room where a small one needs none.
+      if (isLarge(entry.request) && !isLarge(request)) return false
       return entry.request.service === request.service && getAgedRank(entry, nowMs) <= getBaseRank(request)
     }).length
   }
@@ -122,7 +126,7 @@
 
   private processEntry (entry: QueueEntry, nowMs: number, withoutCapacity: Set<string>): void {
     const { request } = entry
-    const kind = `${request.service} ${request.isContinuing}`
+    const kind = `${request.service} ${request.isContinuing} ${isLarge(request)}`
     if (request.excluded.size === 0 && withoutCapacity.has(kind)) return this.refuseIfExpired(entry, nowMs)
     const candidates = this.findCandidates(request)
     const lease = this.tryAcquire(candidates, request, nowMs)
@@ -157,8 +161,9 @@
     const usable = healthy.length > 0 ? healthy : candidates
     const available = (request.isContinuing ? usable : preferUnlimited(usable, nowMs))
       .filter(instance => hasCapacity(instance, request, estimateLoad(instance), nowMs))
+      .filter(instance => this.bodies.hasRoom(instance, request.bodyBytes ?? 0))
     const instance = chooseInstance(available, request, this.zone, estimateLoad)
-    return instance === null ? null : this.grantLease(instance, nowMs)
+    return instance === null ? null : this.grantLease(instance, request.bodyBytes ?? 0, nowMs)
   }
 
   private findCandidates (request: PlacementRequest): Instance[] {
@@ -176,8 +181,9 @@
     })
   }
 
-  private grantLease (instance: Instance, nowMs: number): InstanceLease {
+  private grantLease (instance: Instance, bodyBytes: number, nowMs: number): InstanceLease {
     instance.running++
+    const removeBody = this.bodies.add(instance, bodyBytes)
     instance.limit?.take(nowMs)
     let isHeld = true
     return {
@@ -186,12 +192,17 @@
         if (!isHeld) return
         isHeld = false
         instance.running--
+        removeBody()
         this.processQueueSoon()
       }
     }
   }
 }
 
+function isLarge ({ bodyBytes = 0 }: PlacementRequest): boolean {
+  return isLargeBody(bodyBytes)
+}
+
 function createAbortedError (): RefusedError {
   return new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while queued for an instance')
 }
--- a/process/relay/src/connectionrelay.ts
+++ b/process/relay/src/connectionrelay.ts
@@ -1,7 +1,8 @@
 import type { Socket } from 'node:net'
-import type { ServeConnection } from '#connection/front'
+import type { ConnectionState, ServeConnection } from '#connection/front'
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
+import type { MemoryBudget } from '#process/memory'
 import type { Metrics } from '#process/metrics'
 import type { EntryDirectory, OtherEntry } from './directory.js'
 import { RelayedConnection } from './relayedconnection.js'
@@ -15,6 +16,10 @@
   /// Version of the configuration in force here, 0 for none.
   readonly getConfigVersion: () => number
   readonly reader: RequestReader
+  /// For what the connections hold; without it that has no limit.
+  readonly memory?: MemoryBudget
+  /// Called for each connection that is broken off as there is no memory for it.
+  readonly onCut?: () => void
 }
 
 /// As that of Node's HTTP server.
@@ -51,14 +56,14 @@
     return directory.getBetterMs(getConfigVersion(), expectedMs) / expectedMs
   }
 
-  /// Relays the connection, or calls `serve` if it should be served here.
-  offer (caller: Socket, serve: ServeConnection): void {
+  /// Relays the connection, or calls `serve` if it should be served here. Returns its state while it is relayed.
+  offer (caller: Socket, serve: ServeConnection): ConnectionState | void {
     if (this.isStopping) return serve(false)
     const { directory, serviceTime, getConfigVersion } = this.options
     const key = `${caller.remoteAddress}:${caller.remotePort}`
     const entry = directory.choose({ id: key, configVersion: getConfigVersion() }, serviceTime.expectedMs)
-    if (entry === null) serve(false)
-    else this.relay(caller, entry, serve)
+    if (entry === null) return serve(false)
+    return this.relay(caller, entry, serve)
   }
 
   /// Relays no further connections, and drains those that it has: responses to calls that are served here can ask their
@@ -83,8 +88,8 @@
     for (const connection of [...this.connections]) connection.abort('this entry stops')
   }
 
-  private relay (caller: Socket, entry: OtherEntry, serve: ServeConnection): void {
-    const { directory, serviceTime, getConfigVersion, reader } = this.options
+  private relay (caller: Socket, entry: OtherEntry, serve: ServeConnection): ConnectionState {
+    const { directory, serviceTime, getConfigVersion, reader, memory, onCut } = this.options
     const { name } = entry.registration
     const address = `${caller.remoteAddress}:${caller.remotePort}`
     this.metrics.increment('relays_total')
@@ -101,6 +106,8 @@
       origin: { entry: directory.own.name, configVersion: getConfigVersion() },
       reader,
       idleTimeoutMs: this.idleTimeoutMs,
+      memory: memory?.open() ?? null,
+      onCut: () => onCut?.(),
       onChunk: () => serviceTime.countCall(CallCost.relayedChunk),
       onUnreachable: () => {
         directory.recordFailure(entry)
@@ -121,5 +128,6 @@
       }
     })
     this.connections.add(connection)
+    return connection
   }
 }
--- a/process/relay/src/relayedconnection.ts
+++ b/process/relay/src/relayedconnection.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net'
-import { destroyIfStalled } from '#connection/front'
+import { ConnectionUse, destroyIfStalled } from '#connection/front'
 import { callAfterReading } from '#process/clock'
 import { closeInOrder } from './closeinorder.js'
 import { recordBytes } from './directory.js'
@@ -41,6 +41,8 @@
   private endWatch = (): void => {}
   /// What the caller has sent and has not been passed on.
   private held: Buffer | null = null
+  /// See `ConnectionState`.
+  progressAtMs = performance.now()
   private readonly requests: RequestTracker
   private readonly responses = new ResponseTracker()
   private readonly peerReader = new PeerReader(this.responses, {
@@ -97,6 +99,11 @@
     return this.requests.isBetweenMessages && this.requests.count > this.responses.count
   }
 
+  /// See `ConnectionState`.
+  get use (): ConnectionUse {
+    return this.isTaken && this.awaitsResponse ? ConnectionUse.serving : ConnectionUse.waiting
+  }
+
   /// Whether the head of a request has been passed on, and the response to it is not complete.
   private get isUnderWay (): boolean {
     return this.requests.hasMoreThan(this.responses)
@@ -132,7 +139,10 @@
     caller.on('data', this.onCallerData)
     caller.on('drain', this.onCallerDrain)
     caller.on('end', this.onCallerGone)
-    peer.on('drain', () => this.updateReading())
+    peer.on('drain', () => {
+      this.updateReading()
+      this.countPending()
+    })
     peer.on('end', this.onPeerEnd)
     // The other entry doesn't close it, as a request might cross that.
     this.idleTimer = watchIdle(caller, idleTimeoutMs, () => {
@@ -158,6 +168,7 @@
     this.held = this.held === null ? chunk : Buffer.concat([this.held, chunk])
     this.passOn()
     this.updateReading()
+    this.countPending()
   }
 
   /// Passes on what the caller has sent, up to the end of a request that needs a response first.
@@ -182,7 +193,20 @@
     else caller.resume()
   }
 
-  private readonly onCallerDrain = (): void => { this.peer.resume() }
+  private readonly onCallerDrain = (): void => {
+    this.peer.resume()
+    this.countPending()
+  }
+
+  /// Counts what is held and what waits to be read as memory. The connection is broken off if there is none left.
+  private countPending (): void {
+    const { caller, memory, onCut } = this.options
+    if (this.isEnded || memory === undefined || memory === null) return
+    const pendingBytes = caller.writableLength + this.peer.writableLength + (this.held?.length ?? 0)
+    if (memory.set(pendingBytes)) return
+    onCut?.()
+    this.abort(`no memory is left for ${pendingBytes} bytes that wait to be read`)
+  }
 
   /// Returns whether to read on.
   private readonly onPeerData = (bytes: Buffer): boolean => {
@@ -197,10 +221,15 @@
     const { caller } = this.options
     const isTakenOver = hasHead && this.responses.isLast && this.mayTakeOver
     if (!caller.write(isTakenOver ? this.takeOver(part) : part)) destroyIfStalled(caller, maxStalledMs)
-    if (!this.isUnderWay) this.requests.forgetHead()
-    if (this.held === null && !this.isDraining) return
-    this.passOn()
-    this.updateReading()
+    if (!this.isUnderWay) {
+      this.requests.forgetHead()
+      this.progressAtMs = performance.now()
+    }
+    if (this.held !== null || this.isDraining) {
+      this.passOn()
+      this.updateReading()
+    }
+    this.countPending()
   }
 
   /// Whether the connection should go on here after the last response of the other entry: a request is held, or may
@@ -322,6 +351,7 @@
   private finish (reason: string | null): void {
     const { caller, entry, onEnd } = this.options
     this.isEnded = true
+    this.options.memory?.close()
     clearTimeout(this.idleTimer)
     this.endWatch()
     this.forgetEntry(entry)
--- a/process/relay/src/relayedconnectionoptions.ts
+++ b/process/relay/src/relayedconnectionoptions.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import type { MemoryShare } from '#process/memory'
 import type { OtherEntry } from './directory.js'
 import type { RelayOrigin } from './origin.js'
 import type { RequestReader } from './requesttracker.js'
@@ -34,6 +35,10 @@
   readonly onOverdue: () => void
   /// Called before `onEnd`.
   readonly onUnanswered: (request: UnansweredRequest) => void
+  /// For what waits to be read by the caller or the other entry; null for no limit.
+  readonly memory?: MemoryShare | null
+  /// Called if there is no memory for that, before the connection is broken off.
+  readonly onCut?: () => void
   /// How long at least a connection is kept that no request comes on.
   readonly idleTimeoutMs: number
   /// Called when the connection has ended, with the reason if it broke.
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -40,7 +40,12 @@
   /// Leased while the call is in flight at an instance that makes no progress, for its next attempt.
   private alternative: InstanceLease | null = null
 
-  constructor (private readonly routed: RoutedCall, private readonly context: ForwardContext) {}
+  /// `bodyBytes`: of what is sent to instances.
+  constructor (
+    private readonly routed: RoutedCall,
+    private readonly context: ForwardContext,
+    private readonly bodyBytes = routed.body.length
+  ) {}
 
   /// Rejects with `RefusedError` if no instance can take the call in time.
   acquireLease (options: LeaseOptions): Promise<InstanceLease> {
@@ -67,6 +72,7 @@
       affinityKey: this.affinityKey,
       excluded,
       deadlineMs,
+      bodyBytes: this.bodyBytes,
       ...options
     }, signal)
   }
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -95,7 +95,7 @@
     private readonly storageMs: number
   ) {
     this.prompt = buildPrompt(history, routed.body)
-    this.dispatcher = new CallDispatcher(routed, context)
+    this.dispatcher = new CallDispatcher(routed, context, this.prompt.length)
     this.lastEventId = routed.call.lastEventId
   }
 
