--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -105,6 +105,7 @@
   get use (): ConnectionUse {
     if (this.isEnding) return ConnectionUse.waiting
     if (this.isSending) return ConnectionUse.sending
+    if (this.waiting.length >= maxWaitingRequests) return ConnectionUse.pipelining
     const hasWhole = this.isServingWhole || this.waiting.some(({ isRead }) => isRead)
     return hasWhole ? ConnectionUse.serving : ConnectionUse.waiting
   }
--- a/connection/front/src/connectionlimit.ts
+++ b/connection/front/src/connectionlimit.ts
@@ -17,6 +17,8 @@
   waiting: 'waiting',
   /// A response is complete here, and waits to be read.
   sending: 'sending',
+  /// Many requests wait behind the one that is being served.
+  pipelining: 'pipelining',
   /// A request is being served.
   serving: 'serving'
 } as const
@@ -24,7 +26,7 @@
 export type ConnectionUse = typeof ConnectionUse[keyof typeof ConnectionUse]
 
 /// Those that are closed to make room, the first ones first.
-const closableUses: readonly ConnectionUse[] = [ConnectionUse.waiting, ConnectionUse.sending]
+const closableUses: readonly ConnectionUse[] = [ConnectionUse.waiting, ConnectionUse.sending, ConnectionUse.pipelining]
 
 /// Bounds the open connections of a server, so that new callers get in while others hold theirs open.
 export class ConnectionLimit {
--- a/connection/front/src/requestbacklog.ts
+++ b/connection/front/src/requestbacklog.ts
@@ -5,7 +5,7 @@
 }
 
 /// What a waiting request takes without its fields, and what each of its names and values takes, in bytes of memory.
-const requestBytes = 2 * 1024
+const requestBytes = 8 * 1024
 const textBytes = 50
 
 /// Returns how much memory a request takes while it waits, by what its head consists of.
@@ -13,8 +13,8 @@
   return requestBytes + textBytes * rawHeaders.length
 }
 
-/// Bounds the requests that were read and wait on all connections of a server. What is read in one piece may hold
-/// thousands of the shortest requests, so that many callers who pipeline them would use up the memory.
+/// Bounds the requests that were read and wait on all connections of one or more servers. What is read in one piece may
+/// hold thousands of the shortest requests, so that many callers who pipeline them would use up the memory.
 export class RequestBacklog {
   private readonly bytesByConnection = new Map<BackloggedConnection, number>()
   private totalBytes = 0
--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -28,6 +28,8 @@
   readonly offerConnection?: (socket: Socket, serve: ServeConnection) => ConnectionState | void
   /// Bounds the open connections.
   readonly limit?: ConnectionLimit
+  /// Bounds the requests that were read and wait behind others of their connections.
+  readonly backlog?: RequestBacklog
   /// With a full limit new connections are closed rather than idle ones.
   readonly refusesWhenFull?: boolean
   /// Called for each connection that is closed because of what its caller does, or to make room.
@@ -52,8 +54,8 @@
 const maxHeaderFields = 500
 /// How often it is checked which heads have not arrived in time.
 const headCheckIntervalMs = 1000
-/// What requests that wait behind others of their connections may take together.
-const maxBacklogBytes = 12 * 1024 * 1024
+/// Of a server whose process has no limit of memory.
+const defaultBacklogBytes = 64 * 1024 * 1024
 const statusBadRequest = 400
 const statusTooManyFields = 431
 /// After so long without a word, a client that may close its idle connection late is asked whether it still exists.
@@ -81,12 +83,13 @@
   private readonly openSockets = new Set<Socket>()
   private readonly held = new WeakMap<Socket, AcceptedConnection>()
   private readonly queue: ConnectionQueue
-  private readonly backlog = new RequestBacklog(maxBacklogBytes)
+  private readonly backlog: RequestBacklog
   private acceptedCount = 0
   private isClosing = false
   private isClosingIdle = false
 
   constructor (private readonly options: FrontOptions) {
+    this.backlog = options.backlog ?? new RequestBacklog(defaultBacklogBytes)
     const serve = (request: FastifyRequest, reply: FastifyReply, done: () => void): void => {
       reply.hijack()
       this.addRequest(request.raw, reply.raw, done)
@@ -299,9 +302,13 @@
     await readArrived()
   }
 
-  /// Closes all connections, whatever they are used for.
-  destroyConnections (): void {
+  /// Closes the listener and all connections at once, whatever they are used for.
+  async closeNow (): Promise<void> {
+    this.isClosing = true
+    this.queue.close()
+    const closed = this.app.close()
     for (const socket of this.openSockets) socket.destroy()
+    await closed
   }
 
   /// Stops accepting connections and closes idle ones. A process that was busy accepts and reads first what has arrived
--- a/connection/front/src/status.ts
+++ b/connection/front/src/status.ts
@@ -1,6 +1,7 @@
 import type { Listener } from '#connection/listen'
 import { ConnectionLimit } from './connectionlimit.js'
 import type { Exchange } from './exchange.js'
+import { RequestBacklog } from './requestbacklog.js'
 import { FrontServer } from './server.js'
 
 /// Pages by path, such as readiness and metrics. Each is rendered on request.
@@ -8,6 +9,7 @@
 
 /// Who checks a process needs one or two.
 const maxConnections = 16
+const maxBacklogBytes = 2 * 1024 * 1024
 const limits = { headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 const readMethods: ReadonlySet<string> = new Set(['GET', 'HEAD'])
 const notFound = { status: 404, text: 'not found\n' }
@@ -23,7 +25,8 @@
       onMalformed: () => {},
       getDelayMs: () => 0,
       onAccepting: () => {},
-      limit: new ConnectionLimit(maxConnections)
+      limit: new ConnectionLimit(maxConnections),
+      backlog: new RequestBacklog(maxBacklogBytes)
     })
     this.front.setLimits(limits)
   }
@@ -37,9 +40,7 @@
   }
 
   async close (): Promise<void> {
-    const closed = this.front.close()
-    this.front.destroyConnections()
-    await closed
+    await this.front.closeNow()
   }
 
   private respond (exchange: Exchange): void {
--- a/connection/front/test/connectionlimit.test.ts
+++ b/connection/front/test/connectionlimit.test.ts
@@ -14,6 +14,7 @@
   ['the one that waits for longest is closed', [['a', 'waiting', 2], ['b', 'waiting', 1], ['c', 'serving', 0]], ['b'], true],
   ['one that waits is closed before one whose response is unread', [['a', 'sending', 1], ['b', 'waiting', 2]], ['b'], true],
   ['an unread response is closed before the new one', [['a', 'sending', 1], ['b', 'serving', 0]], ['a'], true],
+  ['one with many pipelined requests is closed before the new one', [['a', 'serving', 0], ['b', 'pipelining', 1]], ['b'], true],
   ['no connection whose request is being served is closed', [['a', 'serving', 0], ['b', 'serving', 0]], [], false]
 ])('with a full limit: %s', (_, connections, expected, isAdded) => {
   closed.length = 0
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -1,6 +1,6 @@
 import { ChainCache } from '#request/turn'
 import type { ForwardContext } from '#request/forward'
-import { ClosingReason, ConnectionLimit, FrontServer, StatusServer } from '#connection/front'
+import { ClosingReason, ConnectionLimit, FrontServer, RequestBacklog, StatusServer } from '#connection/front'
 import type { Exchange } from '#connection/front'
 import type { HeaderCodec } from '#connection/header'
 import { keepListening } from '#connection/listen'
@@ -125,6 +125,7 @@
       onAccepting: (sinceMs: number) => admission.countAccepting(sinceMs),
       onMalformed: (code: string) => log.event(Events.requestMalformed, { code }),
       onDropped: (exchange: Exchange) => recordDropped(exchange, this.context),
+      backlog: new RequestBacklog(plan.backlogBytes),
       onClosing: (reason: ClosingReason) => this.recordClosing(reason)
     }
     this.peers = new EntryPeers({
--- a/process/memory/src/memoryplan.ts
+++ b/process/memory/src/memoryplan.ts
@@ -8,6 +8,8 @@
   readonly responseBytes: number
   /// What the free bytes of the messages of each of these two kinds take together, at most, beside that.
   readonly freeBytes: number
+  /// Requests that were read and wait behind others of their connections.
+  readonly backlogBytes: number
   /// Turns that are cached.
   readonly cacheBytes: number
 }
@@ -19,6 +21,8 @@
 const responseShare = 0.15
 const cacheShare = 0.15
 const freeShare = 0.05
+const backlogShare = 0.1
+const maxBacklogBytes = 64 * megabyte
 /// More isn't needed, however large the machine is.
 const maxRequestBytes = 64 * megabyte
 const maxResponseBytes = 32 * megabyte
@@ -33,6 +37,7 @@
     requestBytes: Math.min(maxRequestBytes, restBytes * requestShare),
     responseBytes: Math.min(maxResponseBytes, restBytes * responseShare),
     freeBytes: restBytes * freeShare,
+    backlogBytes: Math.min(maxBacklogBytes, restBytes * backlogShare),
     cacheBytes: Math.min(maxCacheBytes, restBytes * cacheShare)
   }
 }
