--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -31,6 +31,8 @@
   readonly maxWaitMs: number
   /// On the monotonic clock of `performance.now()`.
   readonly deadlineMs: number
+  /// What the instance must hold of the request.
+  readonly bodyBytes?: number
 }
 
 /// Expected delay per call that runs on the instance, for services with a model engine and for all others.
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from '#process/log'
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
 import type { Instance, InstanceRegistry } from '#process/instances'
+import { BodiesInFlight, isLargeBody } from './bodiesinflight.js'
 import { chooseInstance, countUnreadTokens, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
 import { FairQueue } from './fairqueue.js'
@@ -53,6 +54,7 @@
   private readonly waitEstimates = new Map<string, WaitEstimate>()
   private timer: ReturnType<typeof setInterval> | null = null
   private isPassDue = false
+  private readonly bodies = new BodiesInFlight()
 
   constructor (
     private readonly registry: InstanceRegistry,
@@ -107,7 +109,10 @@
 
   /// How many waiting calls of the service, or that have the same `getGroup`, are placed before this one.
   private countAhead (request: PlacementRequest, nowMs: number, getGroup = getService): number {
-    const waiting = this.queue.filter(entry => getGroup(entry.request) === getGroup(request))
+    const waiting = this.queue.filter(entry => {
+      // A large body may wait for room where a small one needs none.
+      return getGroup(entry.request) === getGroup(request) && (isLarge(request) || !isLarge(entry.request))
+    })
     return waiting.length === 0 ? 0 : this.fairQueue.countAhead(waiting, { request, queuedAtMs: nowMs }, nowMs)
   }
 
@@ -142,7 +147,7 @@
 
   private processEntry (entry: QueueEntry, nowMs: number, withoutCapacity: Set<string>): void {
     const { request } = entry
-    const kind = getKind(request)
+    const kind = `${getKind(request)} ${isLarge(request)}`
     if (request.excluded.size === 0 && withoutCapacity.has(kind)) return this.refuseIfExpired(entry, nowMs)
     const candidates = this.findCandidates(request)
     const lease = this.tryAcquire(candidates, request, nowMs)
@@ -179,6 +184,7 @@
     const usable = healthy.length > 0 ? healthy : candidates
     const available = (request.isContinuing ? usable : preferUnlimited(usable, nowMs))
       .filter(instance => hasCapacity(instance, request, estimateLoad(instance), nowMs))
+      .filter(instance => this.bodies.hasRoom(instance, request.bodyBytes ?? 0))
     const instance = chooseInstance(available, request, this.zone, estimateLoad)
     if (instance === null) return null
     this.fairQueue.recordService(request, nowMs)
@@ -227,6 +233,7 @@
   private grantLease (instance: Instance, request: PlacementRequest, nowMs: number): InstanceLease {
     const endPrefill = startPrefill(instance, request, nowMs)
     instance.running++
+    const removeBody = this.bodies.add(instance, request.bodyBytes ?? 0)
     instance.limit?.take(nowMs)
     let isHeld = true
     return {
@@ -237,6 +244,7 @@
         isHeld = false
         endPrefill()
         instance.running--
+        removeBody()
         this.processQueueSoon()
       }
     }
@@ -254,6 +262,10 @@
   return () => { instance.prefills.delete(prefill) }
 }
 
+function isLarge ({ bodyBytes = 0 }: PlacementRequest): boolean {
+  return isLargeBody(bodyBytes)
+}
+
 function createAbortedError (): RefusedError {
   return new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while queued for an instance')
 }
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -48,7 +48,12 @@
   /// Leased while the call is in flight at an instance that makes no progress, for its next attempt.
   private alternative: InstanceLease | null = null
 
-  constructor (private readonly routed: RoutedCall, private readonly context: ForwardContext) {}
+  /// `bodyBytes`: of what is sent to instances.
+  constructor (
+    private readonly routed: RoutedCall,
+    private readonly context: ForwardContext,
+    private readonly bodyBytes = routed.body.length
+  ) {}
 
   /// Rejects with `RefusedError` if no instance can take the call in time, or if its key was removed while it waited.
   async acquireLease (options: LeaseOptions): Promise<InstanceLease> {
@@ -89,6 +94,7 @@
       affinityKey: this.affinityKey,
       excluded,
       deadlineMs,
+      bodyBytes: this.bodyBytes,
       ...options
     }, signal)
   }
