Quotas: credit of calls in progress across a change of the configuration, and waits at a stop

Each new configuration forgot the credit of workspaces without waiting calls, so credit that a call gave back later could not be spent by the next one, which got 429.

The state is now kept until it is unused, credit granted before a lowered limit is dropped when it is given back, and stop() refuses the calls that wait.

--- a/process/quota/src/client.ts
+++ b/process/quota/src/client.ts
@@ -95,8 +95,11 @@
   applyConfiguration (find: (name: string) => Workspace | null): void {
     for (const [name, credit] of this.workspaces) {
       const workspace = find(name)
-      if (workspace?.quota === undefined || workspace.quota === null) credit.close()
-      else credit.setWorkspace(workspace)
+      if (workspace?.quota !== undefined && workspace.quota !== null) {
+        credit.setWorkspace(workspace)
+        continue
+      }
+      credit.close()
       if (credit.isUnused(performance.now(), 0)) this.workspaces.delete(name)
     }
   }
--- a/process/quota/src/workspacecredit.ts
+++ b/process/quota/src/workspacecredit.ts
@@ -54,6 +54,7 @@
 const spareHorizonMs = 150
 /// Time constant of the estimated rate of calls.
 const rateWindowMs = 1000
+const stoppingRetryMs = 100
 const noShortage: Shortage = { untilMs: 0, level: 0 }
 
 /// The credit of one workspace at one entry: what it holds, and the calls that wait for it. One request is in flight at
@@ -70,6 +71,9 @@
   private calledAtMs = performance.now()
   private timer: ReturnType<typeof setTimeout> | undefined
   private timerAtMs = Infinity
+  /// Increases when unspent credit is dropped; calls can't give back credit of an earlier one.
+  private generation = 0
+  private isStopped = false
 
   constructor (
     private current: Workspace,
@@ -94,6 +98,7 @@
     const shortage = this.getShortage(isContinuing)
     if (shortage.untilMs > dueLimitMs) return Promise.reject(this.createRefusal(shortage, nowMs))
     if (signal.aborted) return Promise.reject(createAbortedError())
+    if (this.isStopped) return Promise.reject(createStoppingError())
     return new Promise((resolve, reject) => {
       const onAbort = (): void => {
         this.waiting = this.waiting.filter(other => other !== call)
@@ -170,7 +175,7 @@
     const { quota } = workspace
     if (quota === null || before === null) return
     this.continuingShortage = this.startingShortage = noShortage
-    if (quota.ratePerS < before.ratePerS || quota.burst < before.burst) this.held = []
+    if (quota.ratePerS < before.ratePerS || quota.burst < before.burst) this.dropUnspent()
   }
 
   isUnused (nowMs: number, unusedMs: number): boolean {
@@ -180,19 +185,31 @@
 
   /// Drops its credit. Calls that wait end with a request of their own.
   close (): void {
-    this.stop()
-    this.held = []
-    this.returned = { count: 0, bucket: '' }
+    this.cancelTimer()
+    this.dropUnspent()
     if (this.waiting.length > 0) this.ask()
   }
 
+  /// Refuses the calls that wait, and sends no further requests.
   stop (): void {
+    this.isStopped = true
+    this.cancelTimer()
+    for (const call of this.waiting.splice(0)) call.reject(createStoppingError())
+  }
+
+  private cancelTimer (): void {
     clearTimeout(this.timer)
     this.timerAtMs = Infinity
   }
 
+  private dropUnspent (): void {
+    this.generation++
+    this.held = []
+    this.returned = { count: 0, bucket: '' }
+  }
+
   private ask (): void {
-    if (this.isAsking) return
+    if (this.isAsking || this.isStopped) return
     this.isAsking = true
     this.request(this)
   }
@@ -202,6 +219,7 @@
   }
 
   private createCredit (bucket: string): Credit {
+    const { generation } = this
     let isOpen = true
     return {
       spend: () => { isOpen = false },
@@ -209,6 +227,7 @@
         if (!isOpen) return
         isOpen = false
         this.metrics.increment('quota_given_back_total')
+        if (generation !== this.generation) return
         this.hold(1, bucket, performance.now())
         this.serveWaiting()
         this.wakeForHeld()
@@ -251,7 +270,7 @@
   }
 
   private wakeAt (timeMs: number): void {
-    if (this.timerAtMs <= timeMs) return
+    if (this.isStopped || this.timerAtMs <= timeMs) return
     clearTimeout(this.timer)
     this.timerAtMs = timeMs
     this.timer = setTimeout(() => this.wake(), Math.ceil(timeMs - performance.now()))
@@ -308,6 +327,10 @@
   }
 }
 
+function createStoppingError (): RefusedError {
+  return new RefusedError(Refusal.stopping, Verdict.notRun, 'the entry stopped while the call waited for credit', stoppingRetryMs)
+}
+
 function createAbortedError (): RefusedError {
   return new RefusedError(Refusal.timedOut, Verdict.notRun, 'caller disconnected or deadline passed while the call waited for credit')
 }
