Quotas: a workspace that is added again begins with an empty bucket

A removed workspace's bucket was forgotten, and the next one accrued since the start of the process: with 10 requests/s and a burst of 60, 40 calls beyond the quota in a window, with 5 tolerated. The coordinator now remembers for five minutes when the workspace ended, and the new bucket accrues from then on.

--- a/process/quota/src/coordinator.ts
+++ b/process/quota/src/coordinator.ts
@@ -100,6 +100,8 @@
 /// has acted in its place.
 export class QuotaCoordinator {
   private readonly workspaces = new Map<string, CoordinatedWorkspace>()
+  /// When workspaces that had a bucket here lost their quota, by name.
+  private readonly endedAtMs = new Map<string, number>()
   private bucketCount = 0
   private sweptAtMs = performance.now()
 
@@ -118,10 +120,16 @@
     for (const [name, { held, queue }] of this.workspaces) {
       const quota = this.findQuota(name)
       if (quota !== null) held?.bucket.setQuota(quota, nowMs)
-      else if (queue.length === 0) this.workspaces.delete(name)
+      else if (queue.length === 0) this.forgetEnded(name, held, nowMs)
     }
   }
 
+  /// A workspace that is added again must not have its burst once more.
+  private forgetEnded (name: string, held: HeldBucket | null, nowMs: number): void {
+    if (held !== null) this.endedAtMs.set(name, nowMs)
+    this.workspaces.delete(name)
+  }
+
   /// Handles a request of an entry, which may be this one. `respond` may be called twice, with the status `pending`
   /// first.
   handleAsk (ask: AskMessage, respond: Respond): void {
@@ -284,8 +292,9 @@
     const quota = this.findQuota(state.name)
     if (quota === null) return 'cut-off'
     const own = keepsOwn ? state.held : null
+    const emptyAtMs = Math.max(filledFromMs, this.endedAtMs.get(state.name) ?? -Infinity)
     const takenOver = states.filter(({ bucket }) => bucket !== '')
-    const held = own ?? this.createBucket(state, quota, takenOver.length > 0 ? nowMs : filledFromMs, isActing)
+    const held = own ?? this.createBucket(state, quota, takenOver.length > 0 ? nowMs : emptyAtMs, isActing)
     for (const { bucket, granted } of takenOver) {
       if (own === null) state.deducted.set(bucket, granted)
       else this.deduct(state, own, bucket, granted)
@@ -397,6 +406,7 @@
       }
       if (isForgettable(state, nowMs)) this.workspaces.delete(name)
     }
+    for (const [name, timeMs] of this.endedAtMs) if (nowMs - timeMs > forgetActingMs) this.endedAtMs.delete(name)
   }
 
   private createReply (ask: AskMessage, status: ReplyStatus): ReplyMessage {
