Quotas: calls of programs that have begun wait up to their latency target for credit

After a restart of the coordinator the bucket is empty, and such calls were refused if credit was due after more than a quarter of their target. A refused call comes back no earlier than that, so the refusal cost a retry and saved no time.

--- a/process/entry/src/callcredit.ts
+++ b/process/entry/src/callcredit.ts
@@ -4,8 +4,10 @@
 import type { Admission } from '#process/admission'
 import type { Credit, WorkspaceQuotas } from '#process/quota'
 
-/// Share of its latency target that a call may wait for credit that is due.
-const maxWaitShare = 0.25
+/// Share of its latency target that a call may wait for credit that is due. A refused call comes back no
+/// earlier than credit is due, so the wait costs a program that has begun no time, and saves one of its retries.
+const startingWaitShare = 0.25
+const continuingWaitShare = 1
 
 /// Resolves to credit for the call in the quota of its workspace. Rejects with `RefusedError`. Returns null if the call
 /// needs none.
@@ -17,7 +19,8 @@
   if (workspace === null || workspace.quota === null || route.isPublic) return null
   const isContinuing = route.kind !== RouteKind.streaming || call.previousTurnId !== null ||
     (call.program !== null && admission.hasStartedProgram(call.program.id))
-  return quotas.acquire(workspace, { isContinuing, maxWaitMs: route.targetLatencyMs * maxWaitShare, signal })
+  const maxWaitMs = route.targetLatencyMs * (isContinuing ? continuingWaitShare : startingWaitShare)
+  return quotas.acquire(workspace, { isContinuing, maxWaitMs, signal })
 }
 
 /// Must be called when the call has failed: its credit is given back if it is proven that it did not run.
