Admission: the test of shed programs doesn't depend on the age of its process

The admission was created on the clock of the process, before the clock of the test replaced it. The expectations are unchanged.

--- a/process/admission/test/admission.test.ts
+++ b/process/admission/test/admission.test.ts
@@ -281,6 +281,8 @@
 test('while turns wait for too long, new programs are refused by a hash of their ids, the others go on', async () => {
   vi.spyOn(performance, 'now').mockImplementation(() => nowMs)
   let nowMs = 0
+  // Its clock must not have begun with the one of the process, which is late on a busy machine.
+  admission = new Admission(backlog, () => 0)
   backlog.meanDelayMs = 30
   for (let i = 0; i < 100; i++) {
     nowMs += 20
