Fair order: figures of calls and workspaces are computed once per pass

With workspaces, an arriving call that finds others waiting computed the ranks of all of them at each comparison, their levels anew for each call, and the order twice. Now the urgency of a call is computed once per order, the share of a workspace once per moment, the place of an arriving call by counting, and the order a second time only if calls of several kinds wait. The order is the same.

--- a/process/fairness/src/fairshares.ts
+++ b/process/fairness/src/fairshares.ts
@@ -18,6 +18,14 @@
   readonly service: DecayingCount
 }
 
+/// A workspace's service and weight at one time.
+interface Share {
+  readonly received: number
+  readonly allReceived: number
+  /// Of the weights of all workspaces.
+  readonly weightShare: number
+}
+
 /// Time constants: of the demand that counts as usual, of the demand of the moment, and of the service received.
 const usualWindowMs = 60_000
 const recentWindowMs = 2000
@@ -47,6 +55,9 @@
   private readonly total = createAccount()
   private startedAtMs = 0
   private excessAtMs = -Infinity
+  /// Computed for `sharesAtMs`: a queue asks for each of its calls.
+  private readonly shares = new Map<string | null, Share>()
+  private sharesAtMs = -Infinity
 
   /// Whether any call has counted for a workspace. Nothing is recorded before.
   get isActive (): boolean {
@@ -59,6 +70,7 @@
       if (workspace === null) return
       this.startedAtMs = nowMs - 1
     }
+    this.shares.clear()
     const account = this.accounts.get(workspace) ?? createAccount()
     this.accounts.delete(workspace)
     this.accounts.set(workspace, account)
@@ -75,6 +87,7 @@
   recordService (workspace: string | null, nowMs: number): void {
     const account = this.accounts.get(workspace)
     if (account === undefined) return
+    this.shares.clear()
     for (const { service } of [account, this.total]) service.add(nowMs)
   }
 
@@ -82,13 +95,10 @@
   /// `allAhead` calls of all workspaces were served before: 0 if it wouldn't, and one more for each doubling. The lower
   /// one is served first.
   getLevel (workspace: string | null, ownAhead: number, allAhead: number, nowMs: number): number {
-    const account = this.accounts.get(workspace)
-    if (account === undefined) return 0
-    const received = account.service.get(nowMs) + ownAhead + 1 - freeCalls
-    const weight = this.getWeight(workspace, nowMs)
-    const totalWeight = this.getUsualPerS(this.total, nowMs) - this.getUsualPerS(account, nowMs) + weight
-    const fair = (this.total.service.get(nowMs) + allAhead) * weight / totalWeight
-    const excess = received / Math.max(fair, 1)
+    const share = this.getShare(workspace, nowMs)
+    if (share === null) return 0
+    const fair = (share.allReceived + allAhead) * share.weightShare
+    const excess = (share.received + ownAhead + 1 - freeCalls) / Math.max(fair, 1)
     return excess <= 1 ? 0 : Math.min(1 + Math.floor(Math.log2(excess)), maxLevel)
   }
 
@@ -109,6 +119,27 @@
     return account !== undefined && this.isAbove(account, nowMs) ? Standing.above : Standing.within
   }
 
+  private getShare (workspace: string | null, nowMs: number): Share | null {
+    if (nowMs !== this.sharesAtMs) this.shares.clear()
+    this.sharesAtMs = nowMs
+    const known = this.shares.get(workspace)
+    if (known !== undefined) return known
+    const account = this.accounts.get(workspace)
+    if (account === undefined) return null
+    const share = this.computeShare(account, this.getWeight(workspace, nowMs), nowMs)
+    this.shares.set(workspace, share)
+    return share
+  }
+
+  private computeShare (account: Account, weight: number, nowMs: number): Share {
+    const totalWeight = this.getUsualPerS(this.total, nowMs) - this.getUsualPerS(account, nowMs) + weight
+    return {
+      received: account.service.get(nowMs),
+      allReceived: this.total.service.get(nowMs),
+      weightShare: weight / totalWeight
+    }
+  }
+
   /// Which part of a call counts as usual demand.
   private computeUsualPart (account: Account, nowMs: number): number {
     const usualPerS = Math.max(this.getUsualPerS(account, nowMs), minWeightPerS)
--- a/process/fairness/test/fairshares.test.ts
+++ b/process/fairness/test/fairshares.test.ts
@@ -83,3 +83,13 @@
   for (let i = 0; i < 9000; i++) shares.recordDemand(`w${i}`, 1)
   expect(shares.getWeight('first', 2)).toBeLessThan(shares.getWeight('w8999', 2))
 })
+
+// Guards against levels that are kept beyond the moment for which they were computed.
+test('a level follows service at the same time, and the time', () => {
+  const shares = new FairShares()
+  for (const workspace of ['a', 'b']) shares.recordDemand(workspace, 0)
+  const levels = [shares.getLevel('a', 0, 0, 0)]
+  for (let i = 0; i < 20; i++) shares.recordService('a', 0)
+  for (const nowMs of [0, 60_000]) levels.push(shares.getLevel('a', 0, 0, nowMs))
+  expect(levels).toEqual([0, 1, 0])
+})
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -58,8 +58,9 @@
 ): Instance | null {
   let best: Instance | null = null
   let bestLatencyMs = Infinity
+  const nowMs = performance.now()
   for (const instance of candidates) {
-    const latencyMs = estimateLatencyMs(instance, request, zone, estimateLoad(instance))
+    const latencyMs = estimateLatencyMs(instance, request, zone, estimateLoad(instance), nowMs)
     if (latencyMs >= bestLatencyMs) continue
     best = instance
     bestLatencyMs = latencyMs
@@ -67,8 +68,9 @@
   return best
 }
 
-function estimateLatencyMs (instance: Instance, request: PlacementRequest, zone: string, running: number): number {
-  const nowMs = performance.now()
+function estimateLatencyMs (
+  instance: Instance, request: PlacementRequest, zone: string, running: number, nowMs: number
+): number {
   const speedFactor = instance.speed.getFactor(nowMs)
   const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
@@ -76,7 +78,7 @@
   const prefillMs = prefillTokens / instance.model.prefillTokensPerMs * speedFactor
   const ownMs = estimateOwnDelayMs(instance, request, speedFactor)
   const costMs = loadMs + ownMs + networkDelayMs + prefillMs + computeHashOffsetMs(instance, request)
-  return costMs - estimateAffinityGainMs(instance, request)
+  return costMs - estimateAffinityGainMs(instance, request, nowMs)
 }
 
 /// How much longer the call takes than at an instance of usual speed, apart from the calls that run beside it.
@@ -90,8 +92,10 @@
   return unitHash(`${key}/${description.id}`) * (affinityKey === null ? maxHashOffsetMs : maxObjectOffsetMs)
 }
 
-function estimateAffinityGainMs (instance: Instance, { affinityKey, targetLatencyMs }: PlacementRequest): number {
-  if (affinityKey === null || !hasRecentlyHandled(instance, affinityKey, performance.now())) return 0
+function estimateAffinityGainMs (
+  instance: Instance, { affinityKey, targetLatencyMs }: PlacementRequest, nowMs: number
+): number {
+  if (affinityKey === null || !hasRecentlyHandled(instance, affinityKey, nowMs)) return 0
   return Math.min(maxAffinityGainMs, targetLatencyMs * affinityGainShare)
 }
 
--- a/process/placement/src/fairqueue.ts
+++ b/process/placement/src/fairqueue.ts
@@ -1,10 +1,14 @@
 import { FairShares } from '#process/fairness'
 import type { PlacementRequest } from './choice.js'
-import { compareCalls, compareClasses } from './queueorder.js'
-import type { QueuedCall } from './queueorder.js'
+import { compareClasses, compareUrgency, getUrgency } from './queueorder.js'
+import type { QueuedCall, Urgency } from './queueorder.js'
 
-interface LeveledCall<T> {
+interface OrderedCall<T> {
   readonly call: T
+  readonly urgency: Urgency
+}
+
+interface LeveledCall<T> extends OrderedCall<T> {
   readonly level: number
 }
 
@@ -24,17 +28,23 @@
   /// Calls of equal rank and timeliness are ordered by how far they exceed the fair share of their workspace, then by
   /// the earliest deadline.
   order<T extends QueuedCall> (calls: readonly T[], nowMs: number): T[] {
-    const ordered = [...calls].sort((a, b) => compareCalls(a, b, nowMs))
-    if (!this.isActive) return ordered
-    return this.addLevels(ordered, nowMs)
-      .sort((a, b) => compareClasses(a.call, b.call, nowMs) || a.level - b.level || compareCalls(a.call, b.call, nowMs))
-      .map(({ call }) => call)
+    const ordered = orderByUrgency(calls, nowMs)
+    const fairlyOrdered = this.isActive ? this.addLevels(ordered, nowMs).sort(compareLeveled) : ordered
+    return fairlyOrdered.map(({ call }) => call)
   }
 
   /// How many of the waiting calls go before an arriving one.
   countAhead (waiting: readonly QueuedCall[], arriving: QueuedCall, nowMs: number): number {
-    if (!this.isActive) return waiting.filter(call => compareCalls(call, arriving, nowMs) <= 0).length
-    return this.order([...waiting, arriving], nowMs).indexOf(arriving)
+    if (!this.isActive) {
+      const urgency = getUrgency(arriving, nowMs)
+      return waiting.filter(call => compareUrgency(getUrgency(call, nowMs), urgency) <= 0).length
+    }
+    const leveled = this.addLevels(orderByUrgency([...waiting, arriving], nowMs), nowMs)
+    const place = leveled.findIndex(({ call }) => call === arriving)
+    return leveled.filter((other, i) => {
+      const difference = compareLeveled(other, leveled[place]!)
+      return difference < 0 || (difference === 0 && i < place)
+    }).length
   }
 
   /// Returns the waiting call that gives up its place in a full queue to an arriving one: the last of the workspace
@@ -63,17 +73,18 @@
     return false
   }
 
-  private addLevels<T extends QueuedCall> (ordered: readonly T[], nowMs: number): LeveledCall<T>[] {
+  private addLevels<T extends QueuedCall> (ordered: readonly OrderedCall<T>[], nowMs: number): LeveledCall<T>[] {
     const counts = new Map<string, number>()
     const count = (key: string): number => {
       const earlier = counts.get(key) ?? 0
       counts.set(key, earlier + 1)
       return earlier
     }
-    return ordered.map(call => {
+    return ordered.map(({ call, urgency }) => {
       const { request, request: { service, workspace } } = call
       const ownAhead = count(getKey(request))
-      return { call, level: this.getShares(service).getLevel(workspace, ownAhead, count(service), nowMs) }
+      const level = this.getShares(service).getLevel(workspace, ownAhead, count(service), nowMs)
+      return { call, urgency, level }
     })
   }
 
@@ -87,6 +98,15 @@
   }
 }
 
+function orderByUrgency<T extends QueuedCall> (calls: readonly T[], nowMs: number): OrderedCall<T>[] {
+  return calls.map(call => ({ call, urgency: getUrgency(call, nowMs) }))
+    .sort((a, b) => compareUrgency(a.urgency, b.urgency))
+}
+
+function compareLeveled (a: LeveledCall<unknown>, b: LeveledCall<unknown>): number {
+  return compareClasses(a.urgency, b.urgency) || a.level - b.level || a.urgency.deadlineMs - b.urgency.deadlineMs
+}
+
 /// Contains a character that no name has, so it differs from the name of a service.
 function getKey ({ service, workspace }: PlacementRequest): string {
   return `${service}\n${workspace ?? ''}`
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -70,14 +70,16 @@
   acquire (request: PlacementRequest, signal: AbortSignal): Promise<InstanceLease> {
     const nowMs = performance.now()
     this.fairQueue.recordDemand(request, nowMs)
-    const ahead = this.countAhead(request, nowMs)
+    const rivals = this.queue.filter(entry => entry.request.service === request.service)
+    const ahead = this.countAhead(rivals, request, nowMs)
     const candidates = this.findCandidates(request)
     const lease = ahead > 0 ? null : this.tryAcquire(candidates, request, nowMs)
     if (lease !== null) return Promise.resolve(lease)
     if (candidates.length === 0) return Promise.reject(createNoInstanceError(request.service))
     const waitMs = estimateLimitedWaitMs(candidates, ahead)
     if (waitMs > request.maxWaitMs) return Promise.reject(createLimitedError(request.service, waitMs))
-    const aheadOfKind = this.countAhead(request, nowMs, getKind)
+    const rivalsOfKind = rivals.filter(entry => entry.request.isContinuing === request.isContinuing)
+    const aheadOfKind = rivalsOfKind.length === rivals.length ? ahead : this.countAhead(rivalsOfKind, request, nowMs)
     if (this.getWaitEstimate(request).isTooLong(aheadOfKind, request.maxWaitMs, nowMs)) {
       return Promise.reject(this.createOverloadedError(request, aheadOfKind, nowMs))
     }
@@ -105,9 +107,7 @@
     }
   }
 
-  /// How many waiting calls of the service, or that have the same `getGroup`, are placed before this one.
-  private countAhead (request: PlacementRequest, nowMs: number, getGroup = getService): number {
-    const waiting = this.queue.filter(entry => getGroup(entry.request) === getGroup(request))
+  private countAhead (waiting: readonly QueuedCall[], request: PlacementRequest, nowMs: number): number {
     return waiting.length === 0 ? 0 : this.fairQueue.countAhead(waiting, { request, queuedAtMs: nowMs }, nowMs)
   }
 
@@ -310,7 +310,3 @@
 function getKind ({ service, isContinuing }: PlacementRequest): string {
   return `${service} ${isContinuing}`
 }
-
-function getService ({ service }: PlacementRequest): string {
-  return service
-}
--- a/process/placement/src/queueorder.ts
+++ b/process/placement/src/queueorder.ts
@@ -11,28 +11,49 @@
 
 type Timeliness = typeof Timeliness[keyof typeof Timeliness]
 
+/// What the order of calls depends on at one time. Of each figure the lower value is placed first.
+export interface Urgency {
+  /// 0 is the most urgent; negative for calls that have waited.
+  readonly rank: number
+  /// 0 for running programs, 1 for new ones.
+  readonly newness: number
+  readonly timeliness: Timeliness
+  readonly deadlineMs: number
+}
+
 /// Aging: the rank of a queued call falls by one for each such interval that it has waited; the lowest is placed first.
 const agingIntervalMs = 400
 /// Added to the rank of a program's first turn: a program has value only when it completes, so those that have
 /// started are completed first.
 const newProgramRankPenalty = 1
 
+export function getUrgency (call: QueuedCall, nowMs: number): Urgency {
+  const { request } = call
+  return {
+    rank: getRank(call, nowMs),
+    newness: request.isContinuing ? 0 : 1,
+    timeliness: getTimeliness(request, nowMs),
+    deadlineMs: getDeadlineMs(request)
+  }
+}
+
 /// Orders calls by rank, then those of running programs before new programs, then those of programs in time before
 /// late ones, then by the earliest deadline. A late call that has waited for longer has a better rank, so it is served
 /// as well. Entries don't know when a program began, hence not whether it can still end within twice its latency
 /// target.
-export function compareCalls (a: QueuedCall, b: QueuedCall, nowMs: number): number {
-  return compareClasses(a, b, nowMs) || getDeadlineMs(a.request) - getDeadlineMs(b.request)
+export function compareUrgency (a: Urgency, b: Urgency): number {
+  return compareClasses(a, b) || a.deadlineMs - b.deadlineMs
 }
 
 /// The same without the deadlines.
-export function compareClasses (a: QueuedCall, b: QueuedCall, nowMs: number): number {
-  return getRank(a, nowMs) - getRank(b, nowMs) ||
-    Number(b.request.isContinuing) - Number(a.request.isContinuing) ||
-    getTimeliness(a.request, nowMs) - getTimeliness(b.request, nowMs)
+export function compareClasses (a: Urgency, b: Urgency): number {
+  return a.rank - b.rank || a.newness - b.newness || a.timeliness - b.timeliness
+}
+
+export function compareCalls (a: QueuedCall, b: QueuedCall, nowMs: number): number {
+  return compareUrgency(getUrgency(a, nowMs), getUrgency(b, nowMs))
 }
 
-/// 0 is the most urgent; negative for calls that have waited.
 function getRank ({ request, queuedAtMs }: QueuedCall, nowMs: number): number {
   const baseRank = request.priority + (request.isContinuing ? 0 : newProgramRankPenalty)
   return baseRank - Math.floor((nowMs - queuedAtMs) / agingIntervalMs)
--- a/process/placement/test/fairqueue.test.ts
+++ b/process/placement/test/fairqueue.test.ts
@@ -64,3 +64,18 @@
   const found = fairQueue.findEvicted(waiting, queued('new', arriving).request, nowMs)
   expect(found?.request.call.id ?? null).toBe(evicted)
 })
+
+// Guards against an arriving call that overtakes, or waits behind, others than it would in the queue.
+test.each([['with workspaces', ['a', 'b', 'c']], ['without', [null, null, null]]])('%s, the calls counted ahead of an arriving one are those placed before it', (_, workspaces) => {
+  const fairQueue = createFairQueue(workspaces[0]!, workspaces[1]!)
+  const calls = Array.from({ length: 60 }, (_, i) => {
+    const options = { priority: i % 3, remainingMs: i * 37 % 50 * 10 - 100 }
+    return { ...queued(`${i}`, workspaces[i * i % 3]!, options), queuedAtMs: nowMs - i * 101 % 900 }
+  })
+  for (const [i, arriving] of calls.entries()) {
+    fairQueue.recordService(calls[i]!.request, nowMs)
+    const others = calls.filter(call => call !== arriving)
+    const place = fairQueue.order([...others, arriving], nowMs).indexOf(arriving)
+    expect(fairQueue.countAhead(others, arriving, nowMs)).toBe(place)
+  }
+})
