Speeds: responses without running calls, or whose events came at once, teach nothing wrong

An observation with 0 running calls put the logarithm of 0 into the service's regressions, so that the factor of the instance was NaN for good. Events that arrive all at once, since a link or this process held them up, counted as a gap of 0.05 ms: the instance was taken for three times as fast. An attempt without a response head was compared with calls that run alone; it now starts with the calls known at the instance.

--- a/process/speed/src/servicemodel.ts
+++ b/process/speed/src/servicemodel.ts
@@ -72,12 +72,13 @@
 
   private observeComplete (observation: ResponseObservation, factor: number): SpeedSample[] {
     const { kind, isEngine, durationMs, running, firstEventMs, eventsMs, eventCount, uncachedTokens } = observation
-    const load = Math.log(running)
+    const load = getLoadLog(running)
     const samples: SpeedSample[] = []
     const durationLog = learnLog(this.getDurations(kind), load, durationMs)
     if (!isEngine && durationLog !== null) samples.push(createSample(durationLog, 1))
     if (!isEngine || firstEventMs === null) return samples
-    if (eventCount >= minEventsForGap) {
+    // Events that have come all at once were held up on their way.
+    if (eventCount >= minEventsForGap && eventsMs > 0) {
       const gapLog = learnLog(this.gaps, load, eventsMs / (eventCount - 1))
       if (gapLog !== null) samples.push(createSample(gapLog, 1))
     }
@@ -99,7 +100,7 @@
   }
 
   private predictDurationMs (kind: string, running: number): number | null {
-    const log = this.durations.get(kind)?.predict(Math.log(running)) ?? null
+    const log = this.durations.get(kind)?.predict(getLoadLog(running)) ?? null
     return log === null ? null : Math.exp(log)
   }
 
@@ -124,6 +125,11 @@
   })
 }
 
+/// The call itself runs there, even if the instance reports none.
+function getLoadLog (running: number): number {
+  return Math.log(Math.max(1, running))
+}
+
 /// Returns how far the logarithm of the time is from its prediction; null if there is none yet.
 function learnLog (regression: DecayingRegression, load: number, timeMs: number): number | null {
   const log = Math.log(Math.max(timeMs, 0.05))
--- a/process/speed/test/learning.test.ts
+++ b/process/speed/test/learning.test.ts
@@ -117,3 +117,18 @@
   expect(reporting!.getFactor(nowMs)).toBeGreaterThan(1.6)
   expect(reporting!.getFactor(nowMs)).toBeLessThan(2.3)
 })
+
+// Guards against figures that can't be learned from and stay in all later predictions.
+test.each<[string, Partial<ResponseObservation>]>([
+  ['reports no running call', { running: 0 }],
+  ['takes no time', { durationMs: 0, firstEventMs: 0, isEngine: true, uncachedTokens: 0 }],
+  ['sends all events at once', { isEngine: true, firstEventMs: 40, eventCount: 50, eventsMs: 0 }],
+  ['breaks off before its first event', { isEngine: true, isComplete: false, durationMs: 0, running: 0 }]
+])('an instance that %s for some responses is as usual afterwards', (_, observation) => {
+  const [[speed, ...others], model, startMs] = replay({ factors: [1, 1, 1, 1], responses: 80, isEngine: observation.isEngine })
+  let nowMs = startMs
+  for (let i = 0; i < 3; i++, nowMs += 100) record(model, speed!, { ...usual, ...observation }, nowMs)
+  const factors = [speed!, ...others].map(each => each.getFactor(nowMs))
+  for (const factor of factors) expect(factor).toBeCloseTo(1, 5)
+  expect(Number.isFinite(model.prefillTokensPerMs)).toBe(true)
+})
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -36,7 +36,7 @@
 
 /// When the parts of a response arrived, on the monotonic clock of `performance.now()`. Filled in by the attempt.
 export interface ResponseTiming {
-  /// Calls at the instance when the head of the response arrived, including this one.
+  /// Calls at the instance when the head of the response arrived, including this one; without a head, at the start.
   running: number
   /// Null without events.
   firstEventAtMs: number | null
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -107,7 +107,8 @@
     const findAlternative = (isIdle: () => boolean): Promise<boolean> => this.findAlternative(lease, isIdle)
     const services = { codec, limits, log, responseMemory }
     const identity = { workspace: workspace?.name ?? null, hidesCredentials: hasWorkspaces }
-    const timing: ResponseTiming = { running: 1, firstEventAtMs: null, lastEventAtMs: 0 }
+    const running = Math.max(1, instance.running + instance.othersRunning)
+    const timing: ResponseTiming = { running, firstEventAtMs: null, lastEventAtMs: 0 }
     const uncachedTokens = findUncachedTokens(instance, call)
     const previousEvents = options.listener?.eventCount ?? 0
     const onFirstEvent = (): void => lease.endPrefill()
