Entry: a stop refuses the calls that wait for the first configuration

An entry that was stopped before it had a configuration held each call for up to a second, new ones as well, and calls that its grace period cut off were refused as if their callers had disconnected. They are now refused as stopping, with a retry after 20 ms, when the stop begins.

--- a/process/entry/src/configurationwait.ts
+++ b/process/entry/src/configurationwait.ts
@@ -8,10 +8,13 @@
 /// Calls beyond this number are refused at once.
 const maxHeldCalls = 1000
 const retryAfterMs = 300
+/// A call that is refused by a stop should be sent to another entry at once.
+const stoppingRetryAfterMs = 20
 
 interface HeldCall {
   readonly call: Call
   release (): void
+  refuse (error: RefusedError): void
 }
 
 /// Holds the calls that come before an entry has its first configuration, instead of refusing them: after all entries
@@ -19,11 +22,13 @@
 export class ConfigurationWait {
   private readonly held = new Set<HeldCall>()
   private isOver = false
+  private isStopping = false
 
   /// Resolves when there is a configuration, at once if there is one. Rejects with `RefusedError` if the call has been
   /// held for too long, or its signal is aborted.
   wait (call: Call, signal: AbortSignal): Promise<void> {
     if (this.isOver) return Promise.resolve()
+    if (this.isStopping) return Promise.reject(createStoppingError())
     const endsAtMs = call.receivedAtMs + Math.min(maxHoldMs, call.callerTimeoutMs * maxHoldShare)
     const remainingMs = endsAtMs - performance.now()
     if (remainingMs <= 0 || this.held.size >= maxHeldCalls) return Promise.reject(createNoConfigurationError())
@@ -34,21 +39,20 @@
         signal.removeEventListener('abort', drop)
         this.held.delete(entry)
       }
-      const drop = (): void => {
+      const refuse = (error: RefusedError): void => {
         end()
-        reject(createAbortedError())
+        reject(error)
       }
+      const drop = (): void => refuse(createAbortedError())
       const entry = {
         call,
         release: () => {
           end()
           resolve()
-        }
+        },
+        refuse
       }
-      const timer = setTimeout(() => {
-        end()
-        reject(createNoConfigurationError())
-      }, remainingMs)
+      const timer = setTimeout(() => refuse(createNoConfigurationError()), remainingMs)
       signal.addEventListener('abort', drop, { once: true })
       this.held.add(entry)
     })
@@ -62,6 +66,12 @@
     for (const { release } of held) release()
   }
 
+  /// Must be called when the entry stops: it may get no configuration any more, and other entries go on.
+  stop (): void {
+    this.isStopping = true
+    for (const { refuse } of [...this.held]) refuse(createStoppingError())
+  }
+
   get count (): number {
     return this.held.size
   }
@@ -81,6 +91,11 @@
   )
 }
 
+function createStoppingError (): RefusedError {
+  const message = 'the entry stops before a configuration has been loaded'
+  return new RefusedError(Refusal.stopping, Verdict.notRun, message, stoppingRetryAfterMs)
+}
+
 function createAbortedError (): RefusedError {
   const message = 'caller disconnected before a configuration had been loaded'
   return new RefusedError(Refusal.timedOut, Verdict.notRun, message)
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -216,6 +216,7 @@
   private async stopOnce (askedAtMs: number): Promise<void> {
     const { drain, peers } = this
     peers.startStop()
+    this.configurationWait.stop()
     await drain.start(askedAtMs)
     const closing = Promise.all([this.front.close(), peers.closeFront()])
     peers.relay.stop()
--- a/process/entry/test/configurationwait.test.ts
+++ b/process/entry/test/configurationwait.test.ts
@@ -57,6 +57,16 @@
   expect([outcomes, wait.count]).toEqual([['call: timed-out, not-run'], 0])
 })
 
+// Guards against calls that a stopping entry keeps until their callers have lost a second, or its grace period is over.
+test('an entry that stops refuses the calls that it holds, and those that come', async () => {
+  hold('held')
+  wait.stop()
+  hold('late')
+  await sleep(1)
+  expect(outcomes.sort()).toEqual(['held: stopping, not-run', 'late: stopping, not-run'])
+  expect(wait.count).toBe(0)
+})
+
 // Guards against memory that is taken by any number of calls.
 test('calls beyond the bound are refused at once', async () => {
   for (let i = 0; i < 1001; i++) hold(`call ${i}`)
