Accounts, estimates and models of workspaces and services that are gone are dropped

Accounts of workspaces were kept up to 8,192 in each service and never became fewer; shares, wait estimates and models of services whose names change with the configuration were kept for good. An account ends after five minutes without a call; the maps by service are bounded.

--- a/process/fairness/src/fairshares.ts
+++ b/process/fairness/src/fairshares.ts
@@ -16,6 +16,7 @@
   readonly usualDemand: DecayingCount
   readonly recentDemand: DecayingCount
   readonly service: DecayingCount
+  demandedAtMs: number
 }
 
 /// A workspace's service and weight at one time.
@@ -45,6 +46,8 @@
 /// For how long the others count as within their share after that.
 const excessMemoryMs = 1000
 const maxAccounts = 8192
+/// Of what a workspace asked for and received so long ago, less than a hundredth still counts.
+const accountLifeMs = 5 * usualWindowMs
 
 /// Accounts of what workspaces ask for and receive. A workspace's fair share is proportional to its usual demand, so
 /// a large one has a larger share, and one that sends many times its usual load hasn't. Without workspaces all
@@ -64,6 +67,11 @@
     return this.accounts.size > 0
   }
 
+  /// How many workspaces have an account.
+  get accountCount (): number {
+    return this.accounts.size
+  }
+
   /// Records that a call asks for service.
   recordDemand (workspace: string | null, nowMs: number): void {
     if (!this.isActive) {
@@ -74,7 +82,8 @@
     const account = this.accounts.get(workspace) ?? createAccount()
     this.accounts.delete(workspace)
     this.accounts.set(workspace, account)
-    if (this.accounts.size > maxAccounts) this.accounts.delete(this.accounts.keys().next().value!)
+    account.demandedAtMs = nowMs
+    this.dropAccounts(nowMs)
     account.recentDemand.add(nowMs)
     this.total.recentDemand.add(nowMs)
     const usual = this.computeUsualPart(account, nowMs)
@@ -119,6 +128,14 @@
     return account !== undefined && this.isAbove(account, nowMs) ? Standing.above : Standing.within
   }
 
+  /// Drops those that are unused, and the least recently used ones beyond the limit.
+  private dropAccounts (nowMs: number): void {
+    for (const [workspace, { demandedAtMs }] of this.accounts) {
+      if (this.accounts.size <= maxAccounts && nowMs - demandedAtMs <= accountLifeMs) return
+      this.accounts.delete(workspace)
+    }
+  }
+
   private getShare (workspace: string | null, nowMs: number): Share | null {
     if (nowMs !== this.sharesAtMs) this.shares.clear()
     this.sharesAtMs = nowMs
@@ -169,6 +186,7 @@
   return {
     usualDemand: new DecayingCount(usualWindowMs),
     recentDemand: new DecayingCount(recentWindowMs),
-    service: new DecayingCount(serviceWindowMs)
+    service: new DecayingCount(serviceWindowMs),
+    demandedAtMs: -Infinity
   }
 }
--- a/process/fairness/test/fairshares.test.ts
+++ b/process/fairness/test/fairshares.test.ts
@@ -93,3 +93,12 @@
   for (const nowMs of [0, 60_000]) levels.push(shares.getLevel('a', 0, 0, nowMs))
   expect(levels).toEqual([0, 1, 0])
 })
+
+// Guards against the accounts of thousands of workspaces that are kept for good in each service.
+test('the account of a workspace that has not called for minutes is dropped', () => {
+  const shares = new FairShares()
+  for (let i = 0; i < 100; i++) shares.recordDemand(`w${i}`, i * 1000)
+  expect(shares.accountCount).toBe(100)
+  shares.recordDemand('w99', 350_500)
+  expect(shares.accountCount).toBe(49)
+})
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -22,6 +22,9 @@
 /// outage and may be restored.
 const missingGraceMs = 2000
 
+/// Services come and go; beyond this number, the models of those without instances are dropped.
+const maxModels = 500
+
 /// The upstream instances that are listed in the platform's store.
 export class InstanceRegistry implements WatchHandler {
   private readonly byId = new Map<string, Instance>()
@@ -153,12 +156,18 @@
   private getModel (service: string): ServiceModel {
     let model = this.models.get(service)
     if (model === undefined) {
+      if (this.models.size >= maxModels) this.dropUnusedModels()
       model = new ServiceModel()
       this.models.set(service, model)
     }
     return model
   }
 
+  private dropUnusedModels (): void {
+    const used = new Set([...this.byId.values()].map(({ description }) => description.service))
+    for (const service of this.models.keys()) if (!used.has(service)) this.models.delete(service)
+  }
+
   private remove (id: string, reason: string): void {
     const instance = this.byId.get(id)
     if (instance === undefined) return
--- a/process/placement/src/fairqueue.ts
+++ b/process/placement/src/fairqueue.ts
@@ -12,6 +12,9 @@
   readonly level: number
 }
 
+/// Services come and go with versions of the configuration; beyond this number, the shares of the oldest are dropped.
+const maxServices = 500
+
 /// The fair shares of workspaces in each service, and the order that follows for a queue. Without workspaces it is
 /// that of `compareCalls`.
 export class FairQueue {
@@ -68,6 +71,10 @@
     return evicted
   }
 
+  get serviceCount (): number {
+    return this.sharesByService.size
+  }
+
   private get isActive (): boolean {
     for (const shares of this.sharesByService.values()) if (shares.isActive) return true
     return false
@@ -91,6 +98,8 @@
   private getShares (service: string): FairShares {
     let shares = this.sharesByService.get(service)
     if (shares === undefined) {
+      const oldest = this.sharesByService.size < maxServices ? undefined : this.sharesByService.keys().next().value
+      if (oldest !== undefined) this.sharesByService.delete(oldest)
       shares = new FairShares()
       this.sharesByService.set(service, shares)
     }
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -40,6 +40,9 @@
 const newProgramDelayShare = 0.6
 /// New programs don't avoid an instance with a limit of which nothing was heard for so long.
 const maxLimitAgeMs = 1000
+/// Services come and go with versions of the configuration; beyond this number of kinds of calls, the estimates of
+/// those without waiting calls are dropped.
+const maxEstimates = 1000
 /// Calls that an instance is sent beyond its slots, so that it doesn't idle between two calls.
 const extraCalls = 1
 
@@ -64,6 +67,11 @@
     return this.queue.length
   }
 
+  /// How many services have fair shares of workspaces.
+  get accountedServices (): number {
+    return this.fairQueue.serviceCount
+  }
+
   /// Resolves when an instance has capacity for the call. Rejects with
   /// `RefusedError` if no instance is left to try, if the queue is full, if the
   /// call has waited for `maxWaitMs`, or when `signal` is aborted meanwhile.
@@ -190,12 +198,17 @@
     const kind = getKind(request)
     let estimate = this.waitEstimates.get(kind)
     if (estimate === undefined) {
+      if (this.waitEstimates.size >= maxEstimates) this.dropIdleEstimates()
       estimate = new WaitEstimate()
       this.waitEstimates.set(kind, estimate)
     }
     return estimate
   }
 
+  private dropIdleEstimates (): void {
+    for (const [kind, estimate] of this.waitEstimates) if (!estimate.hasWaiting) this.waitEstimates.delete(kind)
+  }
+
   /// Asks the caller to come back when the call could get a lease within its time.
   private createOverloadedError (
     request: PlacementRequest, ahead: number, nowMs: number, reason = ''
--- a/process/placement/src/waitestimate.ts
+++ b/process/placement/src/waitestimate.ts
@@ -19,6 +19,10 @@
   private updatedAtMs = 0
   private waitingCalls = 0
 
+  get hasWaiting (): boolean {
+    return this.waitingCalls > 0
+  }
+
   /// Records that a call has begun to wait (1), or waits no more (-1).
   countWaiting (change: 1 | -1, nowMs: number): void {
     this.waitingMs = this.getWaitingMs(nowMs)
--- a/process/placement/test/placement.test.ts
+++ b/process/placement/test/placement.test.ts
@@ -323,3 +323,13 @@
   await vi.advanceTimersByTimeAsync(30)
   expect(await outcome).toBe(expected)
 })
+
+// Guards against memory that grows with the names of services, which change with the configuration.
+test('what is kept for services of earlier configurations is bounded', async () => {
+  for (let i = 0; i < 3000; i++) {
+    await placement.acquire(createRequest(`c${i}`, { service: `s${i}`, workspace: 'w' }), signal).catch(() => {})
+    registry.onObject('a', { name: 'a', revision: i + 2, status: null, spec: { service: `s${i + 1}`, address: '10.0.0.1:80', zone: 'z0', slots: 1, state: 'ready' } })
+  }
+  expect(registry.serviceModels.size).toBeLessThanOrEqual(500)
+  expect(placement.accountedServices).toBeLessThanOrEqual(500)
+})
--- a/process/speed/test/learning.test.ts
+++ b/process/speed/test/learning.test.ts
@@ -125,7 +125,8 @@
   ['sends all events at once', { isEngine: true, firstEventMs: 40, eventCount: 50, eventsMs: 0 }],
   ['breaks off before its first event', { isEngine: true, isComplete: false, durationMs: 0, running: 0 }]
 ])('an instance that %s for some responses is as usual afterwards', (_, observation) => {
-  const [[speed, ...others], model, startMs] = replay({ factors: [1, 1, 1, 1], responses: 80, isEngine: observation.isEngine })
+  const { isEngine } = observation
+  const [[speed, ...others], model, startMs] = replay({ factors: [1, 1, 1, 1], responses: 80, isEngine })
   let nowMs = startMs
   for (let i = 0; i < 3; i++, nowMs += 100) record(model, speed!, { ...usual, ...observation }, nowMs)
   const factors = [speed!, ...others].map(each => each.getFactor(nowMs))
