Queue for instances: new programs are not placed behind all turns of the same rank

Without workspaces the order should be as before, apart from late programs behind those in time. Turns of running programs also went before new programs of the same rank that were due earlier, and late turns before new programs in time.

--- a/process/placement/src/queueorder.ts
+++ b/process/placement/src/queueorder.ts
@@ -15,8 +15,6 @@
 export interface Urgency {
   /// 0 is the most urgent; negative for calls that have waited.
   readonly rank: number
-  /// 0 for running programs, 1 for new ones.
-  readonly newness: number
   readonly timeliness: Timeliness
   readonly deadlineMs: number
 }
@@ -31,15 +29,13 @@
   const { request } = call
   return {
     rank: getRank(call, nowMs),
-    newness: request.isContinuing ? 0 : 1,
     timeliness: getTimeliness(request, nowMs),
     deadlineMs: getDeadlineMs(request)
   }
 }
 
-/// Orders calls by rank, then those of running programs before new programs, then those of programs in time before
-/// late ones, then by the earliest deadline. A late call that has waited for longer has a better rank, so it is served
-/// as well. Entries don't know when a program began, hence not whether it can still end within twice its latency
+/// Orders calls by rank, then those of programs in time before late ones, then by the earliest deadline. A late call
+/// that has waited for longer has a better rank, so it is served as well. Entries don't know when a program began, hence not whether it can still end within twice its latency
 /// target.
 export function compareUrgency (a: Urgency, b: Urgency): number {
   return compareClasses(a, b) || a.deadlineMs - b.deadlineMs
@@ -47,7 +43,7 @@
 
 /// The same without the deadlines.
 export function compareClasses (a: Urgency, b: Urgency): number {
-  return a.rank - b.rank || a.newness - b.newness || a.timeliness - b.timeliness
+  return a.rank - b.rank || a.timeliness - b.timeliness
 }
 
 export function compareCalls (a: QueuedCall, b: QueuedCall, nowMs: number): number {
