--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -239,6 +239,8 @@
 
   private grantLease (instance: Instance, request: PlacementRequest, nowMs: number): InstanceLease {
     const endPrefill = startPrefill(instance, request, nowMs)
+    const callInFlight = { kind: request.kind, startedAtMs: nowMs }
+    instance.inFlight.add(callInFlight)
     instance.running++
     instance.limit?.take(nowMs)
     let isHeld = true
@@ -249,6 +251,7 @@
         if (!isHeld) return
         isHeld = false
         endPrefill()
+        instance.inFlight.delete(callInFlight)
         instance.running--
         this.processQueueSoon()
       }
--- a/process/placement/src/queueorder.ts
+++ b/process/placement/src/queueorder.ts
@@ -35,8 +35,8 @@
 }
 
 /// Orders calls by rank, then those of programs in time before late ones, then by the earliest deadline. A late call
-/// that has waited for longer has a better rank, so it is served as well. Entries don't know when a program began, hence not whether it can still end within twice its latency
-/// target.
+/// that has waited for longer has a better rank, so it is served as well. Entries don't know when a program began,
+/// hence not whether it can still end within twice its latency target.
 export function compareUrgency (a: Urgency, b: Urgency): number {
   return compareClasses(a, b) || a.deadlineMs - b.deadlineMs
 }
