--- a/process/fairness/src/fairshares.ts
+++ b/process/fairness/src/fairshares.ts
@@ -16,6 +16,15 @@
   readonly usualDemand: DecayingCount
   readonly recentDemand: DecayingCount
   readonly service: DecayingCount
+  demandedAtMs: number
+}
+
+/// A workspace's service and weight at one time.
+interface Share {
+  readonly received: number
+  readonly allReceived: number
+  /// Of the weights of all workspaces.
+  readonly weightShare: number
 }
 
 /// Time constants: of the demand that counts as usual, of the demand of the moment, and of the service received.
@@ -37,6 +46,8 @@
 /// For how long the others count as within their share after that.
 const excessMemoryMs = 1000
 const maxAccounts = 8192
+/// Of what a workspace asked for and received so long ago, less than a hundredth still counts.
+const accountLifeMs = 5 * usualWindowMs
 
 /// Accounts of what workspaces ask for and receive. A workspace's fair share is proportional to its usual demand, so
 /// a large one has a larger share, and one that sends many times its usual load hasn't. Without workspaces all
@@ -47,22 +58,32 @@
   private readonly total = createAccount()
   private startedAtMs = 0
   private excessAtMs = -Infinity
+  /// Computed for `sharesAtMs`: a queue asks for each of its calls.
+  private readonly shares = new Map<string | null, Share>()
+  private sharesAtMs = -Infinity
 
   /// Whether any call has counted for a workspace. Nothing is recorded before.
   get isActive (): boolean {
     return this.accounts.size > 0
   }
 
+  /// How many workspaces have an account.
+  get accountCount (): number {
+    return this.accounts.size
+  }
+
   /// Records that a call asks for service.
   recordDemand (workspace: string | null, nowMs: number): void {
     if (!this.isActive) {
       if (workspace === null) return
       this.startedAtMs = nowMs - 1
     }
+    this.shares.clear()
     const account = this.accounts.get(workspace) ?? createAccount()
     this.accounts.delete(workspace)
     this.accounts.set(workspace, account)
-    if (this.accounts.size > maxAccounts) this.accounts.delete(this.accounts.keys().next().value!)
+    account.demandedAtMs = nowMs
+    this.dropAccounts(nowMs)
     account.recentDemand.add(nowMs)
     this.total.recentDemand.add(nowMs)
     const usual = this.computeUsualPart(account, nowMs)
@@ -75,6 +96,7 @@
   recordService (workspace: string | null, nowMs: number): void {
     const account = this.accounts.get(workspace)
     if (account === undefined) return
+    this.shares.clear()
     for (const { service } of [account, this.total]) service.add(nowMs)
   }
 
@@ -82,13 +104,10 @@
   /// `allAhead` calls of all workspaces were served before: 0 if it wouldn't, and one more for each doubling. The lower
   /// one is served first.
   getLevel (workspace: string | null, ownAhead: number, allAhead: number, nowMs: number): number {
-    const account = this.accounts.get(workspace)
-    if (account === undefined) return 0
-    const received = account.service.get(nowMs) + ownAhead + 1 - freeCalls
-    const weight = this.getWeight(workspace, nowMs)
-    const totalWeight = this.getUsualPerS(this.total, nowMs) - this.getUsualPerS(account, nowMs) + weight
-    const fair = (this.total.service.get(nowMs) + allAhead) * weight / totalWeight
-    const excess = received / Math.max(fair, 1)
+    const share = this.getShare(workspace, nowMs)
+    if (share === null) return 0
+    const fair = (share.allReceived + allAhead) * share.weightShare
+    const excess = (share.received + ownAhead + 1 - freeCalls) / Math.max(fair, 1)
     return excess <= 1 ? 0 : Math.min(1 + Math.floor(Math.log2(excess)), maxLevel)
   }
 
@@ -109,6 +128,35 @@
     return account !== undefined && this.isAbove(account, nowMs) ? Standing.above : Standing.within
   }
 
+  /// Drops those that are unused, and the least recently used ones beyond the limit.
+  private dropAccounts (nowMs: number): void {
+    for (const [workspace, { demandedAtMs }] of this.accounts) {
+      if (this.accounts.size <= maxAccounts && nowMs - demandedAtMs <= accountLifeMs) return
+      this.accounts.delete(workspace)
+    }
+  }
+
+  private getShare (workspace: string | null, nowMs: number): Share | null {
+    if (nowMs !== this.sharesAtMs) this.shares.clear()
+    this.sharesAtMs = nowMs
+    const known = this.shares.get(workspace)
+    if (known !== undefined) return known
+    const account = this.accounts.get(workspace)
+    if (account === undefined) return null
+    const share = this.computeShare(account, this.getWeight(workspace, nowMs), nowMs)
+    this.shares.set(workspace, share)
+    return share
+  }
+
+  private computeShare (account: Account, weight: number, nowMs: number): Share {
+    const totalWeight = this.getUsualPerS(this.total, nowMs) - this.getUsualPerS(account, nowMs) + weight
+    return {
+      received: account.service.get(nowMs),
+      allReceived: this.total.service.get(nowMs),
+      weightShare: weight / totalWeight
+    }
+  }
+
   /// Which part of a call counts as usual demand.
   private computeUsualPart (account: Account, nowMs: number): number {
     const usualPerS = Math.max(this.getUsualPerS(account, nowMs), minWeightPerS)
@@ -138,6 +186,7 @@
   return {
     usualDemand: new DecayingCount(usualWindowMs),
     recentDemand: new DecayingCount(recentWindowMs),
-    service: new DecayingCount(serviceWindowMs)
+    service: new DecayingCount(serviceWindowMs),
+    demandedAtMs: -Infinity
   }
 }
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -41,6 +41,9 @@
 const newProgramDelayShare = 0.6
 /// New programs don't avoid an instance with a limit of which nothing was heard for so long.
 const maxLimitAgeMs = 1000
+/// Services come and go with versions of the configuration; beyond this number of kinds of calls, the estimates of
+/// those without waiting calls are dropped.
+const maxEstimates = 1000
 /// Calls that an instance is sent beyond its slots, so that it doesn't idle between two calls.
 const extraCalls = 1
 
@@ -66,20 +69,27 @@
     return this.queue.length
   }
 
+  /// How many services have fair shares of workspaces.
+  get accountedServices (): number {
+    return this.fairQueue.serviceCount
+  }
+
   /// Resolves when an instance has capacity for the call. Rejects with
   /// `RefusedError` if no instance is left to try, if the queue is full, if the
   /// call has waited for `maxWaitMs`, or when `signal` is aborted meanwhile.
   acquire (request: PlacementRequest, signal: AbortSignal): Promise<InstanceLease> {
     const nowMs = performance.now()
     this.fairQueue.recordDemand(request, nowMs)
-    const ahead = this.countAhead(request, nowMs)
+    const rivals = this.findRivals(request)
+    const ahead = this.countAhead(rivals, request, nowMs)
     const candidates = this.findCandidates(request)
     const lease = ahead > 0 ? null : this.tryAcquire(candidates, request, nowMs)
     if (lease !== null) return Promise.resolve(lease)
     if (candidates.length === 0) return Promise.reject(createNoInstanceError(request.service))
     const waitMs = estimateLimitedWaitMs(candidates, ahead)
     if (waitMs > request.maxWaitMs) return Promise.reject(createLimitedError(request.service, waitMs))
-    const aheadOfKind = this.countAhead(request, nowMs, getKind)
+    const rivalsOfKind = rivals.filter(entry => entry.request.isContinuing === request.isContinuing)
+    const aheadOfKind = rivalsOfKind.length === rivals.length ? ahead : this.countAhead(rivalsOfKind, request, nowMs)
     if (this.getWaitEstimate(request).isTooLong(aheadOfKind, request.maxWaitMs, nowMs)) {
       return Promise.reject(this.createOverloadedError(request, aheadOfKind, nowMs))
     }
@@ -107,12 +117,15 @@
     }
   }
 
-  /// How many waiting calls of the service, or that have the same `getGroup`, are placed before this one.
-  private countAhead (request: PlacementRequest, nowMs: number, getGroup = getService): number {
-    const waiting = this.queue.filter(entry => {
-      // A large body may wait for room where a small one needs none.
-      return getGroup(entry.request) === getGroup(request) && (isLarge(request) || !isLarge(entry.request))
+  /// The waiting calls of the service that an arriving call waits behind, if they go first. A large body may wait for
+  /// room where a small one needs none.
+  private findRivals (request: PlacementRequest): QueueEntry[] {
+    return this.queue.filter(entry => {
+      return entry.request.service === request.service && (isLarge(request) || !isLarge(entry.request))
     })
+  }
+
+  private countAhead (waiting: readonly QueuedCall[], request: PlacementRequest, nowMs: number): number {
     return waiting.length === 0 ? 0 : this.fairQueue.countAhead(waiting, { request, queuedAtMs: nowMs }, nowMs)
   }
 
@@ -196,12 +209,17 @@
     const kind = getKind(request)
     let estimate = this.waitEstimates.get(kind)
     if (estimate === undefined) {
+      if (this.waitEstimates.size >= maxEstimates) this.dropIdleEstimates()
       estimate = new WaitEstimate()
       this.waitEstimates.set(kind, estimate)
     }
     return estimate
   }
 
+  private dropIdleEstimates (): void {
+    for (const [kind, estimate] of this.waitEstimates) if (!estimate.hasWaiting) this.waitEstimates.delete(kind)
+  }
+
   /// Asks the caller to come back when the call could get a lease within its time.
   private createOverloadedError (
     request: PlacementRequest, ahead: number, nowMs: number, reason = ''
@@ -232,6 +250,8 @@
 
   private grantLease (instance: Instance, request: PlacementRequest, nowMs: number): InstanceLease {
     const endPrefill = startPrefill(instance, request, nowMs)
+    const callInFlight = { kind: request.kind, startedAtMs: nowMs }
+    instance.inFlight.add(callInFlight)
     instance.running++
     const removeBody = this.bodies.add(instance, request.bodyBytes ?? 0)
     instance.limit?.take(nowMs)
@@ -243,6 +263,7 @@
         if (!isHeld) return
         isHeld = false
         endPrefill()
+        instance.inFlight.delete(callInFlight)
         instance.running--
         removeBody()
         this.processQueueSoon()
@@ -322,7 +343,3 @@
 function getKind ({ service, isContinuing }: PlacementRequest): string {
   return `${service} ${isContinuing}`
 }
-
-function getService ({ service }: PlacementRequest): string {
-  return service
-}
