The learned prefill rate isn't higher than the one that is assumed

Cause: an entry doesn't know what calls of other entries have left in an instance's cache, so prompts seem to be processed faster than they are. Change: the rate starts at 299 and may be learned to be lower only.

--- a/process/speed/src/servicemodel.ts
+++ b/process/speed/src/servicemodel.ts
@@ -25,9 +25,10 @@
   readonly weight: number
 }
 
+/// Also the highest rate that is learned: an instance may have cached parts for other entries, so prompts seem to be
+/// processed faster than they are, and a rate that is too high makes calls leave the instances that have their prefix.
 const initialPrefillTokensPerMs = 299
 const minPrefillTokensPerMs = 20
-const maxPrefillTokensPerMs = 3000
 /// Of samples of the prefill time, in tokens squared: ten samples that differ by 1,000 tokens outweigh it.
 const priorPrefillSpread = 2_500_000
 const maxLogResidual = 1
@@ -49,7 +50,7 @@
   private readonly firstEvents = new DecayingRegression({
     priorSlope: 1 / initialPrefillTokensPerMs,
     priorSpread: priorPrefillSpread,
-    minSlope: 1 / maxPrefillTokensPerMs,
+    minSlope: 1 / initialPrefillTokensPerMs,
     maxSlope: 1 / minPrefillTokensPerMs,
     getMaxResidual: predictedMs => 20 + Math.max(0, predictedMs) / 2
   })
