The limit of descriptors is a setting

Cause: the bound on connections was a quarter of the limit in /proc/self/limits. Change: node.max_descriptors, from the platform's settings; without it the limit of the operating system holds as before.

--- a/process/daemon/src/entryrole.ts
+++ b/process/daemon/src/entryrole.ts
@@ -11,6 +11,7 @@
     zone: settings.node.zone,
     processors: countProcessors(settings),
     memoryMb: settings.node.memory_mb ?? null,
+    maxDescriptors: settings.node.max_descriptors,
     callersAddress: settings.listen.callers!,
     relayAddress: `${settings.node.ip}:${settings.listen.peer_port}`,
     readinessAddress: settings.listen.readiness!,
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -40,6 +40,8 @@
   readonly processors: number
   /// The memory that the process may use; null if it has no limit.
   readonly memoryMb: number | null
+  /// The descriptors that the process may have open; without it, as many as the operating system allows.
+  readonly maxDescriptors?: number
   readonly callersAddress: string
   /// HOST:PORT for connections that other entries relay, over TCP, and load reports, over UDP.
   readonly relayAddress: string
@@ -125,7 +127,7 @@
     this.viewReader = new ViewReader(platform.store, this.quorum, log)
     const admission = new Admission(backlog, () => this.peers.relay.betterShare, new StartupPhase())
     const plan = planMemory(options.memoryMb)
-    const connections = planConnections(options.memoryMb, readMaxDescriptors())
+    const connections = planConnections(options.memoryMb, options.maxDescriptors ?? readMaxDescriptors())
     const responseMemory = new MemoryBudget(plan.responseBytes, freeBytesPerMessage, plan.freeBytes)
     const frontOptions = {
       getDelayMs: () => backlog.currentDelayMs,
--- a/process/settings/src/reload.ts
+++ b/process/settings/src/reload.ts
@@ -22,6 +22,7 @@
   'node.processor_share': ReloadTime.atOnce,
   'node.processor_speed': ReloadTime.atOnce,
   'node.memory_mb': ReloadTime.atStart,
+  'node.max_descriptors': ReloadTime.atStart,
   'node.tolerated_losses': ReloadTime.restart,
   'listen.callers': ReloadTime.restart,
   'listen.readiness': ReloadTime.restart,
--- a/process/settings/src/settings.ts
+++ b/process/settings/src/settings.ts
@@ -26,6 +26,8 @@
     processor_speed: z.optional(z.number().check(z.positive())),
     /// The memory that the process may use.
     memory_mb: z.optional(z.number().check(z.positive())),
+    /// The descriptors that the process may have open.
+    max_descriptors: z.optional(z.number().check(z.int(), z.positive())),
     /// Number of disks that may be lost at the same time without data loss.
     tolerated_losses: count
   }),
--- a/process/settings/test/reload.test.ts
+++ b/process/settings/test/reload.test.ts
@@ -17,6 +17,7 @@
 processor_share = 0.5
 processor_speed = 2
 memory_mb = 350
+max_descriptors = 4100
 tolerated_losses = 1
 [listen]
 callers = "10.0.0.1:80"
