Quotas: move the state of a coordinated workspace into a file of its own

coordinator.ts had 440 lines, a fifth of them types, the initial state, the deduction of others' grants and the rule for forgetting. These depend on the state of one workspace only. They move unchanged to coordinatedworkspace.ts; the deduction becomes a function. coordinator.ts has 358 lines. Two constants say what they are for.

--- a/process/quota/src/coordinator.ts
+++ b/process/quota/src/coordinator.ts
@@ -2,6 +2,8 @@
 import { Events } from '#process/log'
 import type { EventLog } from '#process/log'
 import type { Metrics } from '#process/metrics'
+import { createCoordinatedWorkspace, deduct, forgetActingMs, isForgettable } from './coordinatedworkspace.js'
+import type { CoordinatedWorkspace, HeldBucket, LastRequest, QueuedRequest, Respond } from './coordinatedworkspace.js'
 import { maxUnheardMs } from './contact.js'
 import type { PeerContact, SendMessage } from './contact.js'
 import type { Members } from './members.js'
@@ -11,9 +13,6 @@
 import type { Member } from './ranking.js'
 import { TokenBucket } from './tokenbucket.js'
 
-/// Sends a reply to the client of a request.
-export type Respond = (reply: ReplyMessage) => void
-
 export interface CoordinatorOptions {
   /// The id of this process, unique among all.
   readonly client: string
@@ -24,53 +23,6 @@
   readonly getWorkspaces: () => Workspaces | null
 }
 
-/// A bucket that this entry holds, and how much of it has been granted and not returned.
-interface HeldBucket {
-  readonly id: string
-  readonly bucket: TokenBucket
-  granted: number
-  /// Whether it is held in place of an entry that comes before.
-  isActing: boolean
-  /// The state of contacts and of the list under which no other entry holds one.
-  epoch: number
-  membersVersion: number
-}
-
-/// The last request of a client. A retry of it gets the same reply.
-interface LastRequest {
-  readonly number: number
-  reply: ReplyMessage | null
-  readonly atMs: number
-}
-
-interface QueuedRequest {
-  readonly ask: AskMessage
-  respond: Respond
-}
-
-/// What this entry knows of a workspace as its coordinator.
-interface CoordinatedWorkspace {
-  readonly name: string
-  held: HeldBucket | null
-  /// By client.
-  readonly lastRequests: Map<string, LastRequest>
-  /// Requests that wait until it is known whether this entry may grant credit.
-  queue: QueuedRequest[]
-  isVerifying: boolean
-  verifiedAtMs: number
-  /// The entry that comes before and is reached; requests are forwarded to it for a while.
-  superior: Member | null
-  superiorUntilMs: number
-  /// Counts how often another entry was found to come before, so that a verification meanwhile is void.
-  releases: number
-  /// An entry that has taken the bucket, and what it got. It may not be listed here yet.
-  taker: Member | null
-  handedOver: { readonly client: string, readonly number: number, readonly state: StateMessage } | null
-  /// What has been deducted for grants of other coordinators, by bucket.
-  readonly deducted: Map<string, number>
-  usedAtMs: number
-}
-
 type VerificationResult = 'held' | 'moved' | 'cut-off'
 
 interface HoldOptions {
@@ -86,14 +38,11 @@
 const takenFromCount = 2
 /// How often a coordinator that acts in place of another one checks whether it is back.
 const recheckMs = 200
+/// How long requests are forwarded to an entry that comes before this one until it is checked again.
 const forwardMs = 200
 const sweepIntervalMs = 5000
-/// Full buckets that are unused for so long are forgotten. One that is held in place of another entry would begin empty
-/// again, so it is kept for longer.
-const forgetMs = 10_000
-const forgetActingMs = 300_000
+/// How long the reply to a client's last request is kept for retries.
 const forgetClientMs = 5000
-const maxDeductions = 8
 
 /// Grants credit of the workspaces that this entry coordinates. Before the first grant, and after each gap in which
 /// others may have taken over, it checks that no entry that comes before is reached, and takes the bucket from one that
@@ -162,7 +111,7 @@
     const { workspace, bucket, granted, number } = message
     const state = this.workspaces.get(workspace)
     const held = state?.held ?? null
-    if (state !== undefined && held !== null && bucket !== '') this.deduct(state, held, bucket, granted)
+    if (state !== undefined && held !== null && bucket !== '') deduct(state, held, bucket, granted)
     this.options.send(this.createState(number), address)
   }
 
@@ -297,7 +246,7 @@
     const held = own ?? this.createBucket(state, quota, takenOver.length > 0 ? nowMs : emptyAtMs, isActing)
     for (const { bucket, granted } of takenOver) {
       if (own === null) state.deducted.set(bucket, granted)
-      else this.deduct(state, own, bucket, granted)
+      else deduct(state, own, bucket, granted)
     }
     if (takenOver.length > 0) held.bucket.raiseTo(Math.min(...takenOver.map(({ level }) => level)), nowMs)
     held.isActing = isActing
@@ -318,7 +267,7 @@
     return { id, bucket: new TokenBucket(quota, filledFromMs), granted: 0, isActing, epoch: 0, membersVersion: 0 }
   }
 
-  /// Another entry coordinates the workspace.
+  /// Drops the bucket, as another entry coordinates the workspace, and forwards requests to that one for a while.
   private release (state: CoordinatedWorkspace, superior: Member): void {
     if (state.held !== null) {
       const { id, granted } = state.held
@@ -332,16 +281,6 @@
     state.usedAtMs = performance.now()
   }
 
-  private deduct (state: CoordinatedWorkspace, held: HeldBucket, bucket: string, granted: number): void {
-    const { deducted } = state
-    const known = deducted.get(bucket) ?? 0
-    if (granted <= known) return
-    deducted.delete(bucket)
-    deducted.set(bucket, granted)
-    if (deducted.size > maxDeductions) deducted.delete(deducted.keys().next().value!)
-    held.bucket.deduct(granted - known, performance.now())
-  }
-
   private serveQueue (state: CoordinatedWorkspace, result: VerificationResult): void {
     const queue = state.queue.splice(0)
     for (const request of queue) {
@@ -371,21 +310,7 @@
   private getState (name: string): CoordinatedWorkspace {
     let state = this.workspaces.get(name)
     if (state === undefined) {
-      state = {
-        name,
-        held: null,
-        lastRequests: new Map(),
-        queue: [],
-        isVerifying: false,
-        verifiedAtMs: -Infinity,
-        superior: null,
-        superiorUntilMs: 0,
-        releases: 0,
-        taker: null,
-        handedOver: null,
-        deducted: new Map(),
-        usedAtMs: performance.now()
-      }
+      state = createCoordinatedWorkspace(name)
       this.workspaces.set(name, state)
     }
     return state
@@ -431,10 +356,3 @@
     return { kind: MessageKind.state, sender, number, bucket: '', level: 0, granted: 0 }
   }
 }
-
-function isForgettable ({ held, queue, usedAtMs, isVerifying, taker }: CoordinatedWorkspace, nowMs: number): boolean {
-  if (queue.length > 0 || isVerifying) return false
-  const unusedMs = nowMs - usedAtMs
-  if (held === null) return unusedMs > (taker === null ? forgetMs : forgetActingMs)
-  return unusedMs > (held.isActing ? forgetActingMs : forgetMs) && held.bucket.isFull(nowMs)
-}
