--- a/process/fairness/src/fairshares.ts
+++ b/process/fairness/src/fairshares.ts
@@ -40,6 +40,7 @@
 const minWeightPerS = 0.05
 /// So many calls never exceed a share: a small workspace's calls come in small groups by chance.
 const freeCalls = 2
+/// Bounds the level; beyond 32 times the fair share all are equal.
 const maxLevel = 6
 /// A workspace is above its share if its demand has grown by this factor more than that of the others.
 const demandTolerance = 2
@@ -122,6 +123,7 @@
     )
   }
 
+  /// Whether the workspace asks for much more than its share, or another one did within the last second.
   getStanding (workspace: string | null, nowMs: number): Standing {
     if (nowMs - this.excessAtMs > excessMemoryMs) return Standing.equal
     const account = this.accounts.get(workspace)
--- a/process/quota/src/client.ts
+++ b/process/quota/src/client.ts
@@ -29,7 +29,6 @@
 
 /// A request to a coordinator that has no reply yet.
 interface PendingAsk {
-  readonly target: string
   readonly onReply: (reply: ReplyMessage) => void
 }
 
@@ -39,9 +38,12 @@
 const maxTargets = 3
 /// Replies to requests that were given up are still accepted for their credit.
 const maxGivenUp = 200
+/// Leaves room for further numbers below the largest safe integer.
 const maxFirstNumber = 1e9
+/// What `Retry-After` says if the quota's state is not known, and if this entry reaches no other one.
 const unknownRetryMs = 200
 const cutOffRetryMs = 500
+/// The state of workspaces without calls for so long is dropped.
 const forgetMs = 10_000
 const sweepIntervalMs = 5000
 
@@ -142,8 +144,8 @@
       if (reply?.status === ReplyStatus.unknown) {
         return credit.fail(() => this.createUnknownError(workspace, `the configuration of ${reply.sender} lacks it`, unknownRetryMs))
       }
-      // An entry that has moved the workspace reaches one that comes before it.
-      if (reply?.status !== ReplyStatus.moved || failed.has(target.name)) failed.add(target.name)
+      // After `moved` the same entry may be asked again: it reaches one that comes before it and may forward then.
+      if (reply?.status !== ReplyStatus.moved) failed.add(target.name)
       if (contact.isCutOff || !(members.isAlone || contact.hasHeardSince(startedAtMs) || await contact.reachesAny())) {
         return credit.fail(
           () => this.createUnknownError(workspace, 'this entry reaches no other one', cutOffRetryMs),
@@ -204,7 +206,7 @@
         // The reply that follows may be lost, too.
         else wait(tryMs, () => startTry(tryCount))
       }
-      this.pending.set(number, { target: target.name, onReply })
+      this.pending.set(number, { onReply })
       if (isOwn) coordinator.handleAsk(ask, onReply)
       else startTry(tryCount)
     })
--- a/process/quota/src/contact.ts
+++ b/process/quota/src/contact.ts
@@ -15,6 +15,7 @@
 /// A coordinator grants nothing once it has heard from no other entry for so long. One that acts in its place starts to
 /// accrue credit only after that time.
 export const maxUnheardMs = 400
+/// How long an entry that has not replied is avoided: doubles with each further failure.
 const minAvoidMs = 1000
 const maxAvoidMs = 8000
 /// How many entries are asked to find out whether this one is cut off, and how often then.
--- a/process/quota/src/messages.ts
+++ b/process/quota/src/messages.ts
@@ -25,6 +25,7 @@
   readonly replyTo: string
 }
 
+/// How a request for credit ended.
 export const ReplyStatus = {
   granted: 'granted',
   /// Another reply follows.
@@ -39,6 +40,7 @@
 
 export type ReplyStatus = typeof ReplyStatus[keyof typeof ReplyStatus]
 
+/// A coordinator's reply to a request, with the credit that it grants.
 export interface ReplyMessage {
   readonly kind: typeof MessageKind.reply
   readonly sender: string
@@ -53,7 +55,9 @@
   readonly startingDueMs: number
   /// The bucket's level after the grant.
   readonly level: number
+  /// The coordinator's bucket; '' if the reply is not from one.
   readonly bucket: string
+  /// That of the request.
   readonly replyTo: string
 }
 
@@ -62,9 +66,11 @@
   readonly kind: typeof MessageKind.check
   readonly sender: string
   readonly number: number
-  /// '' if the sender coordinates none.
+  /// '' if the check is not about a workspace.
   readonly workspace: string
+  /// The bucket that the sender holds; '' if it holds none.
   readonly bucket: string
+  /// What the sender has granted from the bucket so far.
   readonly granted: number
 }
 
@@ -93,6 +99,7 @@
 
 /// Increases with a change that older entries would misread.
 const protocolVersion = 1
+/// Bounds counts of requests, so that a malformed message can't ask for or return an arbitrary amount.
 const maxCount = 1e6
 
 /// Returns the fields of a datagram. Numbers of 0 and empty texts are left out.
--- a/process/quota/src/tokenbucket.ts
+++ b/process/quota/src/tokenbucket.ts
@@ -10,6 +10,7 @@
   readonly spare: number
 }
 
+/// What a coordinator grants of a demand.
 export interface CreditGrant {
   readonly continuing: number
   readonly starting: number
@@ -29,7 +30,7 @@
 const reserveShare = 0.25
 /// Refused calls get due times one after the other up to this far ahead, so that they don't all come back at once.
 const maxSpreadMs = 1000
-/// Levels are sums of fractions.
+/// Levels are sums of fractions, which may be slightly below the whole number that they stand for.
 const rounding = 1e-9
 
 /// Returns how much credit a quota lets accumulate: at least one request, or none would ever run.
@@ -90,6 +91,7 @@
     this.storedLevel = Math.min(this.capacity, this.getLevel(nowMs) + count)
   }
 
+  /// Raises a lower level to that of a bucket that was taken over, up to the capacity.
   raiseTo (level: number, nowMs: number): void {
     this.storedLevel = Math.min(this.capacity, Math.max(level, this.getLevel(nowMs)))
   }
--- a/process/quota/src/workspacecredit.ts
+++ b/process/quota/src/workspacecredit.ts
@@ -86,6 +86,7 @@
     return this.current
   }
 
+  /// Resolves when there is credit for a call. Rejects with `RefusedError` if it isn't due in time.
   acquire ({ isContinuing, maxWaitMs, signal }: AcquireOptions): Promise<Credit> {
     const nowMs = performance.now()
     this.countCall(nowMs)
@@ -178,6 +179,7 @@
     if (quota.ratePerS < before.ratePerS || quota.burst < before.burst) this.dropUnspent()
   }
 
+  /// Whether it has no calls, credit or requests, and had no call for `unusedMs`.
   isUnused (nowMs: number, unusedMs: number): boolean {
     return !this.isAsking && this.waiting.length === 0 && this.held.length === 0 && this.returned.count === 0 &&
       nowMs - this.calledAtMs >= unusedMs
--- a/process/speed/src/instancespeed.ts
+++ b/process/speed/src/instancespeed.ts
@@ -9,10 +9,12 @@
   readonly weight: number
 }
 
+/// Half-lives of all samples, and of the run of latest ones that shows a sudden change.
 const longHalfLifeMs = 20_000
 const recentHalfLifeMs = 2000
 /// What is learned nears neutral if its samples have less weight than this.
 const priorWeight = 2
+/// The run replaces the mean of all samples from this weight on; it nears neutral if it has less than the prior.
 const minRecentWeight = 1.5
 const priorRecentWeight = 0.5
 /// Samples that differ from the earlier ones by this logarithm may say that the instance has changed.
@@ -107,7 +109,7 @@
 }
 
 /// 0 within the band, the value itself from twice the band on, and linear between.
-export function applyDeadBand (value: number, band: number): number {
+function applyDeadBand (value: number, band: number): number {
   const excess = Math.abs(value) - band
   if (excess <= 0) return 0
   return excess >= band ? value : Math.sign(value) * 2 * excess
--- a/process/speed/src/regression.ts
+++ b/process/speed/src/regression.ts
@@ -1,3 +1,4 @@
+/// What is assumed of a line before there are samples, and its bounds.
 export interface RegressionOptions {
   /// The slope that is assumed without samples.
   readonly priorSlope: number
@@ -9,7 +10,7 @@
   readonly getMaxResidual: (predicted: number) => number
 }
 
-/// Samples before the last ones of this number have lost most of their weight.
+/// With each new sample, the weight of the earlier ones is multiplied by 1 - 1 / memorySamples.
 const memorySamples = 250
 const minSamples = 8
 
--- a/process/speed/src/servicemodel.ts
+++ b/process/speed/src/servicemodel.ts
@@ -30,6 +30,7 @@
 const maxPrefillTokensPerMs = 3000
 /// Of samples of the prefill time, in tokens squared: ten samples that differ by 1,000 tokens outweigh it.
 const priorPrefillSpread = 2_500_000
+/// Times further from their prediction than this logarithm count as outliers.
 const maxLogResidual = 1
 /// A single sample counts as no more than this.
 const maxSampleLog = Math.log(4)
--- a/process/speed/src/speednews.ts
+++ b/process/speed/src/speednews.ts
@@ -9,6 +9,7 @@
 const maxNewsBytes = 600
 /// Of the punctuation and the numbers of an observation as JSON.
 const bytesPerObservation = 16
+/// Observations with less weight wait for further ones.
 const minWeight = 0.25
 /// Bounds for what others send: no entry sees more of an instance in the time between two digests that name it.
 const maxWeight = 20
