Names and comments that a reader stumbles over in placement, admission and the front

countUnreadTokens counted prompt tokens that are neither cached nor being processed; "unread" is said of bodies elsewhere. It is countTokensToPrefill now. Public items without a doc comment get one, a comment that named the wrong interface names the right one, and the bounds of StartPace and of overdue calls say what they do. No behaviour changes.

--- a/connection/front/src/callerconnection.ts
+++ b/connection/front/src/callerconnection.ts
@@ -47,6 +47,7 @@
 
 export type ClosingReason = typeof ClosingReason[keyof typeof ClosingReason]
 
+/// What a connection needs of the server that accepted it.
 export interface CallerConnectionOptions {
   /// Whether the connection is to end with its next response.
   readonly isServerClosing: () => boolean
@@ -84,7 +85,7 @@
   private isSending = false
   private readRequests = 0
   private arrivalTimer: NodeJS.Timeout | undefined
-  /// See `HeldConnection`.
+  /// See `ConnectionState`.
   progressAtMs = performance.now()
 
   constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
--- a/connection/front/src/connectionlimit.ts
+++ b/connection/front/src/connectionlimit.ts
@@ -12,6 +12,7 @@
   close (): void
 }
 
+/// What a connection is used for, which decides whether it may be closed to make room.
 export const ConnectionUse = {
   /// No whole request has arrived that has no response yet.
   waiting: 'waiting',
--- a/connection/front/src/status.ts
+++ b/connection/front/src/status.ts
@@ -7,7 +7,7 @@
 /// Pages by path, such as readiness and metrics. Each is rendered on request.
 export type StatusPages = Readonly<Record<string, () => { readonly status: number, readonly text: string }>>
 
-/// Who checks a process needs one or two.
+/// A health check or a collector of metrics needs one or two connections.
 const maxConnections = 16
 const maxBacklogBytes = 2 * 1024 * 1024
 const limits = { headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
--- a/process/admission/src/startpace.ts
+++ b/process/admission/src/startpace.ts
@@ -1,7 +1,7 @@
 /// Weight of the latest interval in the mean interval between two starts.
 const meanWeight = 0.1
 const initialIntervalMs = 1
-/// An interval counts as far as one of so many intervals before had it, too.
+/// An interval counts up to the longest of so many intervals before it, so that a single stall hardly counts.
 const intervalsBetweenStalls = 4
 
 /// Mean interval between two starts of waiting calls, without single stalls: what waits next doesn't wait for them.
--- a/process/entry/src/authentication.ts
+++ b/process/entry/src/authentication.ts
@@ -14,6 +14,7 @@
   readonly mayBeOutdated: boolean
 }
 
+/// What `authenticate` has found out.
 export type AuthenticationOutcome =
   /// `workspace` is null if the call needs no key.
   | { readonly kind: 'accepted', readonly workspace: Workspace | null }
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -77,7 +77,7 @@
   const speedFactor = findSpeedFactor(instance, nowMs)
   const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
-  const prefillTokens = estimatePendingTokens(instance, nowMs) + countUnreadTokens(instance, request)
+  const prefillTokens = estimatePendingTokens(instance, nowMs) + countTokensToPrefill(instance, request)
   const prefillMs = prefillTokens / instance.model.prefillTokensPerMs * speedFactor
   const ownMs = estimateOwnDelayMs(instance, request, speedFactor)
   const costMs = loadMs + ownMs + networkDelayMs + prefillMs + computeHashOffsetMs(instance, request)
@@ -125,17 +125,18 @@
   return total - cached
 }
 
-/// The same without the parts that the instance is processing for another call: the wait for that call contains them.
-export function countUnreadTokens (instance: Instance, request: PlacementRequest): number {
+/// Prompt tokens that are neither cached at the instance nor being processed there for another call of this process.
+/// The wait for that call contains the latter.
+export function countTokensToPrefill (instance: Instance, request: PlacementRequest): number {
   const uncached = countUncachedTokens(instance, request)
   if (instance.prefills.size === 0) return uncached
-  let read = 0
+  let inProgress = 0
   for (const { id, tokens } of request.call.prefix) {
     if (instance.cachedParts.has(id)) continue
     if (![...instance.prefills].some(({ partIds }) => partIds.has(id))) break
-    read += tokens
+    inProgress += tokens
   }
-  return Math.max(0, uncached - read)
+  return Math.max(0, uncached - inProgress)
 }
 
 /// The same as `countUncachedTokens`, if it is known well enough to learn the engine's speed from it, else null: an
--- a/process/placement/src/overdue.ts
+++ b/process/placement/src/overdue.ts
@@ -2,6 +2,7 @@
 
 /// A call is overdue once it has taken so many times as long as its kind usually does at the instance.
 const minOverdue = 2
+/// No larger factor is concluded from a single call.
 const maxFactor = 8
 
 /// The factor by which work takes longer at the instance, from its learned speed and from calls of this process in
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -5,7 +5,7 @@
 import { estimateMeanOthers, estimateRunning } from '#process/instances'
 import type { Instance, InstanceRegistry } from '#process/instances'
 import { BodiesInFlight, isLargeBody } from './bodiesinflight.js'
-import { chooseInstance, countUnreadTokens, estimateDelayMs } from './choice.js'
+import { chooseInstance, countTokensToPrefill, estimateDelayMs } from './choice.js'
 import type { PlacementRequest } from './choice.js'
 import { FairQueue } from './fairqueue.js'
 import type { QueuedCall } from './queueorder.js'
@@ -275,7 +275,7 @@
 /// Records the prompt that the instance has to process. Returns a function that ends this; calling it again has no
 /// effect.
 function startPrefill (instance: Instance, request: PlacementRequest, startedAtMs: number): () => void {
-  const tokens = request.engine === null ? 0 : countUnreadTokens(instance, request)
+  const tokens = request.engine === null ? 0 : countTokensToPrefill(instance, request)
   if (tokens === 0) return () => {}
   const partIds = new Set(request.call.prefix.map(({ id }) => id))
   const prefill = { tokens, partIds, startedAtMs }
--- a/process/placement/src/queueorder.ts
+++ b/process/placement/src/queueorder.ts
@@ -25,6 +25,7 @@
 /// started are completed first.
 const newProgramRankPenalty = 1
 
+/// Returns what decides the place of a call in the queue at `nowMs`.
 export function getUrgency (call: QueuedCall, nowMs: number): Urgency {
   const { request } = call
   return {
@@ -46,6 +47,7 @@
   return a.rank - b.rank || a.timeliness - b.timeliness
 }
 
+/// Orders two waiting calls as `compareUrgency` does their urgencies at `nowMs`.
 export function compareCalls (a: QueuedCall, b: QueuedCall, nowMs: number): number {
   return compareUrgency(getUrgency(a, nowMs), getUrgency(b, nowMs))
 }
