--- a/connection/front/src/server.ts
+++ b/connection/front/src/server.ts
@@ -50,6 +50,8 @@
 }
 
 const maxHeaderBytes = 16 * 1024
+/// Node warns of a leak from 11 listeners of one event on; HTTP server, framework and this package have about as many.
+const maxSocketListeners = 20
 /// A head of the largest size may hold thousands of fields, each of which costs time and memory.
 const maxHeaderFields = 500
 /// How often it is checked which heads have not arrived in time.
@@ -149,6 +151,7 @@
     }
     const queue = new ConnectionQueue({ serve: serveSocket, onIteration: options.onAccepting })
     server.on('connection', (socket: Socket) => {
+      socket.setMaxListeners(maxSocketListeners)
       if (!this.hold(socket)) return
       this.openedAtMs.set(socket, performance.now() - options.getDelayMs())
       this.acceptedCount++
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -47,8 +47,6 @@
 /// What an instance that has recently handled the object is expected to gain, as a share of the latency target.
 const affinityGainShare = 0.1
 const maxAffinityGainMs = 50
-/// Share of the time by which the call itself takes longer at a slow instance that counts in the choice.
-const ownDurationShare = 0.5
 
 /// Chooses the instance with the lowest estimated latency, given the calls that
 /// run or wait there, the prompt tokens that it has not cached and the network
@@ -78,17 +76,13 @@
   const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
   const prefillTokens = estimatePendingTokens(instance, nowMs) + countTokensToPrefill(instance, request)
-  const prefillMs = prefillTokens / instance.model.prefillTokensPerMs * speedFactor
-  const ownMs = estimateOwnDelayMs(instance, request, speedFactor)
-  const costMs = loadMs + ownMs + networkDelayMs + prefillMs + computeHashOffsetMs(instance, request)
+  // Not scaled, nor is the rest of the call: calls would leave the instance that has their prefix whenever the learned
+  // factors change a little.
+  const prefillMs = prefillTokens / instance.model.prefillTokensPerMs
+  const costMs = loadMs + networkDelayMs + prefillMs + computeHashOffsetMs(instance, request)
   return costMs - estimateAffinityGainMs(instance, request, nowMs)
 }
 
-/// How much longer the call takes than at an instance of usual speed, apart from the calls that run beside it.
-function estimateOwnDelayMs ({ model }: Instance, { kind }: PlacementRequest, speedFactor: number): number {
-  return speedFactor === 1 ? 0 : (model.getTypicalMs(kind) ?? 0) * (speedFactor - 1) * ownDurationShare
-}
-
 /// Spreads calls over instances: those about an object by the object, others by their program.
 function computeHashOffsetMs ({ description }: Instance, { affinityKey, call }: PlacementRequest): number {
   const key = affinityKey ?? call.program?.id ?? call.id
