Calls in flight that take long are no sign of a slow instance

Cause: took a call that had taken twice as long as its kind usually does for a sign that its instance is slow, by up to 8 times.

--- a/process/instances/src/instance.ts
+++ b/process/instances/src/instance.ts
@@ -25,13 +25,6 @@
   readonly startedAtMs: number
 }
 
-/// A call of this process that an instance runs.
-export interface CallInFlight {
-  readonly kind: string
-  /// On the monotonic clock of `performance.now()`.
-  readonly startedAtMs: number
-}
-
 /// An upstream instance with this process's estimate of its load and health.
 export interface Instance {
   description: InstanceDescription
@@ -55,8 +48,6 @@
   readonly cachedParts: Map<string, number>
   /// Those of calls of this process that have had no event yet.
   readonly prefills: Set<PendingPrefill>
-  /// The calls that `running` counts.
-  readonly inFlight: Set<CallInFlight>
   /// When it last handled a call about an object, by the object's key; the most recent last.
   readonly handledAtMs: Map<string, number>
   /// It has said in a response that it will stop, and gets no new calls.
--- a/process/instances/src/registry.ts
+++ b/process/instances/src/registry.ts
@@ -145,7 +145,6 @@
       model: this.getModel(description.service),
       cachedParts: new Map(),
       prefills: new Set(),
-      inFlight: new Set(),
       handledAtMs: new Map(),
       isLeaving: this.departures.has(description),
       isRemoved: false
--- a/process/placement/src/choice.ts
+++ b/process/placement/src/choice.ts
@@ -3,7 +3,6 @@
 import { unitHash } from '#version/configuration'
 import { hasRecentlyHandled } from '#process/instances'
 import type { Instance } from '#process/instances'
-import { findSpeedFactor } from './overdue.js'
 import { estimatePendingTokens } from './prefill.js'
 
 /// What placement needs to know of a call to choose an instance for it.
@@ -72,7 +71,7 @@
 function estimateLatencyMs (
   instance: Instance, request: PlacementRequest, zone: string, running: number, nowMs: number
 ): number {
-  const speedFactor = findSpeedFactor(instance, nowMs)
+  const speedFactor = instance.speed.getFactor(nowMs)
   const loadMs = estimateDelayMs(running, request) * speedFactor
   const networkDelayMs = instance.description.zone === zone ? 0 : crossZoneDelayMs
   const prefillTokens = estimatePendingTokens(instance, nowMs) + countTokensToPrefill(instance, request)
--- a/process/placement/src/placement.ts
+++ b/process/placement/src/placement.ts
@@ -250,8 +250,6 @@
 
   private grantLease (instance: Instance, request: PlacementRequest, nowMs: number): InstanceLease {
     const endPrefill = startPrefill(instance, request, nowMs)
-    const callInFlight = { kind: request.kind, startedAtMs: nowMs }
-    instance.inFlight.add(callInFlight)
     instance.running++
     const removeBody = this.bodies.add(instance, request.bodyBytes ?? 0)
     instance.limit?.take(nowMs)
@@ -263,7 +261,6 @@
         if (!isHeld) return
         isHeld = false
         endPrefill()
-        instance.inFlight.delete(callInFlight)
         instance.running--
         removeBody()
         this.processQueueSoon()
