--- a/process/speed/src/regression.ts
+++ b/process/speed/src/regression.ts
@@ -30,11 +30,6 @@
     return Math.min(Math.max(slope, minSlope), maxSlope)
   }
 
-  /// The mean of the values; null until there are a few samples.
-  get mean (): number | null {
-    return this.weight < minSamples ? null : this.meanY
-  }
-
   /// Null until there are a few samples.
   predict (x: number): number | null {
     return this.weight < minSamples ? null : this.meanY + (x - this.meanX) * this.slope
--- a/process/speed/src/servicemodel.ts
+++ b/process/speed/src/servicemodel.ts
@@ -60,12 +60,6 @@
     return 1 / this.firstEvents.slope
   }
 
-  /// How long calls of the kind usually take; null if that is unknown.
-  getTypicalMs (kind: string): number | null {
-    const log = this.durations.get(kind)?.mean ?? null
-    return log === null ? null : Math.exp(log)
-  }
-
   /// Learns from a response and returns what it says about its instance. `factor` is how much longer work is expected
   /// to take there than is usual.
   observe (observation: ResponseObservation, factor: number): SpeedSample[] {
