--- a/review/common-2.ts
+++ b/review/common-2.ts
@@ -63,10 +63,13 @@
       end(Exit.couldNotRun)
     })
   }
-  play(record).then(end, (error: unknown) => {
+  const fail = (error: unknown): never => {
     record.add(`the script failed: ${String((error as Error).stack ?? error)}`)
-    end(Exit.couldNotRun)
-  })
+    return end(Exit.couldNotRun)
+  }
+  process.on('uncaughtException', fail)
+  process.on('unhandledRejection', fail)
+  play(record).then(end, fail)
 }
 
 /// A request of a client.
