--- a/review/7/play.ts
+++ b/review/7/play.ts
@@ -7,6 +7,8 @@
 const requests = 400
 /// So many are sent before the worker fails that has run most of them.
 const usualRequests = 60
+/// `for_s` of `fleetbench kinds`.
+const greyMs = 5000
 const deadlineMs = 2000
 const workMs = 10
 const zones = ['north', 'south', 'east']
@@ -50,7 +52,8 @@
   for (let i = 0; i < requests; i++) {
     if (hasTrouble && i === usualRequests) {
       greyId = findMostFrequent([...runs.values()])
-      record.add(`${greyId} fails ${failedShare} of its requests from now on`)
+      record.add(`${greyId} fails ${failedShare} of its requests for ${greyMs} ms`)
+      setTimeout(() => { greyId = '' }, greyMs)
     }
     const entry = system.entries[i % system.entries.length]!.callersAddress
     const open = connections.get(entry)
