An instance's status promises callers nothing that the instance doesn't state

The entry passed the 503 on, which promises "not run, and never will be", and callers sent the order again.

Cause: a response counted as an answer unless it had the header or status 421, and answers were passed on whatever they promise. Trace: `call-dispatched` and `call-finished` with 503, nothing between. Beyond the claim: a 421 counted as a refusal whatever else it said, so such a call could run at two instances.

Change: a status that promises callers that their call did not run (408, 421, 429, 503; 402 with a budget, 404 and 410 with a previous turn) needs the instance's statement. Without it the call may have run: it is retried only where it may run twice, and else ends with 502 without the instance's signature.

Why this works: what callers are told follows from `mayHaveRun` alone, for each kind of route, and on relayed connections, too, as these carry the serving entry's bytes.

--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -9,6 +9,7 @@
 import { ByteCollector } from '#process/memory'
 import type { MemoryBudget, MemoryShare } from '#process/memory'
 import type { RequestLimits } from '#process/requestlimit'
+import { isPromise, isRefusal } from './promise.js'
 
 /// How an attempt to run a call on an instance ended.
 export type AttemptResult =
@@ -17,6 +18,8 @@
   | { readonly kind: 'stream-ended' }
   /// The instance guarantees that it did not run the call.
   | { readonly kind: 'not-run', readonly status: number }
+  /// The status would tell the caller that the call did not run, and the instance doesn't state that. It may have run.
+  | { readonly kind: 'unconfirmed', readonly status: number }
   /// No byte of the call has left this process.
   | { readonly kind: 'unsent', readonly reason: string }
   /// The attempt failed after the call was sent, so it may have run.
@@ -73,9 +76,6 @@
 
 /// Of the work for a chunk, which may have a single byte, as bytes of memory.
 const chunkOverheadBytes = 128
-/// Misdirected Request: the instance is not the expected one and did not run the call.
-const statusMisdirected = 421
-
 /// Sends a call to an instance and receives the response. Never rejects.
 export function attempt (request: AttemptRequest): Promise<AttemptResult> {
   return new Promise(resolve => {
@@ -127,7 +127,9 @@
     recordSuccess(instance)
     if (fields.isLeaving) this.markLeaving()
     this.head = head
-    if (fields.isNotRun || head.status === statusMisdirected) return this.finish({ kind: 'not-run', status: head.status })
+    const { status } = head
+    if (isRefusal(status, fields)) return this.finish({ kind: 'not-run', status })
+    if (isPromise(status, call)) return this.finish({ kind: 'unconfirmed', status })
     this.isStream = listener !== null && head.status === 200 && isEventStream(head)
     if (!this.isStream) return
     try {
@@ -244,7 +246,7 @@
 function findResponseProblem (fields: ResponseFields, head: ResponseHead, call: Call): string | null {
   if (fields.callId === null) return 'response has no call id'
   if (fields.callId !== call.id) return `response is for call ${fields.callId}`
-  if (fields.isNotRun || head.status === statusMisdirected) return null
+  if (isRefusal(head.status, fields)) return null
   if (fields.isEncoded) return 'response has a content encoding'
   if (head.status < 300 && !fields.isSigned) return 'response is not signed'
   return null
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -124,12 +124,13 @@
     const eventCount = (options.listener?.eventCount ?? 0) - previousEvents
     this.recordResponse(lease, result, timing, { startedAtMs: nowMs, eventCount, uncachedTokens })
     context.metrics.observeMs('instance', performance.now() - nowMs)
+    if (result.kind === 'unconfirmed') context.metrics.increment(`unconfirmed_refusals_total{status="${result.status}"}`)
     if (isHandled(result)) this.recordHandling(lease)
     lease.release()
     this.usedInstanceIds.add(instance.description.id)
     if (result.kind === 'unsent') this.unsentCount++
     else this.sentCount++
-    if (result.kind === 'broken') this.mayHaveRun = true
+    if (result.kind === 'broken' || result.kind === 'unconfirmed') this.mayHaveRun = true
     if (result.kind === 'answer') this.hasAnswer = true
     return result
   }
@@ -255,12 +256,13 @@
 }
 
 function isHandled ({ kind }: AttemptResult): boolean {
-  return kind === 'answer' || kind === 'stream-ended'
+  return kind === 'answer' || kind === 'stream-ended' || kind === 'unconfirmed'
 }
 
 /// Returns why an attempt ended as it did, for logs and error messages.
 export function getReason (result: AttemptResult): string | number {
   if (result.kind === 'unsent' || result.kind === 'broken') return result.reason
+  if (result.kind === 'unconfirmed') return `status ${result.status}, without the statement that the call did not run`
   return result.kind === 'not-run' ? result.status : result.kind
 }
 
