Chains are read from storage in parts, and a prompt has a limit that each entry can serve

Cause: a chain was one message, and one of more than 16 MiB is refused by whoever reads it, which ends the connection and takes the storage instance for lost. Trace: `member-lost`, "a frame of bytes is too large", then `quorum-missed` with no disk that lacks the turn. Without a kill the same, once the cache has dropped the chain. Behind it the memory for requests of a small entry (15 MB) refused longer prompts as busy each time.

Change: a reply ends with the turn that takes it beyond 2 MiB, and the entry asks for the earlier ones; the first reply is short and has the length of the rest, so that the memory is taken, or the turn refused, before it is read. A request beside which no other is counted may take 30 % of the memory beside the process. Prompts are sent in pieces, not copied. Messages may have 32 MiB; a reply that is longer fails its request only.

--- a/connection/rpc/src/frames.ts
+++ b/connection/rpc/src/frames.ts
@@ -2,12 +2,15 @@
 
 /// A frame is its length in bytes, without this number, and then the encoded message.
 const lengthBytes = 4
-const maxFrameBytes = 16 * 1024 * 1024
+/// Enough for the record of a turn with the longest prompt and response. Replies with several records are shorter.
+const maxFrameBytes = 32 * 1024 * 1024
 /// A peer that doesn't read is disconnected once so much waits to be sent to it.
 const maxUnsentBytes = 64 * 1024 * 1024
 
-/// Returns the message as a frame.
+/// Returns the message as a frame. Throws if it is too large: the other side would end the connection, and with it all
+/// requests on it.
 export function toFrame (message: Uint8Array): Buffer {
+  if (message.length > maxFrameBytes) throw new Error(`a message of ${message.length} bytes is too large`)
   const frame = Buffer.allocUnsafe(lengthBytes + message.length)
   frame.writeUInt32BE(message.length, 0)
   frame.set(message, lengthBytes)
--- a/connection/rpc/src/server.ts
+++ b/connection/rpc/src/server.ts
@@ -71,12 +71,19 @@
   }
 
   private handleMessage (request: Request, handler: LedgerHandler, writer: FrameWriter): void {
+    const { number } = request
     handleRequest(request, handler)
-      .catch((error: unknown) => ({ error: errorMessage(error) }))
-      .then(reply => writer.send(toFrame(Reply.encode({ ...emptyReply, ...reply, number: request.number }).finish())))
+      .then(reply => encodeReply(number, reply))
+      .catch((error: unknown) => encodeReply(number, { error: errorMessage(error) }))
+      .then(frame => writer.send(frame))
   }
 }
 
+/// Throws if the reply can't be sent.
+function encodeReply (number: number, reply: Partial<Reply>): Buffer {
+  return toFrame(Reply.encode({ ...emptyReply, ...reply, number }).finish())
+}
+
 async function handleRequest (request: Request, handler: LedgerHandler): Promise<Partial<Reply>> {
   if (request.append !== undefined) return { append: await handler.append(request.append) }
   if (request.findChain !== undefined) return { findChain: await handler.findChain(request.findChain) }
--- a/connection/upstream/src/client.ts
+++ b/connection/upstream/src/client.ts
@@ -1,3 +1,4 @@
+import { Readable } from 'node:stream'
 import type { ConnectionMeter } from './connectionmeter.js'
 import { Pool, createConnector } from './pool.js'
 import type { Dispatcher } from './pool.js'
@@ -10,7 +11,8 @@
   readonly path: string
   /// Names and values alternating.
   readonly headers: readonly string[]
-  readonly body: Buffer
+  /// In pieces, which are written one after the other: joining them would take as much memory once more.
+  readonly body: readonly Buffer[]
 }
 
 /// Receives one response. No method is called after `onEnd` or `onError`.
@@ -77,12 +79,15 @@
   }
 
   send (request: UpstreamRequest, handler: ResponseHandler): InFlightRequest {
-    const dispatched = new DispatchedRequest(handler, this.state)
+    const { method, path, headers, body } = request
+    const pieces = body.length > 1 ? Readable.from(body, { objectMode: false }) : null
+    const dispatched = new DispatchedRequest(handler, this.state, pieces)
     this.pool.dispatch({
-      method: request.method as Dispatcher.HttpMethod,
-      path: request.path,
-      headers: request.headers as string[],
-      body: request.body.length > 0 ? request.body : null
+      method: method as Dispatcher.HttpMethod,
+      path,
+      // undici knows the length of a single piece only.
+      headers: pieces === null ? headers as string[] : [...headers, 'content-length', String(countBytes(body))],
+      body: pieces ?? (countBytes(body) > 0 ? body[0]! : null)
     }, dispatched)
     return dispatched
   }
@@ -100,6 +105,10 @@
   }
 }
 
+function countBytes (pieces: readonly Buffer[]): number {
+  return pieces.reduce((sum, { length }) => sum + length, 0)
+}
+
 /// What undici is handling now. Shared by the requests of a client.
 interface ParsedConnection {
   /// Set while undici handles the end of a connection that was reset.
@@ -119,7 +128,12 @@
   /// Whether the response has neither a length nor chunks.
   private endsWithConnection = false
 
-  constructor (private readonly handler: ResponseHandler, private readonly connection: ParsedConnection) {}
+  /// `pieces` is what of the body has not been written to the connection, null if all of it is written at once.
+  constructor (
+    private readonly handler: ResponseHandler,
+    private readonly connection: ParsedConnection,
+    private readonly pieces: Readable | null
+  ) {}
 
   abort (): void {
     this.isAborted = true
@@ -158,7 +172,7 @@
     this.meter?.restart()
     if (this.isDone) return
     this.isDone = true
-    const unsentBytes = this.meter?.unsentBytes ?? 0
+    const { unsentBytes } = this
     if (this.connection.isResetting) {
       this.handler.onError(new UpstreamError('connection reset during response', true))
     } else if (this.endsWithConnection && unsentBytes > 0) {
@@ -170,6 +184,11 @@
     if (unsentBytes > maxUnsentBytes) this.meter?.close('the response came before the request was read')
   }
 
+  private get unsentBytes (): number {
+    if (this.pieces !== null && !this.pieces.readableEnded) return Infinity
+    return this.meter?.unsentBytes ?? 0
+  }
+
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
     if (this.isDone) return
     this.isDone = true
--- a/connection/upstream/test/unsentrequest.test.ts
+++ b/connection/upstream/test/unsentrequest.test.ts
@@ -8,6 +8,8 @@
 
 /// More than the operating system holds.
 const body = Buffer.alloc(64 * 1024 * 1024)
+const inPieces = Array.from({ length: 16 }, (_, i) => body.subarray(i * body.length / 16, (i + 1) * body.length / 16))
+const bodies: [string, readonly Buffer[]][] = [['one piece', [body]], ['several pieces', inPieces]]
 let server: Server
 let client: InstanceClient
 let sockets: Socket[]
@@ -18,7 +20,7 @@
   server.close()
 })
 
-async function send (respond: (socket: Socket) => void): Promise<string> {
+async function send (body: readonly Buffer[], respond: (socket: Socket) => void): Promise<string> {
   sockets = []
   server = createServer({ allowHalfOpen: true }, socket => {
     sockets.push(socket)
@@ -38,12 +40,12 @@
   }))
 }
 
-test('a response without a length that ends before its request was sent is not complete', async () => {
-  expect(await send(socket => socket.end('HTTP/1.1 200 OK\r\n\r\na part'))).toBe('failed, may have run')
+test.each(bodies)('a response without a length that ends before its request of %s was sent is not complete', async (_, pieces) => {
+  expect(await send(pieces, socket => socket.end('HTTP/1.1 200 OK\r\n\r\na part'))).toBe('failed, may have run')
 })
 
-test('a response with a length is complete, and the connection is closed', async () => {
-  expect(await send(socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'))).toBe('complete')
+test.each(bodies)('a response with a length to a request of %s is complete, and the connection is closed', async (_, pieces) => {
+  expect(await send(pieces, socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'))).toBe('complete')
   const [socket] = sockets
   socket!.resume()
   await vi.waitFor(() => expect(socket!.readableEnded || socket!.destroyed).toBe(true))
--- a/process/entry/src/entry.ts
+++ b/process/entry/src/entry.ts
@@ -168,7 +168,7 @@
       serviceTime: this.peers.serviceTime,
       ledger: this.quorum,
       cache: new ChainCache(plan.cacheBytes),
-      requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage, plan.freeBytes),
+      requestMemory: new MemoryBudget(plan.requestBytes, freeBytesPerMessage, plan.freeBytes, plan.loneRequestBytes),
       responseMemory,
       log,
       metrics
--- a/process/entry/test/harness.ts
+++ b/process/entry/test/harness.ts
@@ -6,7 +6,7 @@
 import type { LedgerRecord } from '#connection/rpc'
 import { InstanceClient } from '#connection/upstream'
 import { ChainCache } from '#request/turn'
-import type { Commit, ReservedAccount, TurnLedger } from '#request/turn'
+import type { Commit, OnChainPart, ReservedAccount, TurnLedger } from '#request/turn'
 import { RouteTable } from '#version/configuration'
 import { Admission } from '#process/admission'
 import { CallDrain, ConfigurationWait, recordDropped, serveExchange } from '#process/entry'
@@ -67,12 +67,15 @@
     return [...account.values()]
   }
 
-  async findChain (turnId: string): Promise<LedgerRecord[] | null> {
+  async findChain (
+    turnId: string, _timeoutMs?: number, onPart: OnChainPart = () => {}
+  ): Promise<LedgerRecord[] | null> {
     if (this.isUnavailable) throw new Error('away')
     const chain: LedgerRecord[] = []
     for (let id = turnId; id !== '';) {
       const turn = this.records.get(`3/${id}`)
       if (turn === undefined) return null
+      onPart([turn], 0)
       chain.unshift(turn)
       id = turn.previousId
     }
--- a/process/ledger/src/ledger.ts
+++ b/process/ledger/src/ledger.ts
@@ -4,11 +4,11 @@
 import type { EventFields, EventLog } from '#process/log'
 import type { Disk, DiskContents } from './disk.js'
 import { DiskClosedError } from './diskclosed.js'
-import { RecordIndex, recordKey } from './records.js'
+import { RecordIndex, getMessageBytes, recordKey } from './records.js'
 import type { IndexedRecord } from './records.js'
 
-/// A fetch reply ends with the record that takes it beyond this size.
-const maxFetchReplyBytes = 2 * 1024 * 1024
+/// A reply with records ends with the one that takes it beyond this size.
+const maxReplyBytes = 2 * 1024 * 1024
 /// With more segments than this, the oldest one is compacted into the newest.
 const maxSegments = 8
 
@@ -57,16 +57,17 @@
 
   async findChain (request: FindChainRequest): Promise<FindChainReply> {
     const standing = this.createStanding(request.viewVersion)
-    const found = this.records.getChain(request.turnId)
+    const { turnId, maxBytes } = request
+    const found = this.records.getChain(turnId, (turn, bytesBefore) => maxBytes > 0
+      ? bytesBefore + getMessageBytes(turn) <= maxBytes
+      : bytesBefore <= maxReplyBytes)
     if (found === null) {
       this.log.event(Events.turnAbsent, this.describeQuery(request))
-      return { standing, chain: [], incomplete: false }
+      return { standing, chain: [], incomplete: false, earlierBytes: 0 }
     }
-    if (!found.isComplete) {
-      const lackingId = found.records[0]!.previousId
-      this.log.event(Events.chainIncomplete, { ...this.describeQuery(request), lackingId })
-    }
-    return { standing, chain: found.records, incomplete: !found.isComplete }
+    const { records, isComplete, earlierBytes, lackingId } = found
+    if (lackingId !== null) this.log.event(Events.chainIncomplete, { ...this.describeQuery(request), lackingId })
+    return { standing, chain: records, incomplete: !isComplete, earlierBytes }
   }
 
   private describeQuery ({ turnId, viewVersion }: FindChainRequest): EventFields {
@@ -86,8 +87,8 @@
       const indexed = this.records.get(key)
       if (indexed === undefined) continue
       records.push(indexed.record)
-      bytes += indexed.record.input.length + indexed.record.output.length
-      if (bytes > maxFetchReplyBytes) break
+      bytes += getMessageBytes(indexed.record)
+      if (bytes > maxReplyBytes) break
     }
     return { standing: this.createStanding(Number.MAX_SAFE_INTEGER), records }
   }
--- a/process/ledger/src/records.ts
+++ b/process/ledger/src/records.ts
@@ -13,6 +13,20 @@
   segment: number
 }
 
+type TakesTurn = (turn: LedgerRecord, bytesBefore: number) => boolean
+
+/// The latest turns of a chain.
+export interface ChainPart {
+  /// Oldest first.
+  readonly records: LedgerRecord[]
+  /// Whether these are all turns of the chain.
+  readonly isComplete: boolean
+  /// Of the inputs and outputs of the earlier turns that are present.
+  readonly earlierBytes: number
+  /// The earlier turn that is absent; null for none.
+  readonly lackingId: string | null
+}
+
 /// The records of one storage instance, indexed by key and by program, and listed
 /// in the order of their arrival. Times are wall-clock milliseconds.
 export class RecordIndex {
@@ -46,17 +60,29 @@
     return indexed
   }
 
-  /// A turn's chain, oldest first, or null if the turn is absent. The chain is
-  /// incomplete if a previous turn is absent.
-  getChain (turnId: string): { records: LedgerRecord[], isComplete: boolean } | null {
+  /// The latest turns of a turn's chain, or null if the turn is absent. `takes` is asked for one after the other, the
+  /// latest first, whether it belongs to them, given the message bytes of the turns before.
+  getChain (turnId: string, takes: TakesTurn = () => true): ChainPart | null {
     const records: LedgerRecord[] = []
-    for (let id = turnId; id !== '';) {
-      const indexed = this.byKey.get(turnKey(id))
-      if (indexed === undefined) return records.length === 0 ? null : { records: records.reverse(), isComplete: false }
-      records.push(indexed.record)
-      id = indexed.record.previousId
+    let bytes = 0
+    let earlierCount = 0
+    let earlierBytes = 0
+    let lackingId: string | null = null
+    for (let id = turnId; id !== '' && lackingId === null;) {
+      const turn = this.byKey.get(turnKey(id))?.record
+      if (turn === undefined) {
+        if (id === turnId) return null
+        lackingId = id
+      } else if (earlierCount === 0 && takes(turn, bytes)) {
+        records.push(turn)
+        bytes += getMessageBytes(turn)
+      } else {
+        earlierCount++
+        earlierBytes += turn.input.length + turn.output.length
+      }
+      id = turn?.previousId ?? ''
     }
-    return { records: records.reverse(), isComplete: true }
+    return { records: records.reverse(), isComplete: earlierCount === 0 && lackingId === null, earlierBytes, lackingId }
   }
 
   getAccount (programId: string): AccountEntry[] {
@@ -152,6 +178,15 @@
   }
 }
 
+/// Of a record's fields other than its strings and bytes, encoded.
+const fixedMessageBytes = 64
+
+/// About how long a record is as a message.
+export function getMessageBytes ({ id, programId, previousId, instanceId, workspace = '', input, output }: LedgerRecord): number {
+  const textLength = id.length + programId.length + previousId.length + instanceId.length + workspace.length
+  return fixedMessageBytes + textLength + input.length + output.length
+}
+
 export function recordKey (record: LedgerRecord): string {
   return `${record.kind}/${record.id}`
 }
--- a/process/memory/src/memorybudget.ts
+++ b/process/memory/src/memorybudget.ts
@@ -5,11 +5,13 @@
   private freeBytes = 0
 
   /// `freeBytesPerMessage` of each message are not counted, so that ordinary ones go on while large ones use up the
-  /// budget. Of very many messages together, no more than `maxFreeBytes` are free.
+  /// budget. Of very many messages together, no more than `maxFreeBytes` are free. A message beside which no other is
+  /// counted may take `maxLoneBytes`, also if that is more than the budget.
   constructor (
     private readonly maxBytes: number,
     private readonly freeBytesPerMessage: number,
-    private readonly maxFreeBytes = Infinity
+    private readonly maxFreeBytes = Infinity,
+    private readonly maxLoneBytes = 0
   ) {}
 
   /// The bytes that are held now, without the free ones.
@@ -19,45 +21,54 @@
 
   /// Returns the share of one message.
   open (): MemoryShare {
-    return new MemoryShare(this.freeBytesPerMessage, (bytes, freeBytes) => this.count(bytes, freeBytes))
+    return new MemoryShare(this.freeBytesPerMessage, (before, after) => this.replace(before, after))
   }
 
-  private count (bytes: number, freeBytes: number): boolean {
+  private replace (before: MessageBytes, after: MessageBytes): boolean {
     const usedBefore = this.usedBytes
-    this.heldBytes += bytes
-    this.freeBytes += freeBytes
+    this.add(before, -1)
+    const isLone = this.usedBytes === 0 && after.counted <= this.maxLoneBytes
+    this.add(after, 1)
     const { usedBytes } = this
-    if (usedBytes <= usedBefore || usedBytes <= this.maxBytes) return true
-    this.heldBytes -= bytes
-    this.freeBytes -= freeBytes
+    if (usedBytes <= usedBefore || usedBytes <= this.maxBytes || isLone) return true
+    this.add(after, -1)
+    this.add(before, 1)
     return false
   }
+
+  private add ({ counted, free }: MessageBytes, sign: 1 | -1): void {
+    this.heldBytes += sign * counted
+    this.freeBytes += sign * free
+  }
+}
+
+/// What a message takes of a budget.
+interface MessageBytes {
+  readonly counted: number
+  readonly free: number
 }
 
 /// What one message takes of a budget.
 export class MemoryShare {
-  private bytes = 0
-  private countedBytes = 0
+  private taken: MessageBytes = { counted: 0, free: 0 }
 
-  /// `count` adds to the budget's counted and free bytes, which fails if there are too many.
+  /// `replace` counts the second in place of the first, which fails if that is too much.
   constructor (
-    private readonly freeBytes: number,
-    private readonly count: (countedBytes: number, freeBytes: number) => boolean
+    private readonly maxFreeBytes: number,
+    private readonly replace: (before: MessageBytes, after: MessageBytes) => boolean
   ) {}
 
   /// Returns false if the message must not get larger. What it has taken stays counted.
   add (bytes: number): boolean {
-    return this.set(this.bytes + bytes)
+    return this.set(this.taken.counted + this.taken.free + bytes)
   }
 
   /// As `add`, for a message that takes so many bytes now.
   set (bytes: number): boolean {
-    const countedBytes = Math.max(0, bytes - this.freeBytes)
-    const freeBytes = bytes - countedBytes
-    const freeBytesBefore = this.bytes - this.countedBytes
-    if (!this.count(countedBytes - this.countedBytes, freeBytes - freeBytesBefore)) return false
-    this.bytes = bytes
-    this.countedBytes = countedBytes
+    const free = Math.min(bytes, this.maxFreeBytes)
+    const taken = { counted: bytes - free, free }
+    if (!this.replace(this.taken, taken)) return false
+    this.taken = taken
     return true
   }
 
--- a/process/memory/src/memoryplan.ts
+++ b/process/memory/src/memoryplan.ts
@@ -4,6 +4,8 @@
 export interface MemoryPlan {
   /// Bodies of requests, and the prompts that are made of them.
   readonly requestBytes: number
+  /// What a single one of them may take, if it is more, while no other takes any.
+  readonly loneRequestBytes: number
   /// Responses, until their callers have read them.
   readonly responseBytes: number
   /// What the free bytes of the messages of each of these two kinds take together, at most, beside that.
@@ -18,6 +20,7 @@
 const baseBytes = 80 * megabyte
 /// Of the rest. Half of it stays free for what has been read and dropped, which V8 collects late.
 const requestShare = 0.15
+const loneRequestShare = 0.3
 const responseShare = 0.15
 const cacheShare = 0.15
 const freeShare = 0.05
@@ -35,6 +38,7 @@
   const restBytes = memoryMb === null ? Infinity : Math.max(minRestBytes, memoryMb * megabyte - baseBytes)
   return {
     requestBytes: Math.min(maxRequestBytes, restBytes * requestShare),
+    loneRequestBytes: Math.min(maxRequestBytes, restBytes * loneRequestShare),
     responseBytes: Math.min(maxResponseBytes, restBytes * responseShare),
     freeBytes: restBytes * freeShare,
     backlogBytes: Math.min(maxBacklogBytes, restBytes * backlogShare),
--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -1,6 +1,6 @@
-import type { AccountEntry, AppendReply, FindChainReply, LedgerRecord, View } from '#connection/rpc'
+import type { AccountEntry, AppendReply, FindChainReply, FindChainRequest, LedgerRecord, View } from '#connection/rpc'
 import { LedgerError } from '#request/turn'
-import type { Commit, ReservedAccount } from '#request/turn'
+import type { Commit, OnChainPart, ReservedAccount } from '#request/turn'
 import { sleep } from '#process/clock'
 import { mergeAccountEntries } from '#process/ledger'
 import { Events } from '#process/log'
@@ -17,6 +17,8 @@
 /// How long records are collected that need not be committed at once.
 const batchDelayMs = 100
 const batchTimeoutMs = 1500
+/// An ordinary chain is in the first part, whole.
+const maxFirstPartBytes = 256 * 1024
 /// A chain query goes to the nearest member first, and to the others if there is no reply within this time.
 const chainHedgeDelayMs = 40
 /// The same for an append, which goes to as many members first as a quorum needs.
@@ -42,7 +44,8 @@
 
 /// The replies to the query of a chain.
 interface ChainReplies {
-  readonly chain: LedgerRecord[] | null
+  /// One that has the turn.
+  readonly found: FindChainReply | null
   /// Disks that lack the turn.
   readonly absentDiskIds: ReadonlySet<string>
 }
@@ -180,17 +183,35 @@
     }, signal)
   }
 
-  /// Resolves to a turn's complete chain, oldest first, or to null once a quorum
-  /// rules out that the turn was committed. Queries the nearest member first, and
-  /// the others as soon as it replies without the chain, or after `hedgeDelayMs`.
-  /// The turns of a chain may be on different members.
-  async findChain (turnId: string, timeoutMs: number): Promise<LedgerRecord[] | null> {
+  /// Resolves to a turn's complete chain, oldest first, or to null once a quorum rules out that the turn was committed.
+  /// A long chain is read in parts, the latest turns first, which may be on different members. `onPart` is called with
+  /// each part, and may throw to end this; first with no more than a short one, so that it knows the length of the rest
+  /// before that is read.
+  async findChain (turnId: string, timeoutMs: number, onPart: OnChainPart = () => {}): Promise<LedgerRecord[] | null> {
     const deadlineMs = performance.now() + timeoutMs
     await this.waitUntilAvailable(deadlineMs)
+    const parts: LedgerRecord[][] = []
+    let maxBytes = maxFirstPartBytes
+    for (let id = turnId; id !== '';) {
+      const part = await this.findPart({ viewVersion: this.viewVersion, turnId: id, maxBytes }, deadlineMs)
+      if (part === null && id === turnId) return null
+      if (part === null) throw new QuorumError(`turn ${id}, which turn ${turnId} goes on from, is absent`)
+      onPart(part.chain, part.earlierBytes)
+      parts.unshift(part.chain)
+      if (part.chain.length > 0) id = part.chain[0]!.previousId
+      maxBytes = 0
+    }
+    return parts.flat()
+  }
+
+  /// Resolves to the first reply that has the turn, or to null once a quorum rules out that it was committed. Queries
+  /// the nearest member first, and the others as soon as it replies without the turn, or after `chainHedgeDelayMs`.
+  private async findPart (query: FindChainRequest, deadlineMs: number): Promise<FindChainReply | null> {
+    const { turnId } = query
     while (true) {
       const { version } = this.peers.view
-      const { chain, absentDiskIds } = await this.queryChain(turnId, deadlineMs)
-      if (chain !== null) return chain
+      const { found, absentDiskIds } = await this.queryChain({ ...query, viewVersion: version }, deadlineMs)
+      if (found !== null) return found
       const hasNewView = this.peers.view.version !== version
       if (hasNewView && performance.now() < deadlineMs) continue
       const { viewVersion } = this
@@ -204,53 +225,31 @@
     }
   }
 
-  /// Queries a chain until it is found or ruled out, or the view changes: what a disk lacked under an older view it may
+  /// Queries a turn until it is found or ruled out, or the view changes: what a disk lacked under an older view it may
   /// have copied by the newer one, so the replies of the two don't count together.
-  private async queryChain (turnId: string, deadlineMs: number): Promise<ChainReplies> {
-    const { version } = this.peers.view
+  private async queryChain (query: FindChainRequest, deadlineMs: number): Promise<ChainReplies> {
+    const { viewVersion: version } = query
     const absentDiskIds = new Set<string>()
-    let chain: LedgerRecord[] | null = null
-    let isJoining = false
+    let found: FindChainReply | null = null
     const isSameView = (): boolean => this.peers.view.version === version
     const fanout = new Fanout<PeerState>({
       getMembers: () => this.peers.getByPreference(),
       firstCount: 1,
-      isDone: () => chain !== null || !isSameView() || this.isRuledOut(absentDiskIds),
+      isDone: () => found !== null || !isSameView() || this.isRuledOut(absentDiskIds),
       hedgeDelayMs: chainHedgeDelayMs,
       deadlineMs,
       onMembers: this.peers.onView,
       send: async state => {
-        const request = { viewVersion: version, turnId }
         const reply = await this.peers.sendWithRetry<FindChainReply>(
-          state, (peer, limitMs, wait) => peer.findChain(request, limitMs, wait), { deadlineMs, failsFast: true }
+          state, (peer, limitMs, wait) => peer.findChain(query, limitMs, wait), { deadlineMs, failsFast: true }
         )
-        if (reply === null || chain !== null) return
-        if (reply.chain.length === 0) {
-          if (isSameView()) absentDiskIds.add(reply.standing!.diskId)
-        } else if (!reply.incomplete) {
-          chain = reply.chain
-        } else if (!isJoining) {
-          isJoining = true
-          const joined = await this.addEarlierTurns(reply.chain, deadlineMs)
-          isJoining = false
-          chain ??= joined
-        }
+        if (reply === null || found !== null) return
+        if (reply.chain.length > 0 || (reply.incomplete && query.maxBytes > 0)) found = reply
+        else if (isSameView()) absentDiskIds.add(reply.standing!.diskId)
       }
     })
     await fanout.done
-    return { chain, absentDiskIds }
-  }
-
-  /// Resolves to the complete chain of which a member holds the latest turns, or to null if the earlier ones aren't
-  /// found.
-  private async addEarlierTurns (latest: readonly LedgerRecord[], deadlineMs: number): Promise<LedgerRecord[] | null> {
-    try {
-      const earlier = await this.findChain(latest[0]!.previousId, deadlineMs - performance.now())
-      return earlier === null ? null : [...earlier, ...latest]
-    } catch (error) {
-      if (error instanceof QuorumError) return null
-      throw error
-    }
+    return { found, absentDiskIds }
   }
 
   /// The member's disk, if it holds what it must by the current view. Must be called before a request is sent: a reply
--- a/request/call/src/refusal.ts
+++ b/request/call/src/refusal.ts
@@ -5,6 +5,7 @@
 export const Refusal = {
   invalid: 'invalid',
   bodyTooLarge: 'body-too-large',
+  promptTooLong: 'prompt-too-long',
   noRoute: 'no-route',
   unauthorized: 'unauthorized',
   noConfiguration: 'no-configuration',
@@ -49,6 +50,7 @@
 const notRunStatus: Readonly<Record<Refusal, number>> = {
   invalid: 400,
   'body-too-large': 413,
+  'prompt-too-long': 413,
   'no-route': 404,
   unauthorized: 401,
   'no-configuration': 503,
--- a/request/forward/src/attempt.ts
+++ b/request/forward/src/attempt.ts
@@ -53,7 +53,7 @@
   readonly identity: Pick<Dispatch, 'workspace' | 'hidesCredentials'>
   readonly codec: HeaderCodec
   readonly limits: RequestLimits
-  readonly body: Buffer
+  readonly body: readonly Buffer[]
   /// Time until the call's deadline, for the instance.
   readonly remainingMs: number
   /// Id of the last event that the caller has received, -1 for none.
--- a/request/forward/src/dispatcher.ts
+++ b/request/forward/src/dispatcher.ts
@@ -17,7 +17,7 @@
 
 /// What one attempt sends, and how its response is received.
 export interface AttemptOptions {
-  readonly body: Buffer
+  readonly body: readonly Buffer[]
   readonly lastEventId: number
   readonly listener: StreamListener | null
   readonly idleTimeoutMs: number
--- a/request/forward/src/stream.ts
+++ b/request/forward/src/stream.ts
@@ -1,8 +1,8 @@
 import type { ResponseHead } from '#connection/header'
 import type { LedgerRecord } from '#connection/rpc'
 import { Refusal, RefusedError, Verdict } from '#request/call'
-import { EventStreamParser, TokenReservation, buildPrompt, createTurnRecord, getPromptLength, readHistory } from '#request/turn'
-import type { StreamEvent } from '#request/turn'
+import { EventStreamParser, PromptMeter, TokenReservation, buildPrompt, createTurnRecord, readHistory } from '#request/turn'
+import type { OnChainPart, StreamEvent } from '#request/turn'
 import { Events, formatError } from '#process/log'
 import { recordCachedParts } from '#process/instances'
 import { ByteCollector } from '#process/memory'
@@ -42,7 +42,6 @@
   const isFirstTurn = reservation !== null && !reservation.hasOtherTurns && history.length === 0
   let turn: StreamedTurn | null = null
   try {
-    if (history.length > 0) routed.memory.assertAdd(getPromptLength(history, routed.body))
     turn = new StreamedTurn(routed, response, context, history, isFirstTurn, tokensPerEvent, storageMs)
     const isStream = await turn.run()
     if (isStream && route.keepsHistory) await turn.store(reservation)
@@ -63,8 +62,10 @@
   const workspace = routed.workspace?.name ?? null
   const access = { workspace, isRestricted: hasWorkspaces }
   const timeoutMs = (routed.lastDeadlineMs - performance.now()) * maxStorageWaitShare
+  const meter = route.keepsHistory ? new PromptMeter(routed.body, routed.memory) : null
+  const onPart: OnChainPart = (turns, earlierBytes) => meter?.addTurns(turns, earlierBytes)
   const [history, reservation] = await Promise.allSettled([
-    route.keepsHistory ? readHistory(call, access, context, timeoutMs) : [],
+    route.keepsHistory ? readHistory(call, access, context, timeoutMs, onPart) : [],
     TokenReservation.acquire(call, route, { maxTokens, workspace, timeoutMs, signal }, context.ledger, context.log)
   ])
   if (history.status === 'rejected') {
@@ -78,7 +79,8 @@
 /// Serves one turn on one instance after another until its stream is complete.
 class StreamedTurn implements StreamListener {
   private readonly output = new ByteCollector()
-  private readonly prompt: Buffer
+  private readonly prompt: readonly Buffer[]
+  private readonly promptBytes: number
   private readonly dispatcher: CallDispatcher
   private parser = new EventStreamParser()
   private lastEventId: number
@@ -97,7 +99,8 @@
     private readonly storageMs: number
   ) {
     this.prompt = buildPrompt(history, routed.body)
-    this.dispatcher = new CallDispatcher(routed, context, this.prompt.length)
+    this.promptBytes = this.prompt.reduce((sum, { length }) => sum + length, 0)
+    this.dispatcher = new CallDispatcher(routed, context, this.promptBytes)
     this.lastEventId = routed.call.lastEventId
   }
 
@@ -247,7 +250,7 @@
       idleTimeoutMs: this.routed.route.resumable ? streamIdleTimeoutMs : 0,
       details: {
         history: this.history.length,
-        promptBytes: this.prompt.length,
+        promptBytes: this.promptBytes,
         afterEvent: this.lastEventId,
         storageMs: Math.round(this.storageMs)
       }
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -27,9 +27,8 @@
     const lease = await acquireLease(routed, dispatcher, lastResponse !== null)
     if (lease === null) break
     const hasAlternative = isIdempotent && dispatcher.hasAlternative(lease)
-    const { body } = routed
     const result = await dispatcher.send(lease, {
-      body,
+      body: [routed.body],
       lastEventId: -1,
       listener: null,
       idleTimeoutMs,
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -9,7 +9,7 @@
 import type { TurnAccess } from './access.js'
 import type { ChainCache } from './chaincache.js'
 import { createLedgerRefusal, createRecord } from './ledger.js'
-import type { TurnLedger } from './ledger.js'
+import type { OnChainPart, TurnLedger } from './ledger.js'
 
 /// Where turns are stored and cached.
 export interface HistoryContext {
@@ -20,29 +20,45 @@
 
 /// Reads the history of a call, oldest turn first; empty for the first turn. Waits up to `timeoutMs` for storage.
 /// Rejects with `RefusedError`: `unknownTurn` only if the previous turn is certainly not stored, or if it or one before
-/// it belongs to another workspace.
+/// it belongs to another workspace. `onPart` is called with each part of the history that is read, and may throw
+/// `RefusedError` to end this.
 export async function readHistory (
   call: Call,
   access: TurnAccess,
   { ledger, cache, log }: HistoryContext,
-  timeoutMs: number
+  timeoutMs: number,
+  onPart: OnChainPart = () => {}
 ): Promise<readonly LedgerRecord[]> {
-  if (call.previousTurnId === null) return []
-  const chain = cache.getChain(call.previousTurnId) ?? await findChain(call.previousTurnId, ledger, timeoutMs)
+  const { previousTurnId } = call
+  if (previousTurnId === null) return []
+  const assertReadable = (turns: readonly LedgerRecord[]): void => {
+    const foreign = turns.find(turn => !mayRead(turn, access))
+    if (foreign === undefined) return
+    const { workspace } = access
+    log.event(Events.turnForeign, { callId: call.id, turnId: foreign.id, workspace, owner: foreign.workspace })
+    throw createUnknownTurnError(previousTurnId)
+  }
+  // A part is checked before its length may refuse the call, which would tell that the turn exists.
+  const accept: OnChainPart = (turns, earlierBytes) => {
+    assertReadable(turns)
+    onPart(turns, earlierBytes)
+  }
+  const cached = cache.getChain(previousTurnId)
+  if (cached !== null) accept(cached, 0)
+  const chain = cached ?? await findChain(previousTurnId, ledger, timeoutMs, accept)
   for (const turn of chain) cache.add(turn)
-  const foreign = chain.find(turn => !mayRead(turn, access))
-  if (foreign === undefined) return chain
-  const { workspace } = access
-  log.event(Events.turnForeign, { callId: call.id, turnId: foreign.id, workspace, owner: foreign.workspace })
-  throw createUnknownTurnError(call.previousTurnId)
+  assertReadable(chain)
+  return chain
 }
 
-async function findChain (turnId: string, ledger: TurnLedger, timeoutMs: number): Promise<readonly LedgerRecord[]> {
+async function findChain (
+  turnId: string, ledger: TurnLedger, timeoutMs: number, onPart: OnChainPart
+): Promise<readonly LedgerRecord[]> {
   let chain: LedgerRecord[] | null
   try {
-    chain = await ledger.findChain(turnId, timeoutMs)
+    chain = await ledger.findChain(turnId, timeoutMs, onPart)
   } catch (error) {
-    throw createLedgerRefusal(ledger, error)
+    throw error instanceof RefusedError ? error : createLedgerRefusal(ledger, error)
   }
   if (chain === null) throw createUnknownTurnError(turnId)
   return chain
@@ -53,17 +69,6 @@
   return new RefusedError(Refusal.unknownTurn, Verdict.notRun, `previous turn ${turnId} is not stored`)
 }
 
-/// Builds the prompt for an instance: inputs and outputs of the previous turns, then the new input.
-export function buildPrompt (history: readonly LedgerRecord[], input: Buffer): Buffer {
-  if (history.length === 0) return input
-  return Buffer.concat([...history.flatMap(turn => [turn.input, turn.output]), input])
-}
-
-/// The length of the prompt that `buildPrompt` returns.
-export function getPromptLength (history: readonly LedgerRecord[], input: Buffer): number {
-  return history.reduce((sum, turn) => sum + turn.input.length + turn.output.length, input.length)
-}
-
 export function createTurnRecord (
   call: Call,
   route: Route,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
 const loadTests = [
   'process/daemon/test/*.test.ts',
   'standin/{machine/test/system,soak/test/soak,system/test/orphans}.test.ts',
-  'process/entry/test/{endlessresponse,latestop,memorylimit,misbehavingcallers,overload,relayedstop,requestlimit,unequalentries}.test.ts'
+  'process/entry/test/{endlessresponse,latestop,longchain,memorylimit,misbehavingcallers,overload,relayedstop,requestlimit,unequalentries}.test.ts'
 ]
 
 export default defineConfig({
