Numbers of a configuration can be stored, and only what a storage instance does counts as its loss

Cause: two. 64.1 s became 64099.99999999999 ms, which the ledger's record can't hold; and the error of the encoder counted as a lost storage instance, as any error did that isn't a timeout, so that the entry took all of them for down, for all routes, and sent the record again until the deadline. Trace: `member-lost`, "invalid uint32: 64099.99999999999".

A request that can't be sent is a `MessageError` before anything is sent, and fails its call at once. A storage instance that replies with an error (`RequestRejectedError`, event `request-rejected`) isn't down, and isn't evicted for it. Our code that fails while it handles a reply no longer ends the connection.

--- a/connection/rpc/src/index.ts
+++ b/connection/rpc/src/index.ts
@@ -3,7 +3,7 @@
 export { RecordKind } from './recordkind.js'
 export { LedgerConnection } from './client.js'
 export type { LedgerPeer } from './client.js'
-export { PeerError } from './session.js'
+export { MessageError, PeerError, RequestRejectedError } from './session.js'
 export type { WaitOptions } from './session.js'
 export { LedgerConnectionPool } from './connectionpool.js'
 export { LedgerServer } from './server.js'
--- a/connection/rpc/src/session.ts
+++ b/connection/rpc/src/session.ts
@@ -1,12 +1,13 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { BinaryWriter } from '@bufbuild/protobuf/wire'
+import { errorMessage } from '#process/log'
 import { FrameReader, FrameWriter, toFrame } from './frames.js'
 import { Reply, Request } from './generated/ledger.js'
 
 /// A request to a peer timed out or failed.
 export class PeerError extends Error {
-  override readonly name = 'PeerError'
+  override readonly name: string = 'PeerError'
 
   /// `isUnresponsive` is false only if the request timed out while the peer replied to others: it is slow then.
   /// `isMachineUp` if its machine refused or accepted the connection, but its process has not replied: it may be
@@ -18,6 +19,20 @@
   }
 }
 
+/// The peer replied that it can't handle a request. It is there.
+export class RequestRejectedError extends PeerError {
+  override readonly name = 'RequestRejectedError'
+
+  constructor (message: string) {
+    super(message, false)
+  }
+}
+
+/// A request can't be encoded, or is too large. Nothing was sent, and it says nothing about the peer.
+export class MessageError extends Error {
+  override readonly name = 'MessageError'
+}
+
 /// How a request waits for a slow peer.
 export interface WaitOptions<Message> {
   /// The request fails before its timeout if its connection receives no reply to any request for this long.
@@ -87,9 +102,11 @@
     this.listen()
   }
 
+  /// Rejects with `PeerError`, or with `MessageError`.
   send (operation: Operation, timeoutMs: number, wait?: WaitOptions<Reply>): Promise<Reply> {
     return new Promise((resolve, reject) => {
       const number = this.lastNumber = (this.lastNumber + 1) % 0x7fffffff
+      const frame = createFrame(number, operation)
       const checkedAtMs = performance.now()
       const silenceTimeoutMs = Math.min(timeoutMs, wait?.silenceTimeoutMs ?? timeoutMs)
       this.pending.set(number, {
@@ -102,7 +119,7 @@
         timer: this.startTimer(number, silenceTimeoutMs),
         isLate: false
       })
-      this.writer.send(toFrame(encodeRequest(number, operation)))
+      this.writer.send(frame)
     })
   }
 
@@ -124,13 +141,15 @@
   private listen (): void {
     const { socket } = this
     const reader = new FrameReader()
-    socket.on('data', chunk => {
+    const read = (chunk: Buffer): Reply[] => {
       try {
-        for (const message of reader.push(chunk)) this.handleReply(Reply.decode(message))
+        return reader.push(chunk).map(message => Reply.decode(message))
       } catch (error) {
         socket.destroy(error as Error)
+        return []
       }
-    })
+    }
+    socket.on('data', chunk => { for (const reply of read(chunk)) this.handleReply(reply) })
     socket.on('connect', () => { this.isConnected = true })
     socket.on('error', (error: NodeJS.ErrnoException) => this.handleEnd(error.message, machineUpCodes.has(error.code)))
     socket.on('end', () => socket.destroy())
@@ -144,7 +163,7 @@
     const request = this.pending.get(reply.number)
     if (request === undefined) return
     this.remove(reply.number, request)
-    if (reply.error !== '') request.reject(new PeerError(`${this.address}: ${reply.error}`))
+    if (reply.error !== '') request.reject(new RequestRejectedError(`${this.address}: ${reply.error}`))
     else if (request.isLate) request.onLateReply!(reply)
     else request.resolve(reply)
   }
@@ -223,6 +242,15 @@
   }
 }
 
+/// Throws `MessageError`.
+function createFrame (number: number, operation: Operation): Buffer {
+  try {
+    return toFrame(encodeRequest(number, operation))
+  } catch (error) {
+    throw new MessageError(errorMessage(error), { cause: error })
+  }
+}
+
 /// Encoded operations of requests that go to several peers.
 const encodedOperations = new WeakMap<object, Uint8Array>()
 
--- a/process/log/src/catalogue.ts
+++ b/process/log/src/catalogue.ts
@@ -46,6 +46,7 @@
   turnRuledOut: { number: 333, name: 'turn-ruled-out', level: 'warn', maxLinesPerSecond: 50 },
   turnAbsent: { number: 334, name: 'turn-absent', level: 'info', maxLinesPerSecond: 20 },
   chainIncomplete: { number: 335, name: 'chain-incomplete', level: 'warn', maxLinesPerSecond: 20 },
+  requestRejected: { number: 336, name: 'request-rejected', level: 'error', maxLinesPerSecond: 5 },
   retirement: { number: 340, name: 'retirement', level: 'info', maxLinesPerSecond: 5 },
   storeLost: { number: 400, name: 'store-lost', level: 'warn', maxLinesPerSecond: 2 },
   storeRegained: { number: 401, name: 'store-regained', level: 'info', maxLinesPerSecond: 2 },
--- a/process/quorum/src/ledgerpeers.ts
+++ b/process/quorum/src/ledgerpeers.ts
@@ -1,4 +1,4 @@
-import { PeerError } from '#connection/rpc'
+import { PeerError, RequestRejectedError } from '#connection/rpc'
 import type { DigestReply, DigestRequest, LedgerPeer, Member, Standing, View, WaitOptions } from '#connection/rpc'
 import { ChangeSignal, sleep } from '#process/clock'
 import { Events, formatError } from '#process/log'
@@ -223,7 +223,7 @@
   }
 
   /// Sends a request to one member, and sends it again while the member is silent, until a reply to any of these comes.
-  /// Resolves to null at the deadline, or if it fails fast.
+  /// Resolves to null at the deadline, if it fails fast, or if it can't be sent.
   async sendWithRetry<Reply extends Replied> (
     state: PeerState, send: SendToPeer<Reply>, options: RetryOptions
   ): Promise<Reply | null> {
@@ -237,8 +237,13 @@
       const isAborted = options.signal?.aborted ?? false
       if (isAborted || remainingMs <= 1 || (state.isDown && this.givesUp(options))) return null
       const attempt = this.sendOnce(state, send(state.peer, remainingMs, wait))
-      const reply = await (isRepeated ? Promise.race([attempt, late.wait()]) : attempt)
-      if (reply !== null) return reply
+      try {
+        const reply = await (isRepeated ? Promise.race([attempt, late.wait()]) : attempt)
+        if (reply !== null) return reply
+      } catch (error) {
+        this.recordUnsendable(error)
+        return null
+      }
     }
   }
 
@@ -256,13 +261,14 @@
     return signal?.aborted === true || (failsFast && this.isCutOff)
   }
 
-  /// Resolves to the reply, or to null when the request has failed and may be sent again.
+  /// Resolves to the reply, or to null when the request has failed and may be sent again. Rejects if it can't be sent.
   private async sendOnce<Reply extends Replied> (state: PeerState, request: Promise<Reply>): Promise<Reply | null> {
     try {
       const reply = await request
       this.handleStanding(state, reply.standing!)
       return reply
     } catch (error) {
+      if (!(error instanceof PeerError)) throw error
       this.recordFailure(state, error)
       return null
     }
@@ -287,9 +293,19 @@
     if (standing.diskId !== state.member.diskId) this.options.onStaleView()
   }
 
-  private recordFailure (state: PeerState, error: unknown): void {
-    if (!(error instanceof PeerError) || !error.isTimeout) this.recordDown(state, error)
-    else if (error.isUnresponsive) this.askWhetherPresent(state)
+  /// Only what a member does or fails to do says that it is down.
+  private recordFailure (state: PeerState, error: PeerError): void {
+    if (error instanceof RequestRejectedError) {
+      this.log.event(Events.requestRejected, { member: state.member.name, error: formatError(error) })
+    } else if (!error.isTimeout) {
+      this.recordDown(state, error)
+    } else if (error.isUnresponsive) {
+      this.askWhetherPresent(state)
+    }
+  }
+
+  private recordUnsendable (error: unknown): void {
+    this.log.event(Events.unexpectedError, { where: 'a request to a storage instance', error: formatError(error) })
   }
 
   /// A member whose disk is slow may have replied to nothing because all requests wait for it.
@@ -298,8 +314,8 @@
     state.isAsked = true
     state.peer.digest(this.createProbe(), presenceTimeoutMs)
       .then(reply => this.handleStanding(state, reply.standing!), error => {
-        const hasRepliedToOthers = error instanceof PeerError && !error.isUnresponsive
-        if (!hasRepliedToOthers) this.recordDown(state, error)
+        if (!(error instanceof PeerError)) this.recordUnsendable(error)
+        else if (error.isUnresponsive) this.recordDown(state, error)
       })
       .finally(() => { state.isAsked = false })
   }
--- a/process/storage/src/storagepeers.ts
+++ b/process/storage/src/storagepeers.ts
@@ -1,3 +1,4 @@
+import { MessageError, RequestRejectedError } from '#connection/rpc'
 import type { LedgerPeer, Member, View } from '#connection/rpc'
 import type { Ledger } from '#process/ledger'
 import { Events, formatError } from '#process/log'
@@ -192,7 +193,7 @@
       }
     }, (error: unknown) => {
       this.log.event(Events.copyFailed, { from: state.member.name, error: formatError(error) })
-      this.recordUnreachable(state)
+      this.recordFailure(state, error)
     }).finally(() => {
       state.isCopying = false
       state.nextCopyMs = performance.now() + (this.isCatchingUp() ? catchUpCopyDelayMs : steadyCopyDelayMs)
@@ -209,7 +210,7 @@
     const request = { viewVersion: this.view.version, cursor: 0, limit: 0, epoch: '' }
     state.peer.digest(request, standbyTimeoutMs).then(
       ({ standing }) => this.recordContact(state, standing?.viewVersion ?? 0),
-      () => this.recordUnreachable(state)
+      (error: unknown) => this.recordFailure(state, error)
     ).finally(() => {
       state.isCopying = false
       state.nextCopyMs = performance.now() + standbyProbeDelayMs
@@ -224,6 +225,16 @@
 
   private recordContact (state: PeerState, viewVersion: number): void {
     this.options.onPeerView(viewVersion)
+    this.recordReachable(state)
+  }
+
+  /// A peer that replies with an error is there, and one that couldn't be sent a request may be.
+  private recordFailure (state: PeerState, error: unknown): void {
+    if (error instanceof RequestRejectedError || error instanceof MessageError) this.recordReachable(state)
+    else this.recordUnreachable(state)
+  }
+
+  private recordReachable (state: PeerState): void {
     if (!state.isReachable) this.log.event(Events.memberRegained, { member: state.member.name })
     state.isReachable = true
     state.lastContactMs = state.reachedAtMs = performance.now()
--- a/process/storage/test/storagepeers.test.ts
+++ b/process/storage/test/storagepeers.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { MessageError, RequestRejectedError } from '#connection/rpc'
 import type { LedgerPeer, Member, View } from '#connection/rpc'
 import type { Ledger } from '#process/ledger'
 import { noopLog } from '#process/log'
@@ -10,6 +11,7 @@
 
 let peers: StoragePeers
 let isReachable: boolean
+let failure: Error | null
 let digestCount: number
 
 function createMember (name: string): Member {
@@ -23,10 +25,12 @@
 beforeEach(() => {
   vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
   isReachable = true
+  failure = null
   digestCount = 0
   const digest = async (): Promise<unknown> => {
     digestCount++
     if (!isReachable) throw new Error('unreachable')
+    if (failure !== null) throw failure
     return { standing: { diskId: 'a', viewVersion: 1 }, keys: [], nextCursor: 0, atEnd: true, epoch: 'e' }
   }
   peers = new StoragePeers({
@@ -57,6 +61,18 @@
   expect(peers.findAbsent(performance.now())).toEqual([])
 })
 
+// Guards against an eviction because of a failure of our own code: a peer that replies with an error is there.
+test.each([
+  ['rejects requests', new RequestRejectedError('a:1: a bug')],
+  ['could not be sent them', new MessageError('invalid uint32: 0.5')]
+])('a peer that %s is not missing', async (_, error) => {
+  await tick(10)
+  failure = error
+  await tick(20)
+  expect(listPresent()).toEqual(['a', 'b', 'c', 'own'])
+  expect(peers.findAbsent(performance.now())).toEqual([])
+})
+
 test('peers that stay silent after a pause are missing as soon as others', async () => {
   await tick(10)
   await vi.advanceTimersByTimeAsync(pauseMs)
--- a/request/forward/src/unary.ts
+++ b/request/forward/src/unary.ts
@@ -20,7 +20,8 @@
 ): Promise<void> {
   const { call, route } = routed
   const isIdempotent = route.kind === RouteKind.idempotent
-  const idleTimeoutMs = isIdempotent ? Math.max(minIdleTimeoutMs, route.targetLatencyMs * idleTimeoutFactor) : 0
+  const maxIdleMs = Math.max(minIdleTimeoutMs, route.targetLatencyMs * idleTimeoutFactor)
+  const idleTimeoutMs = isIdempotent ? Math.min(maxIdleMs, route.timeoutMs) : 0
   const dispatcher = new CallDispatcher(routed, context)
   let lastResponse: Extract<AttemptResult, { kind: 'answer' }> | null = null
   while (true) {
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -8,7 +8,7 @@
 import { createAccountId, mayRead } from './access.js'
 import type { TurnAccess } from './access.js'
 import type { ChainCache } from './chaincache.js'
-import { createLedgerRefusal, createRecord } from './ledger.js'
+import { createLedgerRefusal, createRecord, toRecordTokens } from './ledger.js'
 import type { OnChainPart, TurnLedger } from './ledger.js'
 
 /// Where turns are stored and cached.
@@ -85,7 +85,7 @@
     previousId: call.previousTurnId ?? '',
     input,
     output,
-    tokens,
+    tokens: toRecordTokens(tokens),
     instanceId
   }
 }
--- a/request/turn/src/ledger.ts
+++ b/request/turn/src/ledger.ts
@@ -54,6 +54,14 @@
   return new RefusedError(Refusal.ledgerUnavailable, Verdict.notRun, formatError(error), retryAfterMs)
 }
 
+/// The most tokens that a record can count.
+const maxRecordTokens = 2 ** 32 - 1
+
+/// Returns a record's token count. Parts of a token count as a whole one.
+export function toRecordTokens (tokens: number): number {
+  return Math.min(Math.ceil(tokens), maxRecordTokens)
+}
+
 /// Creates a record of any kind. Fields that only some kinds use are left empty.
 export function createRecord (kind: number, id: string, programId: string, retentionMs: number): LedgerRecord {
   return {
--- a/request/turn/src/tokenreservation.ts
+++ b/request/turn/src/tokenreservation.ts
@@ -7,7 +7,7 @@
 import { Events, formatError } from '#process/log'
 import type { EventLog } from '#process/log'
 import { createAccountId } from './access.js'
-import { LedgerError, createLedgerRefusal, createRecord } from './ledger.js'
+import { LedgerError, createLedgerRefusal, createRecord, toRecordTokens } from './ledger.js'
 import type { ReservedAccount, TurnLedger } from './ledger.js'
 
 /// Assumed maximum of turns of one program that reserve within one round trip and so may miss each other's records.
@@ -128,7 +128,7 @@
     const { callId, accountId } = this.names
     const record = {
       ...createRecord(RecordKind.reservation, callId, accountId, this.retentionMs),
-      tokens: maxTokens
+      tokens: toRecordTokens(maxTokens)
     }
     const account = this.ledger.reserve(record, this.timeoutMs, signal).catch((error: unknown) => {
       if (error instanceof LedgerError && !error.wasSent) this.isSettled = true
@@ -172,7 +172,10 @@
 
   private async writeSettlement (tokens: number, append: AppendRecord): Promise<void> {
     const { callId, accountId } = this.names
-    const record = { ...createRecord(RecordKind.settlement, callId, accountId, this.retentionMs), tokens }
+    const record = {
+      ...createRecord(RecordKind.settlement, callId, accountId, this.retentionMs),
+      tokens: toRecordTokens(tokens)
+    }
     for (let attempts = 1; ; attempts++) {
       try {
         await append(record)
--- a/version/configuration/src/configuration.ts
+++ b/version/configuration/src/configuration.ts
@@ -10,7 +10,7 @@
   readonly workspaces: Workspaces | null
 }
 
-/// How calls to a host and path prefix are served.
+/// How calls to a host and path prefix are served. Times are whole milliseconds.
 export interface Route {
   readonly name: string
   readonly host: string
@@ -61,11 +61,11 @@
 export interface Engine {
   readonly slots: number
   readonly kvCapacityTokens: number
-  /// Tokens per event of a response stream.
+  /// Tokens per event of a response stream; more than 0, may be a fraction.
   readonly tokensPerEvent: number
 }
 
-/// Size limits and timeouts of callers' requests.
+/// Size limits and timeouts of callers' requests. Times are whole milliseconds.
 export interface CallerLimits {
   readonly maxHeaderBytes: number
   readonly maxBodyBytes: number
