A long chain of another workspace is refused as an absent turn

Found by reading the change: since the length of a chain is known before its turns are read, 413 for one that is too long would tell another workspace that the turn exists, where an absent turn gets 404. Now the previous turn has been read before the length counts, if the configuration has workspaces; the memory for the rest is taken from then on.

Also a query of a chain without a view version that was replaced anyway.

--- a/process/quorum/src/quorum.ts
+++ b/process/quorum/src/quorum.ts
@@ -42,6 +42,8 @@
   readonly askAll: () => Promise<void>
 }
 
+type PartQuery = Pick<FindChainRequest, 'turnId' | 'maxBytes'>
+
 /// The replies to the query of a chain.
 interface ChainReplies {
   /// One that has the turn.
@@ -193,7 +195,7 @@
     const parts: LedgerRecord[][] = []
     let maxBytes = maxFirstPartBytes
     for (let id = turnId; id !== '';) {
-      const part = await this.findPart({ viewVersion: this.viewVersion, turnId: id, maxBytes }, deadlineMs)
+      const part = await this.findPart({ turnId: id, maxBytes }, deadlineMs)
       if (part === null && id === turnId) return null
       if (part === null) throw new QuorumError(`turn ${id}, which turn ${turnId} goes on from, is absent`)
       onPart(part.chain, part.earlierBytes)
@@ -206,7 +208,7 @@
 
   /// Resolves to the first reply that has the turn, or to null once a quorum rules out that it was committed. Queries
   /// the nearest member first, and the others as soon as it replies without the turn, or after `chainHedgeDelayMs`.
-  private async findPart (query: FindChainRequest, deadlineMs: number): Promise<FindChainReply | null> {
+  private async findPart (query: PartQuery, deadlineMs: number): Promise<FindChainReply | null> {
     const { turnId } = query
     while (true) {
       const { version } = this.peers.view
--- a/request/turn/src/history.ts
+++ b/request/turn/src/history.ts
@@ -38,8 +38,9 @@
     log.event(Events.turnForeign, { callId: call.id, turnId: foreign.id, workspace, owner: foreign.workspace })
     throw createUnknownTurnError(previousTurnId)
   }
-  // A part is checked before its length may refuse the call, which would tell that the turn exists.
+  // A refusal for the length would tell that the previous turn exists, so it must have been read before.
   const accept: OnChainPart = (turns, earlierBytes) => {
+    if (turns.length === 0 && access.isRestricted) return
     assertReadable(turns)
     onPart(turns, earlierBytes)
   }
--- a/request/turn/test/history.test.ts
+++ b/request/turn/test/history.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import { LedgerRecord, RecordKind } from '#connection/rpc'
 import { ChainCache, createAccountId, createTurnRecord, readHistory } from '#request/turn'
+import { Refusal, RefusedError, Verdict } from '#request/call'
 import type { TurnAccess, TurnLedger } from '#request/turn'
 import type { Route } from '#version/configuration'
 import { noopLog } from '#process/log'
@@ -56,6 +57,26 @@
   expect(await read(createChain(['red']))).toBe(await read(null))
 })
 
+// Guards against a refusal that tells another workspace that a turn exists, by the length of its chain.
+test.each([
+  ['whose length is known first', [[]]],
+  ['whose last turn is read first', []]
+])('a long chain of another workspace, %s, is refused as an absent turn', async (_, emptyParts) => {
+  const chain = createChain(['red', 'red'])
+  const tooLong = new RefusedError(Refusal.promptTooLong, Verdict.notRun, 'too long')
+  const findChain: TurnLedger['findChain'] = async (__, ___, onPart) => {
+    for (const part of [...emptyParts, chain]) onPart?.(part, 2 ** 30)
+    return chain
+  }
+  const ledger = { retryAfterMs: 250, findChain } as unknown as TurnLedger
+  const context = { ledger, cache: new ChainCache(1000), log: noopLog }
+  const read = (workspace: string): Promise<unknown> => {
+    return readHistory(createCall('next', { previousTurnId: 't1' }), as(workspace), context, 100, () => { throw tooLong })
+  }
+  await expect(read('blue')).rejects.toThrow(expect.objectContaining({ status: 404, refusal: 'unknown-turn' }))
+  await expect(read('red')).rejects.toBe(tooLong)
+})
+
 // Guards against two workspaces that spend the budget of one program, since they chose the same id.
 test('each workspace has token accounts of its own', () => {
   const names = [null, 'red', 'blue'].map(workspace => createAccountId('p', workspace))
