--- a/process/entry/test/longchain.test.ts
+++ b/process/entry/test/longchain.test.ts
@@ -1,11 +1,11 @@
 import { randomBytes } from 'node:crypto'
-import { readFile } from 'node:fs/promises'
+import { mkdtemp, readFile, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { afterAll, beforeAll, expect, test } from 'vitest'
 import { request } from 'undici'
-import { StandinSystem } from '#standin/system'
+import { StandinSystem, buildDaemon } from '#standin/system'
 import type { SystemNode } from '#standin/system'
-import { bundleDaemon } from './bundle.js'
-import type { Bundle } from './bundle.js'
 
 // Guards against a chain that was accepted and can't be read back (review/8). Real processes, with as much memory as
 // the smallest machines have: an entry that has none of the longest chain in its cache reads it from storage, several
@@ -20,14 +20,14 @@
 const deadlineMs = 4000
 const readersAtOnce = 4
 
-let bundle: Bundle
+let folder: string
 let system: StandinSystem
 let previousTurn = ''
 
 beforeAll(async () => {
-  bundle = await bundleDaemon()
+  folder = await mkdtemp(join(tmpdir(), 'chicorynotch-bundle-'))
   system = new StandinSystem({
-    command: [process.execPath, bundle.file],
+    command: await buildDaemon(folder),
     nodeArguments: heapArguments,
     memoryMb,
     entries: 2,
@@ -45,7 +45,7 @@
 
 afterAll(async () => {
   await system.stop()
-  await bundle.remove()
+  await rm(folder, { recursive: true, force: true })
 })
 
 /// Sends a turn to an entry. Resolves to its id and the status of its response, which is 0 if that isn't whole.
