--- a/process/entry/test/faultyresponse.test.ts
+++ b/process/entry/test/faultyresponse.test.ts
@@ -1,10 +1,10 @@
 import type { Socket } from 'node:net'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { listObjects } from '#standin/store'
-import { EntryHarness } from './harness.js'
+import type { EntryHarness } from './harness.js'
 import { open } from './rawcaller.js'
 import { RawUpstream } from './rawupstream.js'
 import type { WriteResponse } from './rawupstream.js'
+import { startRelayingEntry } from './relayingentry.js'
 
 // Guards against callers that take a part of a response for all of it, or get a status that is none: an instance
 // answers a request whose body is still being sent, and fails. The caller is connected to the entry that sends the
@@ -25,12 +25,7 @@
 beforeEach(async () => {
   upstream = new RawUpstream((...args) => respond(...args))
   entry = await upstream.startEntry(['tools-0', 'tools-1', 'models-0', 'models-1'])
-  relaying = new EntryHarness([])
-  await relaying.listen()
-  vi.spyOn(relaying.serviceTime, 'expectedMs', 'get').mockReturnValue(1000)
-  const spec = { address: entry.relayAddress, zone: 'z', processors: 1 }
-  listObjects(relaying.directory, { objects: [{ name: 'entry-1', revision: 1, spec, status: null }], revision: 1 })
-  relaying.directory.recordReport({ name: 'entry-1', expectedMs: 1, configVersion: 1, isReady: true, isQuery: false, askersProcessors: 0 })
+  relaying = await startRelayingEntry(entry)
 })
 
 afterEach(async () => {
--- a/process/entry/test/unconfirmedrefusal.test.ts
+++ b/process/entry/test/unconfirmedrefusal.test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { listObjects } from '#standin/store'
-import { EntryHarness } from './harness.js'
+import type { EntryHarness } from './harness.js'
 import { open } from './rawcaller.js'
 import { RawUpstream } from './rawupstream.js'
+import { startRelayingEntry } from './relayingentry.js'
 
 // Guards against a call that is reported as not run although it ran (review/7): an instance runs it, fails, and answers
 // with a status that promises the opposite, without the statement that it didn't run the call.
@@ -25,12 +25,7 @@
     socket.write(`HTTP/1.1 ${status} S\r\nattempt-id: ${callId}\r\n${fields}retry-after: 1\r\ncontent-length: 6\r\n\r\nbooked`)
   })
   entry = await upstream.startEntry(['tools-0', 'tools-1', 'models-0', 'models-1'])
-  relaying = new EntryHarness([])
-  await relaying.listen()
-  vi.spyOn(relaying.serviceTime, 'expectedMs', 'get').mockReturnValue(1000)
-  const spec = { address: entry.relayAddress, zone: 'z', processors: 1 }
-  listObjects(relaying.directory, { objects: [{ name: 'entry-1', revision: 1, spec, status: null }], revision: 1 })
-  relaying.directory.recordReport({ name: 'entry-1', expectedMs: 1, configVersion: 1, isReady: true, isQuery: false, askersProcessors: 0 })
+  relaying = await startRelayingEntry(entry)
 })
 
 afterEach(async () => {
