--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -68,6 +68,7 @@
   }
   await Promise.all(calls)
   clearInterval(watch)
+  while (restarting.size > 0) await sleep(watchIntervalMs)
   await system.stop()
   const crashing = [...ends].filter(([, count]) => count > maxEnds).map(([name]) => name)
   record.add('result', {
