--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -2,11 +2,13 @@
 import type { SystemNode } from '#standin/system'
 import { CaseRecord, call, createSystem, exitCodes, hasTrouble, readResidentMb, runCase } from '../common-3.js'
 
-/// As many programs a second as `steward-chat` has; each has one turn that is stored.
+/// As many programs a second as `steward-chat` has; each has six turns, where the sheet has nine in the mean.
 const programsPerS = 7.9
-/// The mean of the sheet's requests, and an eighth of `max_body_bytes`.
+const turnsPerProgram = 6
+const thinkMs = 20
+/// The mean of the site file's requests, and its most.
 const usualBytes = 17_000
-const longBytes = 512 * 1024
+const longBytes = 100_000
 const trafficMs = 80_000
 /// The machines of Vanua Learnbook, in MB.
 const limitsMb = { entry: 200, storage: 230 }
@@ -45,24 +47,30 @@
   const statuses = new Map<string, number>()
   const calls: Promise<void>[] = []
   const startedAtMs = performance.now()
-  for (let i = 0; performance.now() - startedAtMs < trafficMs; i++) {
-    const id = `turn-${i}`
-    const { callersAddress } = system.entries[i % system.entries.length]!
-    const headers = {
-      'attempt-id': id,
-      'program-id': `p${i}`,
-      'session-id': `s${i}`,
-      'program-deadline-ms': '8000',
-      'token-budget': '1000',
-      'token-usage': '840,120'
-    }
-    calls.push(call({ address: callersAddress, path: '/chat/turn', headers, body, timeoutMs }).then(answer => {
+  const runProgram = async (id: string, address: string): Promise<void> => {
+    for (let i = 0; i < turnsPerProgram; i++) {
+      const turnId = `${id}-${i}`
+      const headers = {
+        'attempt-id': turnId,
+        'program-id': id,
+        'session-id': id,
+        'program-deadline-ms': '8000',
+        'token-budget': '20000',
+        'token-usage': '840,120',
+        ...i === 0 ? {} : { 'previous-turn': `${id}-${i - 1}` }
+      }
+      const answer = await call({ address, path: '/chat/turn', headers, body, timeoutMs })
       const outcome = `${answer.status}${answer.isComplete ? '' : ' cut'}`
       const second = Math.floor((performance.now() - startedAtMs) / statisticsMs) * statisticsMs / 1000
       const key = `${second} s: ${outcome}`
       statuses.set(key, (statuses.get(key) ?? 0) + 1)
-      record.add('answered', { id, bytes: body.length, outcome })
-    }))
+      record.add('answered', { id: turnId, bytes: body.length, outcome })
+      if (outcome !== '200') return
+      await sleep(thinkMs)
+    }
+  }
+  for (let i = 0; performance.now() - startedAtMs < trafficMs; i++) {
+    calls.push(runProgram(`program-${i}`, system.entries[i % system.entries.length]!.callersAddress))
     for (const engine of system.engines) engine.executedRequests.length = 0
     await sleep(1000 / programsPerS)
   }
