--- a/review/13/case.ts
+++ b/review/13/case.ts
@@ -16,7 +16,9 @@
 const tryPauseMs = 500
 const warmUpMs = 1500
 const timeoutMs = 4000
-const programMs = 30_000
+/// A program of 18 turns, the most in the site file, each of which takes 0.49 s here and 0.031 s on the way: 1.6 times
+/// that, and the objective of 0.25 s.
+const programMs = 15_000
 const minOthersServed = 0.9
 
 const record = new CaseRecord('review/13/record.txt')
@@ -28,10 +30,13 @@
   await system.start()
   let running = 0
   let mostRunning = 0
+  /// Tries that an instance got.
+  let reached = 0
   for (const engine of system.engines) {
     engine.getEventIntervalMs = () => eventIntervalMs
     engine.onRun = ({ callId, body }) => {
       mostRunning = Math.max(mostRunning, ++running)
+      if (callId.startsWith('next')) reached++
       if (!callId.startsWith('other')) record.add('run', { id: callId, promptBytes: body.length })
     }
     engine.onDone = () => { running-- }
@@ -89,17 +94,17 @@
     }
   })()
   await sleep(warmUpMs)
-  let reached = 0
   for (let i = 1; i <= tries; i++) {
-    if (await turn(`next-${i}`, previous, 'and then?', i % 2)) reached++
+    await turn(`next-${i}`, previous, 'and then?', i % 2)
     await sleep(tryPauseMs)
   }
+  const isBeforeAim = performance.now() < startedAtMs + programMs
   state.isOn = false
   await traffic
   await Promise.all(ended)
   const isServedAlone = await turn('alone', previous, 'and then?', 0)
-  record.add('result', { reached, tries, others, othersServed, mostRunning, isServedAlone })
+  record.add('result', { reached, tries, others, othersServed, mostRunning, isBeforeAim, isServedAlone })
   await system.stop()
-  if (!isServedAlone || othersServed < others * minOthersServed) return exitCodes.notRun
+  if (!isServedAlone || !isBeforeAim || othersServed < others * minOthersServed) return exitCodes.notRun
   return reached === 0 ? exitCodes.broken : exitCodes.held
 })
